--- /dev/null
+++ b/crates/audit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decision records of requests and audit trail entries.
--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,31 @@
+//! Model of a continuously batching engine.
+//!
+//! [`Batch`] runs sequences in steps. A step prefills a bounded number of prompt tokens and gives
+//! every prefilled sequence one token; its duration grows with both. Waiting sequences are ordered
+//! by priority where the engine honours it. The model does no I/O: the engine stand-in and the
+//! decision bench both drive it.
+//!
+//! ```
+//! use batch::{Batch, Profile, Sequence};
+//!
+//! let mut batch = Batch::new(Profile::default());
+//! batch.add(Sequence::new(1).with_prompt_tokens(100).with_output_tokens(2));
+//! let mut events = Vec::new();
+//! let duration_us = batch.step(&mut events);
+//! assert!(duration_us > 0);
+//! assert_eq!(events.len(), 1);
+//! ```
+
+mod model;
+mod prefix_cache;
+mod profile;
+mod sequence;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    model::{Batch, Event},
+    prefix_cache::PrefixCache,
+    profile::Profile,
+    sequence::Sequence,
+};
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims of non-idempotent calls.
--- /dev/null
+++ b/crates/code/src/result_code.rs
@@ -0,0 +1,138 @@
+use std::fmt;
+
+use crate::{Entry, Retry, Run, TABLE};
+
+/// Numbered result code.
+///
+/// 1xxx: the request; 2xxx: the client account; 3xxx: admission; 4xxx: the upstream;
+/// 5xxx: non-idempotent calls; 7xxx: operators' changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Code {
+    /// The body is not a valid request.
+    BadRequest,
+    /// The body is larger than the limit of this host.
+    BodyTooLarge,
+    /// The headers are larger than the limit of this host.
+    HeadersTooLarge,
+    /// No upstream in force serves this model.
+    UnknownModel,
+    /// The class of service does not exist or is not open to this client account.
+    UnknownClass,
+    /// No plain service of this name is in force.
+    UnknownService,
+    /// The body did not arrive in time.
+    SlowSender,
+    /// No interface has this path.
+    UnknownPath,
+    /// The API key belongs to no client account.
+    UnknownKey,
+    /// The client account is over its request rate.
+    RateLimited,
+    /// The client account has too many tokens in flight.
+    TokensInFlight,
+    /// The client account has too many requests in flight.
+    RequestsInFlight,
+    /// The queue of this tier is full.
+    QueueFull,
+    /// The queue can't start the request before its deadline.
+    DeadlineUnreachable,
+    /// The deadline passed while the request was queued.
+    DeadlinePassed,
+    /// This host is stopping and takes no new work.
+    Draining,
+    /// This host has no configuration yet.
+    NoConfig,
+    /// This host was suspended and has not refreshed its view yet.
+    StaleView,
+    /// No upstream takes work at present.
+    NoUpstream,
+    /// The connection to the upstream failed before a byte was sent.
+    ConnectFailed,
+    /// The connection to the upstream was lost before an answer.
+    UpstreamLost,
+    /// The answer broke off and could not be resumed.
+    StreamBroken,
+    /// The upstream did not answer in time.
+    UpstreamTimeout,
+    /// The upstream answered with an error.
+    UpstreamError,
+    /// A call with this idempotency key may have run; it is not run again.
+    MayHaveRun,
+    /// The idempotency key was used with another request.
+    KeyReused,
+    /// A call with this idempotency key is in progress.
+    InProgress,
+    /// The platform's store is down, so the call was not started.
+    ClaimStoreDown,
+    /// The store did not confirm the claim, so the call was not started.
+    ClaimUnknown,
+    /// The idempotency key is missing, empty or too long.
+    BadKey,
+    /// The call was sent and its outcome could not be recorded.
+    OutcomeNotRecorded,
+    /// The release note does not match what it would do.
+    NoteMismatch,
+    /// Another release took effect first.
+    NoteConflict,
+    /// The release note or the resulting configuration is invalid.
+    NoteInvalid,
+    /// The platform's store is down.
+    StoreDown,
+}
+
+impl Code {
+    /// Returns the code with this number.
+    #[must_use]
+    pub fn from_number(number: u16) -> Option<Self> {
+        let index = TABLE.binary_search_by_key(&number, |entry| entry.number);
+        index.ok().map(|index| TABLE[index].code)
+    }
+
+    /// Returns the number in answers, logs and the docs.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self.entry().number
+    }
+
+    /// Returns the short name in snake case.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        self.entry().name
+    }
+
+    /// Returns the HTTP status of an answer with this code.
+    #[must_use]
+    pub const fn http_status(self) -> u16 {
+        self.entry().http_status
+    }
+
+    /// Returns whether the request was run.
+    #[must_use]
+    pub const fn run(self) -> Run {
+        self.entry().run
+    }
+
+    /// Returns what the caller may do.
+    #[must_use]
+    pub const fn retry(self) -> Retry {
+        self.entry().retry
+    }
+
+    /// Returns what happened, as one sentence.
+    #[must_use]
+    pub const fn message(self) -> &'static str {
+        self.entry().message
+    }
+
+    /// Returns the row of the table.
+    #[must_use]
+    pub const fn entry(self) -> &'static Entry {
+        &TABLE[self as usize]
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.name())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/completions.rs
@@ -0,0 +1,129 @@
+use std::sync::Arc;
+
+use code::Code;
+use log::info;
+use ntex::{
+    client::Client,
+    util::Bytes,
+    web::{
+        HttpRequest, HttpResponse,
+        types::{Payload, State},
+    },
+};
+use sched::{Job, JobId, Target};
+use wire::{Assembler, Form, Request};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    input::{authenticate, check_ready, class_of, read_body, request_id},
+    refusal::Refusal,
+    relay::Relay,
+    shared::Shared,
+    sse_body::sse_body,
+};
+
+/// Serves `/v1/chat/completions`.
+pub(crate) async fn chat(
+    request: HttpRequest,
+    payload: Payload,
+    shared: State<Arc<Shared>>,
+    client: State<Client>,
+) -> HttpResponse {
+    serve(Form::Chat, request, payload, &shared, &client).await
+}
+
+/// Serves `/v1/completions`.
+pub(crate) async fn text(
+    request: HttpRequest,
+    payload: Payload,
+    shared: State<Arc<Shared>>,
+    client: State<Client>,
+) -> HttpResponse {
+    serve(Form::Text, request, payload, &shared, &client).await
+}
+
+async fn serve(
+    form: Form,
+    request: HttpRequest,
+    payload: Payload,
+    shared: &Arc<Shared>,
+    client: &Client,
+) -> HttpResponse {
+    let id = shared.next_id();
+    let request_id = request_id(shared, id);
+    match answer(form, &request, payload, shared, client, id).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            info!("caller: {request_id} refused with {}", refusal.code);
+            refusal.response(&request_id)
+        }
+    }
+}
+
+async fn answer(
+    form: Form,
+    request: &HttpRequest,
+    payload: Payload,
+    shared: &Arc<Shared>,
+    client: &Client,
+    id: JobId,
+) -> Result<HttpResponse, Refusal> {
+    let view = shared.view.load_full();
+    check_ready(shared, &view)?;
+    let account = authenticate(&view, request)?;
+    let body = read_body(shared, request, payload).await?;
+    let parsed = Request::parse(form, &body)
+        .map_err(|error| Refusal::new(Code::BadRequest).with_detail(&error.detail))?;
+    let class = class_of(&view, account, request, parsed.class())?;
+    if view.config.models().binary_search(&parsed.model()).is_err() {
+        return Err(Refusal::new(Code::UnknownModel).with_detail(&format!("`{}`", parsed.model())));
+    }
+    let job = Job {
+        id,
+        account: account.name.as_str().into(),
+        class: class.name.as_str().into(),
+        tier: class.tier,
+        target: Target::Model(parsed.model().into()),
+        prompt_tokens: parsed.prompt_tokens(),
+        max_tokens: parsed.max_tokens().unwrap_or(0),
+        body_bytes: body.len() as u64,
+        prefix_hash: xxh3_64(parsed.prefix().as_bytes()),
+        deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
+        idempotent: true,
+    };
+    let handle = shared.submit(job);
+    let request_id = request_id(shared, id);
+    let relay = Relay::new(shared.clone(), client.clone(), handle, parsed, request_id);
+    if relay.request().is_stream() {
+        stream(relay).await
+    } else {
+        whole(relay).await
+    }
+}
+
+async fn stream(mut relay: Relay) -> Result<HttpResponse, Refusal> {
+    // The head waits for the first chunk: until then a refusal can still carry its status, and a
+    // caller that leaves is noticed at once.
+    let Some(first) = relay.next().await? else {
+        return Err(Code::UpstreamError.into());
+    };
+    let mut response = HttpResponse::Ok();
+    response.header("x-request-id", relay.request_id());
+    response.header("cache-control", "no-store");
+    Ok(response
+        .content_type("text/event-stream")
+        .streaming(sse_body(relay, first)))
+}
+
+async fn whole(mut relay: Relay) -> Result<HttpResponse, Refusal> {
+    let mut assembler = Assembler::new(relay.request().form());
+    while let Some(chunk) = relay.next().await? {
+        assembler.push(&chunk);
+    }
+    let mut response = HttpResponse::Ok();
+    response.header("x-request-id", relay.request_id());
+    let body = assembler.finish().to_string();
+    Ok(response
+        .content_type("application/json")
+        .body(Bytes::from(body)))
+}
--- /dev/null
+++ b/crates/daemon/src/handle.rs
@@ -0,0 +1,86 @@
+use std::sync::Arc;
+
+use code::Code;
+use sched::{JobId, Outcome};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::{core::Decision, shared::Shared};
+
+/// Owner of a submitted job; dropping it cancels the job.
+pub(crate) struct JobHandle {
+    shared: Arc<Shared>,
+    id: JobId,
+    decisions: UnboundedReceiver<Decision>,
+    ended: bool,
+}
+
+impl JobHandle {
+    pub(crate) const fn new(
+        shared: Arc<Shared>,
+        id: JobId,
+        decisions: UnboundedReceiver<Decision>,
+    ) -> Self {
+        Self {
+            shared,
+            id,
+            decisions,
+            ended: false,
+        }
+    }
+
+    /// Waits for the next decision.
+    pub(crate) async fn decision(&mut self) -> Decision {
+        let decision = self.decisions.recv().await;
+        let closed = Decision::Refuse {
+            code: Code::Draining,
+            retry_after_ms: 1_000,
+        };
+        let decision = decision.unwrap_or(closed);
+        if matches!(decision, Decision::Refuse { .. }) {
+            self.ended = true;
+        }
+        decision
+    }
+
+    /// Notes the first token.
+    pub(crate) fn first_token(&self) {
+        let id = self.id;
+        self.shared.with_core(|now_us, core| {
+            core.act(|dispatcher, actions| dispatcher.first_token(now_us, id, actions));
+        });
+    }
+
+    /// Notes further tokens.
+    pub(crate) fn tokens(&self, count: u32) {
+        let id = self.id;
+        self.shared.with_core(|now_us, core| {
+            core.act(|dispatcher, actions| dispatcher.tokens(now_us, id, count, actions));
+        });
+    }
+
+    /// Notes the end of the current attempt.
+    pub(crate) fn finish(&mut self, outcome: Outcome) {
+        let id = self.id;
+        let complete = outcome == Outcome::Complete;
+        self.ended |= complete;
+        self.shared.with_core(|now_us, core| {
+            core.act(|dispatcher, actions| dispatcher.finish(now_us, id, outcome, actions));
+            if complete {
+                core.forget(id);
+            }
+        });
+    }
+}
+
+impl Drop for JobHandle {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let id = self.id;
+        self.shared.with_core(|now_us, core| {
+            core.act(|dispatcher, actions| dispatcher.cancel(now_us, id, actions));
+            core.forget(id);
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/input.rs
@@ -0,0 +1,91 @@
+//! Checks of a caller's request that need no dispatcher.
+
+use std::{sync::Arc, time::Duration};
+
+use code::Code;
+use ntex::{
+    http::header,
+    util::{Bytes, BytesMut},
+    web::{HttpRequest, types::Payload},
+};
+use settings::{Account, Class};
+
+use crate::{refusal::Refusal, shared::Shared, view::View};
+
+/// Reads a body within the limits of the host.
+pub(crate) async fn read_body(
+    shared: &Shared,
+    request: &HttpRequest,
+    mut payload: Payload,
+) -> Result<Bytes, Refusal> {
+    let max_bytes = shared.host.body_max_bytes;
+    let length = request.headers().get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if length.is_some_and(|length| length > max_bytes) {
+        return Err(Code::BodyTooLarge.into());
+    }
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.recv().await {
+            let chunk = chunk.map_err(|_| Refusal::new(Code::BadRequest))?;
+            if body.len() + chunk.len() > max_bytes {
+                return Err(Code::BodyTooLarge.into());
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    let limit = Duration::from_millis(shared.host.receive_max_ms);
+    tokio::time::timeout(limit, read)
+        .await
+        .unwrap_or_else(|_| Err(Code::SlowSender.into()))
+}
+
+/// Returns the client account of the request's bearer key.
+pub(crate) fn authenticate<'a>(
+    view: &'a View,
+    request: &HttpRequest,
+) -> Result<&'a Account, Refusal> {
+    let value = request
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    key.and_then(|key| view.account_of_key(key.trim()))
+        .ok_or_else(|| Code::UnknownKey.into())
+}
+
+/// Returns the class of a request: by its header, else its model alias, else the account's default.
+pub(crate) fn class_of<'a>(
+    view: &'a View,
+    account: &Account,
+    request: &HttpRequest,
+    alias: Option<&str>,
+) -> Result<&'a Class, Refusal> {
+    let named = request
+        .headers()
+        .get("x-service-class")
+        .and_then(|value| value.to_str().ok());
+    let name = named.or(alias).unwrap_or(&account.default_class);
+    let open = account.default_class == name || account.classes.iter().any(|open| open == name);
+    view.config
+        .class(name)
+        .filter(|_| open)
+        .ok_or_else(|| Refusal::new(Code::UnknownClass).with_detail(&format!("`{name}`")))
+}
+
+/// Refuses work that this host can't take in its present state.
+pub(crate) fn check_ready(shared: &Shared, view: &View) -> Result<(), Refusal> {
+    if shared.is_draining() {
+        return Err(Refusal::new(Code::Draining).with_retry_after_ms(1_000));
+    }
+    if view.config.version == 0 {
+        return Err(Refusal::new(Code::NoConfig).with_retry_after_ms(2_000));
+    }
+    Ok(())
+}
+
+/// Returns the identifier of a request in answers and logs.
+pub(crate) fn request_id(shared: &Arc<Shared>, id: sched::JobId) -> String {
+    format!("{}-{:x}", shared.host.name, id.0)
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,25 @@
+//! Router daemon.
+//!
+//! [`Daemon`] serves callers, upstreams and operators of one host. Every host runs the same daemon;
+//! none is set aside for control. All decisions are made by types that do no I/O, most of them in
+//! [`sched::Dispatcher`]; this crate carries them out.
+
+mod admin;
+mod attempt;
+mod clock;
+mod completions;
+mod core;
+mod follow;
+mod handle;
+mod input;
+mod models;
+mod refusal;
+mod relay;
+mod running;
+mod services;
+mod shared;
+mod sse_body;
+mod start;
+mod view;
+
+pub use self::{running::Running, start::Daemon};
--- /dev/null
+++ b/crates/daemon/src/models.rs
@@ -0,0 +1,18 @@
+use std::sync::Arc;
+
+use ntex::web::{HttpRequest, HttpResponse, types::State};
+use serde_json::{Value, json};
+
+use crate::{input::authenticate, shared::Shared};
+
+/// Serves `/v1/models`.
+pub(crate) async fn models(request: HttpRequest, shared: State<Arc<Shared>>) -> HttpResponse {
+    let view = shared.view.load();
+    if let Err(refusal) = authenticate(&view, &request) {
+        return refusal.response("");
+    }
+    let entry =
+        |model: &&str| json!({"id": model, "object": "model", "created": 0, "owned_by": ""});
+    let data: Vec<Value> = view.config.models().iter().map(entry).collect();
+    HttpResponse::Ok().json(&json!({"object": "list", "data": data}))
+}
--- /dev/null
+++ b/crates/daemon/src/refusal.rs
@@ -0,0 +1,62 @@
+use code::Code;
+use ntex::{
+    http::{StatusCode, header},
+    web::HttpResponse,
+};
+use wire::error_body;
+
+/// Answer with a result code instead of a result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) code: Code,
+    pub(crate) detail: String,
+    pub(crate) retry_after_ms: u64,
+}
+
+impl Refusal {
+    pub(crate) const fn new(code: Code) -> Self {
+        Self {
+            code,
+            detail: String::new(),
+            retry_after_ms: 0,
+        }
+    }
+
+    pub(crate) fn with_detail(mut self, detail: &str) -> Self {
+        detail.clone_into(&mut self.detail);
+        self
+    }
+
+    pub(crate) const fn with_retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = retry_after_ms;
+        self
+    }
+
+    /// Returns the body in the form of the OpenAI-compatible interface.
+    pub(crate) fn body(&self, request_id: &str) -> String {
+        error_body(self.code, &self.detail, request_id)
+    }
+
+    /// Returns the answer to the caller.
+    pub(crate) fn response(&self, request_id: &str) -> HttpResponse {
+        let status = StatusCode::from_u16(self.code.http_status());
+        let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+        response.header("x-request-id", request_id);
+        response.header("x-result-code", self.code.number().to_string());
+        if self.retry_after_ms > 0 {
+            response.header(
+                header::RETRY_AFTER,
+                self.retry_after_ms.div_ceil(1_000).to_string(),
+            );
+        }
+        response
+            .content_type("application/json")
+            .body(self.body(request_id))
+    }
+}
+
+impl From<Code> for Refusal {
+    fn from(code: Code) -> Self {
+        Self::new(code)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/relay.rs
@@ -0,0 +1,205 @@
+use std::sync::Arc;
+
+use code::Code;
+use log::{debug, info};
+use ntex::client::Client;
+use sched::Outcome;
+use serde_json::json;
+use wire::{Chunk, DONE, Request};
+
+use crate::{
+    attempt::Attempt, core::Decision, handle::JobHandle, refusal::Refusal, shared::Shared,
+};
+
+/// Answer of one request, over as many attempts as it takes.
+///
+/// The caller sees one gapless answer: chunks of a resumed attempt continue the text that earlier
+/// attempts delivered, under one identifier.
+pub(crate) struct Relay {
+    shared: Arc<Shared>,
+    client: Client,
+    handle: JobHandle,
+    request: Request,
+    request_id: String,
+    attempt: Option<Attempt>,
+    attempts: u32,
+    received: String,
+    received_tokens: u32,
+    ended: bool,
+    detail: String,
+}
+
+impl Relay {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        client: Client,
+        handle: JobHandle,
+        request: Request,
+        request_id: String,
+    ) -> Self {
+        Self {
+            shared,
+            client,
+            handle,
+            request,
+            request_id,
+            attempt: None,
+            attempts: 0,
+            received: String::new(),
+            received_tokens: 0,
+            ended: false,
+            detail: String::new(),
+        }
+    }
+
+    pub(crate) const fn request(&self) -> &Request {
+        &self.request
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
+        &self.request_id
+    }
+
+    /// Waits for the next chunk; `None` after the last one.
+    pub(crate) async fn next(&mut self) -> Result<Option<Chunk>, Refusal> {
+        loop {
+            let Some(attempt) = self.attempt.as_mut() else {
+                self.start_attempt().await?;
+                continue;
+            };
+            let event = tokio::select! {
+                biased;
+                decision = self.handle.decision() => {
+                    self.attempt = None;
+                    self.follow(decision).await?;
+                    continue;
+                }
+                event = attempt.next() => event,
+            };
+            match event {
+                Some(data) if data == DONE => {
+                    self.complete();
+                    return Ok(None);
+                }
+                Some(data) => {
+                    if let Some(chunk) = self.take_chunk(&data) {
+                        return Ok(Some(chunk));
+                    }
+                }
+                None if self.ended => {
+                    self.complete();
+                    return Ok(None);
+                }
+                None => self.lose_attempt(),
+            }
+        }
+    }
+
+    async fn start_attempt(&mut self) -> Result<(), Refusal> {
+        let decision = self.handle.decision().await;
+        self.follow(decision).await
+    }
+
+    async fn follow(&mut self, decision: Decision) -> Result<(), Refusal> {
+        match decision {
+            Decision::Start {
+                upstream,
+                attempt,
+                priority,
+            } => {
+                self.attempts = attempt;
+                self.open(&upstream, priority).await;
+                Ok(())
+            }
+            Decision::Refuse {
+                code,
+                retry_after_ms,
+            } => Err(self.refusal(code).with_retry_after_ms(retry_after_ms)),
+            Decision::Cancel => Ok(()),
+        }
+    }
+
+    async fn open(&mut self, name: &str, priority: i32) {
+        let view = self.shared.view.load_full();
+        let Some(upstream) = view.config.upstream(name) else {
+            self.handle.finish(Outcome::NotSent);
+            return;
+        };
+        debug!(
+            "relay: {} attempt {} at {name}",
+            self.request_id, self.attempts
+        );
+        let priority = upstream.honours.priority.then_some(priority);
+        let body = self
+            .request
+            .upstream_body(priority, &self.received, self.received_tokens);
+        let form = self.request.form();
+        match Attempt::open(&self.client, upstream, form, &self.request_id, body).await {
+            Ok(attempt) => self.attempt = Some(attempt),
+            Err(error) => {
+                info!(
+                    "relay: {} failed at {name}: {}",
+                    self.request_id, error.detail
+                );
+                self.detail = error.detail;
+                let begun = self.received_tokens > 0;
+                self.handle.finish(match error.outcome {
+                    Outcome::LostBeforeAnswer if begun => {
+                        Outcome::LostMidStream { resumable: true }
+                    }
+                    outcome => outcome,
+                });
+            }
+        }
+    }
+
+    fn take_chunk(&mut self, data: &str) -> Option<Chunk> {
+        let Ok(mut chunk) = Chunk::parse(data) else {
+            self.lose_attempt();
+            return None;
+        };
+        if let Some(error) = chunk.error() {
+            self.detail = error.to_string();
+            self.attempt = None;
+            self.handle.finish(Outcome::Failed);
+            return None;
+        }
+        if !chunk.text().is_empty() {
+            if self.received_tokens == 0 {
+                self.handle.first_token();
+            } else {
+                self.handle.tokens(1);
+            }
+            self.received_tokens += 1;
+            self.received.push_str(chunk.text());
+        }
+        self.ended |= chunk.finish_reason().is_some();
+        chunk.value["id"] = json!(self.request_id);
+        if self.attempts > 1 && chunk.usage().is_some() {
+            chunk.value["usage"]["completion_tokens"] = json!(self.received_tokens);
+        }
+        Some(chunk)
+    }
+
+    fn lose_attempt(&mut self) {
+        self.attempt = None;
+        info!(
+            "relay: {} lost after {} tokens",
+            self.request_id, self.received_tokens
+        );
+        self.handle.finish(if self.received_tokens == 0 {
+            Outcome::LostBeforeAnswer
+        } else {
+            Outcome::LostMidStream { resumable: true }
+        });
+    }
+
+    fn complete(&mut self) {
+        self.attempt = None;
+        self.handle.finish(Outcome::Complete);
+    }
+
+    fn refusal(&self, code: Code) -> Refusal {
+        Refusal::new(code).with_detail(&self.detail)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/running.rs
@@ -0,0 +1,93 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::future::{AbortHandle, abortable};
+use log::info;
+use ntex::{rt::JoinHandle, server::Server};
+
+use crate::shared::Shared;
+
+/// Pause between two looks at the jobs in flight during a planned stop.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Running daemon.
+pub struct Running {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) listen: SocketAddr,
+    pub(crate) admin_listen: SocketAddr,
+    callers: Server,
+    admin: Server,
+    tasks: Vec<(AbortHandle, JoinHandle<()>)>,
+}
+
+impl Running {
+    pub(crate) const fn new(
+        shared: Arc<Shared>,
+        listen: SocketAddr,
+        admin_listen: SocketAddr,
+        callers: Server,
+        admin: Server,
+    ) -> Self {
+        Self {
+            shared,
+            listen,
+            admin_listen,
+            callers,
+            admin,
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Returns the address for callers.
+    #[must_use]
+    pub const fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Returns the address for operators.
+    #[must_use]
+    pub const fn admin_listen(&self) -> SocketAddr {
+        self.admin_listen
+    }
+
+    /// Stops gracefully: takes no new work, finishes what is queued or running, then ends.
+    ///
+    /// Work that is still there after the host's `drain_max_ms` is cut off.
+    pub async fn stop(self) {
+        self.shared.set_draining();
+        info!("drain: started");
+        let limit = Duration::from_millis(self.shared.host.drain_max_ms);
+        let drained = tokio::time::timeout(limit, self.wait_idle()).await.is_ok();
+        info!(
+            "drain: {}",
+            if drained {
+                "finished"
+            } else {
+                "cut off by its deadline"
+            }
+        );
+        self.callers.stop(drained).await;
+        self.admin.stop(false).await;
+        for (handle, joined) in self.tasks {
+            handle.abort();
+            let _ = joined.await;
+        }
+    }
+
+    /// Spawns a task that ends with the daemon.
+    pub(crate) fn spawn<F>(&mut self, task: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let (task, handle) = abortable(task);
+        let joined = ntex::rt::spawn(async move {
+            let _ = task.await;
+        });
+        self.tasks.push((handle, joined));
+    }
+
+    async fn wait_idle(&self) {
+        while self.shared.with_core(|_, core| core.dispatcher.in_flight()) > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,84 @@
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use arc_swap::ArcSwap;
+use sched::{Job, JobId};
+use settings::{Config, Host};
+use tokio::sync::mpsc;
+
+use crate::{clock::Clock, core::Core, handle::JobHandle, view::View};
+
+/// State that all threads of a daemon share.
+pub(crate) struct Shared {
+    pub(crate) host: Host,
+    pub(crate) clock: Clock,
+    pub(crate) view: ArcSwap<View>,
+    draining: AtomicBool,
+    next_id: AtomicU64,
+    core: Mutex<Core>,
+}
+
+impl Shared {
+    pub(crate) fn new(host: Host) -> Self {
+        Self {
+            host,
+            clock: Clock::new(),
+            view: ArcSwap::from_pointee(View::default()),
+            draining: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+            core: Mutex::new(Core::default()),
+        }
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn set_draining(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn next_id(&self) -> JobId {
+        JobId(self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Runs a closure with the dispatcher and its channels.
+    pub(crate) fn with_core<R, F>(&self, act: F) -> R
+    where
+        F: FnOnce(u64, &mut Core) -> R,
+    {
+        let mut core = self.core.lock().unwrap_or_else(PoisonError::into_inner);
+        // Read under the lock, so that the dispatcher never sees time run backwards.
+        act(self.clock.now_us(), &mut core)
+    }
+
+    /// Submits a job and returns its handle, which cancels the job when dropped.
+    pub(crate) fn submit(self: &Arc<Self>, job: Job) -> JobHandle {
+        let (sender, decisions) = mpsc::unbounded_channel();
+        let id = job.id;
+        self.with_core(|now_us, core| {
+            core.register(id, sender);
+            core.act(|dispatcher, actions| dispatcher.submit(now_us, job, actions));
+        });
+        JobHandle::new(self.clone(), id, decisions)
+    }
+
+    /// Takes up a configuration if it is newer than the one in force.
+    pub(crate) fn configure(&self, config: Config) -> bool {
+        if config.version <= self.view.load().config.version {
+            return false;
+        }
+        let view = Arc::new(View::new(config));
+        self.with_core(|now_us, core| {
+            // Checked again under the lock: another thread may have been faster.
+            if view.config.version <= self.view.load().config.version {
+                return false;
+            }
+            core.act(|dispatcher, actions| dispatcher.configure(now_us, &view.config, actions));
+            self.view.store(view);
+            true
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/start.rs
@@ -0,0 +1,123 @@
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::Duration,
+};
+
+use eyre::Result;
+use log::info;
+use ntex::{
+    SharedCfg,
+    client::{Client, ClientBuilder, Connector},
+    web::{self, App, HttpServer},
+};
+use settings::Host;
+use store::HttpTable;
+
+use crate::{
+    admin, completions, follow::follow_releases, models, running::Running, services, shared::Shared,
+};
+
+/// Time limit of one call to the table service.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two looks at deadlines.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Daemon of one host.
+pub struct Daemon {
+    host: Host,
+}
+
+impl Daemon {
+    /// Creates a daemon from the settings of its host.
+    #[must_use]
+    pub const fn new(host: Host) -> Self {
+        Self { host }
+    }
+
+    /// Starts serving inside the current ntex system.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address can't be bound.
+    pub async fn start(self) -> Result<Running> {
+        let shared = Arc::new(Shared::new(self.host));
+        let host = &shared.host;
+        let (listener, listen) = bind(host.listen)?;
+        let (admin_listener, admin_listen) = bind(host.admin_listen)?;
+        let callers = serve_callers(&shared, listener)?;
+        let admin = serve_admin(&shared, admin_listener)?;
+        let table = HttpTable::new(host.store, STORE_TIMEOUT).await?;
+        info!(
+            "daemon: {} serves callers at {listen}, operators at {admin_listen}",
+            host.name
+        );
+        let mut running = Running::new(shared.clone(), listen, admin_listen, callers, admin);
+        running.spawn(follow_releases(shared.clone(), Box::new(table)));
+        running.spawn(tick(shared));
+        Ok(running)
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
+
+fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
+    let workers = shared.host.workers;
+    let shared = shared.clone();
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(shared.clone())
+            .state(upstream_client().await)
+            .service(web::resource("/v1/chat/completions").route(web::post().to(completions::chat)))
+            .service(web::resource("/v1/completions").route(web::post().to(completions::text)))
+            .service(web::resource("/v1/models").route(web::get().to(models::models)))
+            .service(web::resource("/services/{path}*").route(web::to(services::service)))
+    })
+    .workers(workers)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+fn serve_admin(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
+    let shared = shared.clone();
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(shared.clone())
+            .service(web::resource("/healthz").route(web::get().to(admin::healthz)))
+            .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
+            .service(web::resource("/admin/status").route(web::get().to(admin::status)))
+            .service(web::resource("/admin/drain").route(web::post().to(admin::drain)))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+/// Returns the client for upstreams; time limits are set for each request.
+async fn upstream_client() -> Client {
+    ClientBuilder::new()
+        .connector::<()>(Connector::new().limit(0))
+        .disable_timeout()
+        .disable_redirects()
+        .build(SharedCfg::new("UPSTREAM"))
+        .await
+        .expect("the plain connector needs nothing that can fail")
+}
+
+async fn tick(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        shared.with_core(|now_us, core| {
+            core.act(|dispatcher, actions| dispatcher.tick(now_us, actions));
+        });
+    }
+}
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/e2e/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tests of whole processes; see `tests/`. The library is empty.
--- /dev/null
+++ b/crates/e2e/tests/support/mod.rs
@@ -0,0 +1,180 @@
+//! Processes of one test: started on free ports, ended with the test.
+
+use std::{
+    fs,
+    io::{BufRead as _, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+
+use ntex::{client::Client, time::Millis};
+use serde_json::{Value, json};
+use settings::hash_api_key;
+
+/// API key of the only client account.
+pub const KEY: &str = "test-key";
+
+/// Bound on the wait for a state that is reached at once on an idle machine.
+const WAIT_ROUNDS: usize = 1_000;
+
+/// Process that is killed when dropped.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+}
+
+impl Process {
+    /// Starts a stand-in, which prints its address.
+    pub fn standin(name: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(program(name))
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{name}: {error}"));
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("first line");
+        let address = line
+            .trim()
+            .parse()
+            .unwrap_or_else(|_| panic!("{name}: {line}"));
+        Self { child, address }
+    }
+
+    /// Starts a daemon with these settings.
+    pub fn daemon(settings: &Value) -> Self {
+        let name = settings["name"].as_str().expect("name");
+        let path = std::env::temp_dir().join(format!("{name}-{}.jsonc", std::process::id()));
+        fs::write(&path, settings.to_string()).expect("settings file");
+        let child = Command::new(program("fireflyleverd"))
+            .arg(&path)
+            .spawn()
+            .expect("fireflyleverd");
+        let address = settings["listen"]
+            .as_str()
+            .expect("listen")
+            .parse()
+            .expect("address");
+        Self { child, address }
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args(["-s", name, &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill").success());
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait(mut self) -> ExitStatus {
+        self.child.wait().expect("wait")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a program of this workspace; CI builds all of them before the tests.
+fn program(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().expect("test program");
+    path.pop();
+    path.pop();
+    path.push(name);
+    assert!(
+        path.exists(),
+        "{} is not built: cargo build --workspace --bins",
+        path.display()
+    );
+    path
+}
+
+/// Returns a port that was free a moment ago.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("port")
+}
+
+/// Returns the settings of a host.
+pub fn host_settings(name: &str, store: SocketAddr) -> Value {
+    json!({
+        "name": name, "region": "costa", "zone": "costa-norte",
+        "listen": free_address(), "admin_listen": free_address(), "peer_listen": free_address(),
+        "store": store, "store_poll_ms": 50,
+        "peer_keys": [{"id": 1, "secret_hex": "00112233445566778899aabbccddeeff"}],
+    })
+}
+
+/// Returns a configuration with one engine and one plain service.
+pub fn config(version: u64, engine: SocketAddr, service: SocketAddr) -> Value {
+    json!({
+        "version": version,
+        "classes": [
+            {"name": "urgent", "tier": 0, "first_token_ms": 790, "token_gap_ms": 33,
+                "max_wait_ms": 60_000},
+            {"name": "bulk", "tier": 2, "first_token_ms": 10_000, "token_gap_ms": 200,
+                "max_wait_ms": 60_000, "reserved_percent": 10},
+        ],
+        "accounts": [{
+            "name": "member-a", "key_sha256": [hash_api_key(KEY)], "default_class": "urgent",
+            "classes": ["bulk"], "requests_per_s": 1_000, "requests_in_flight": 1_000,
+            "tokens_in_flight": 1_000_000,
+        }],
+        "upstreams": [
+            {"name": "engine-1", "kind": "model", "address": engine, "region": "costa",
+                "zone": "costa-norte", "models": ["faucet-vision"], "slots": 8,
+                "honours": {"priority": true, "resume": true}},
+            {"name": "inventory-1", "kind": "service", "address": service, "region": "costa",
+                "zone": "costa-norte", "service": "inventory", "slots": 8},
+        ],
+        "services": [{"name": "inventory", "answer_max_ms": 5_000,
+            "non_idempotent": [{"method": "POST", "path_prefix": "/reservations"}]}],
+    })
+}
+
+/// Writes the first configuration into the store stand-in.
+pub async fn put_config(client: &Client, store: SocketAddr, config: &Value) {
+    let url = format!("http://{store}/rows/release/current");
+    let answer = client
+        .put(url)
+        .header("if-none-match", "*")
+        .send_body(config.to_string())
+        .await
+        .unwrap();
+    assert!(answer.status().is_success(), "{}", answer.status());
+}
+
+/// Waits until a path answers with success.
+pub async fn wait_ok(client: &Client, address: &str, path: &str) {
+    for _ in 0..WAIT_ROUNDS {
+        let answer = client.get(format!("http://{address}{path}")).send().await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{address}{path} never answered with success");
+}
+
+/// Sends a chat request and returns its status and its body.
+pub async fn chat(client: &Client, daemon: SocketAddr, body: &Value) -> (u16, String) {
+    let answer = client
+        .post(format!("http://{daemon}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .timeout(Millis(60_000))
+        .send_json(body)
+        .await
+        .expect("answer");
+    let status = answer.status().as_u16();
+    let bytes = answer.body().limit(1 << 20).await.expect("body");
+    (status, String::from_utf8_lossy(&bytes).into_owned())
+}
--- /dev/null
+++ b/crates/fireflylever/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router for language-model traffic with service levels and priorities.
--- /dev/null
+++ b/crates/grant/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sharing of upstream slots between daemons.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits by client account and retry budgets.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator.
--- /dev/null
+++ b/crates/metric/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metric families of the daemon.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership between daemons over authenticated datagrams.
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tiered queue of waiting jobs, fair between client accounts.
--- /dev/null
+++ b/crates/release/src/lib.rs
@@ -0,0 +1,1 @@
+//! Release notes, their check and their version order.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Upstream pool and the choice of an upstream.
--- /dev/null
+++ b/crates/sched/src/load.rs
@@ -0,0 +1,10 @@
+/// Load that an upstream reports about itself, with a lag.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests in the engine's queue.
+    pub waiting: u32,
+    /// Used share of the key-value cache, in thousandths.
+    pub cache_used_permille: u32,
+}
--- /dev/null
+++ b/crates/settings/src/config.rs
@@ -0,0 +1,80 @@
+use serde::{Deserialize, Serialize};
+
+use crate::{Account, Class, Kind, Service, Upstream};
+
+/// Fleet configuration of one version; every list is sorted by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Version, 0 before the first release.
+    pub version: u64,
+    /// Classes of service.
+    pub classes: Vec<Class>,
+    /// Client accounts.
+    pub accounts: Vec<Account>,
+    /// Upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// Plain services.
+    pub services: Vec<Service>,
+}
+
+impl Config {
+    /// Sorts every list by name, as the look-ups need it.
+    pub fn sort(&mut self) {
+        self.classes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.accounts.sort_by(|a, b| a.name.cmp(&b.name));
+        self.upstreams.sort_by(|a, b| a.name.cmp(&b.name));
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+
+    /// Returns the class of this name.
+    #[must_use]
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        let index = self
+            .classes
+            .binary_search_by(|class| class.name.as_str().cmp(name));
+        index.ok().map(|index| &self.classes[index])
+    }
+
+    /// Returns the client account of this name.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        let index = self
+            .accounts
+            .binary_search_by(|account| account.name.as_str().cmp(name));
+        index.ok().map(|index| &self.accounts[index])
+    }
+
+    /// Returns the upstream of this name.
+    #[must_use]
+    pub fn upstream(&self, name: &str) -> Option<&Upstream> {
+        let index = self
+            .upstreams
+            .binary_search_by(|upstream| upstream.name.as_str().cmp(name));
+        index.ok().map(|index| &self.upstreams[index])
+    }
+
+    /// Returns the plain service of this name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let index = self
+            .services
+            .binary_search_by(|service| service.name.as_str().cmp(name));
+        index.ok().map(|index| &self.services[index])
+    }
+
+    /// Returns the names of all models in force, sorted and without repeats.
+    #[must_use]
+    pub fn models(&self) -> Vec<&str> {
+        let engines = self
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.kind == Kind::Model);
+        let mut models: Vec<&str> = engines
+            .flat_map(|upstream| upstream.models.iter().map(String::as_str))
+            .collect();
+        models.sort_unstable();
+        models.dedup();
+        models
+    }
+}
--- /dev/null
+++ b/crates/settings/src/host.rs
@@ -0,0 +1,83 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{PeerKey, Problem, parse};
+
+/// Settings of one host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Unique name of the host.
+    pub name: String,
+    /// Region of the host.
+    pub region: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators and metrics.
+    pub admin_listen: SocketAddr,
+    /// UDP and TCP address for other daemons.
+    pub peer_listen: SocketAddr,
+    /// Address of the platform's table service.
+    pub store: SocketAddr,
+    /// Keys between daemons, the signing key first.
+    pub peer_keys: Vec<PeerKey>,
+    /// Threads that serve callers.
+    #[serde(default = "default_workers")]
+    pub workers: usize,
+    /// Largest request body.
+    #[serde(default = "default_body_bytes")]
+    pub body_max_bytes: usize,
+    /// Longest time that a caller may take to send its request.
+    #[serde(default = "default_receive_ms")]
+    pub receive_max_ms: u64,
+    /// Pause between two reads of the release version.
+    #[serde(default = "default_poll_ms")]
+    pub store_poll_ms: u64,
+    /// Longest planned stop.
+    #[serde(default = "default_drain_ms")]
+    pub drain_max_ms: u64,
+    /// Bytes a second that this host may send to upstreams in other regions.
+    #[serde(default = "default_cross_region_bytes")]
+    pub cross_region_bytes_per_s: u64,
+}
+
+impl Host {
+    /// Parses and checks the settings of a host.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its line.
+    pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
+        parse(text)
+    }
+}
+
+const fn default_workers() -> usize {
+    2
+}
+
+/// 8 MiB hold a long manual or a few photos.
+const fn default_body_bytes() -> usize {
+    8 * 1024 * 1024
+}
+
+const fn default_receive_ms() -> u64 {
+    10_000
+}
+
+/// 330 daemons that read every 2 s cost the store 165 of its about 2,000 reads a second.
+const fn default_poll_ms() -> u64 {
+    2_000
+}
+
+const fn default_drain_ms() -> u64 {
+    120_000
+}
+
+/// A sixth of half of the 30 Mbit/s link between regions.
+const fn default_cross_region_bytes() -> u64 {
+    312_500
+}
--- /dev/null
+++ b/crates/standin/src/bin/engine.rs
@@ -0,0 +1,30 @@
+//! Stand-in engine as a process; prints its address and runs until it is ended.
+
+use std::net::SocketAddr;
+
+use eyre::Result;
+use gumdrop::Options;
+
+/// Command line.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(help = "address to listen on", default = "127.0.0.1:0")]
+    listen: String,
+    #[options(help = "model that the engine serves", default = "faucet-vision")]
+    model: String,
+    #[options(help = "sequences that run at once", default = "32")]
+    slots: usize,
+}
+
+#[ntex::main]
+async fn main() -> Result<()> {
+    env_logger::init();
+    let args = Args::parse_args_default_or_exit();
+    let address: SocketAddr = args.listen.parse()?;
+    let profile = batch::Profile::default().with_slots(args.slots);
+    let running = standin::Engine::new(profile, &[&args.model]).start(address)?;
+    println!("{}", running.address());
+    Ok(running.wait().await?)
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,141 @@
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::stream;
+use ntex::{
+    util::Bytes,
+    web::{self, App, HttpRequest, HttpResponse, HttpServer, types},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{Running, ServiceControl};
+
+/// One call that the plain service ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Idempotency key, empty if there was none.
+    pub key: String,
+    /// Body as text.
+    pub body: String,
+}
+
+/// What the plain service ran.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStats {
+    /// Calls in the order in which they ran.
+    pub runs: Vec<ServiceCall>,
+}
+
+#[derive(Default)]
+struct Inner {
+    control: ServiceControl,
+    stats: ServiceStats,
+}
+
+/// Stand-in of an inventory, parts or billing service.
+#[derive(Clone, Default)]
+pub struct Service {
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Service {
+    /// Replaces the injected faults.
+    pub fn control(&self, control: ServiceControl) {
+        self.with(|inner| inner.control = control);
+    }
+
+    /// Returns what the service ran.
+    #[must_use]
+    pub fn stats(&self) -> ServiceStats {
+        self.with(|inner| inner.stats.clone())
+    }
+
+    /// Starts the server; port 0 picks a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn start(&self, address: SocketAddr) -> io::Result<Running> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let service = self.clone();
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(service.clone())
+                .service(web::resource("/control").route(web::post().to(set_control)))
+                .service(web::resource("/stats").route(web::get().to(get_stats)))
+                .default_service(web::to(call))
+        })
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run();
+        Ok(Running::new(address, server))
+    }
+
+    fn with<R, F>(&self, act: F) -> R
+    where
+        F: FnOnce(&mut Inner) -> R,
+    {
+        act(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+async fn set_control(
+    service: types::State<Service>,
+    control: types::Json<ServiceControl>,
+) -> HttpResponse {
+    service.control(control.into_inner());
+    HttpResponse::Ok().finish()
+}
+
+async fn get_stats(service: types::State<Service>) -> HttpResponse {
+    HttpResponse::Ok().json(&service.stats())
+}
+
+async fn call(request: HttpRequest, service: types::State<Service>, body: Bytes) -> HttpResponse {
+    let slow_ms = service.with(|inner| inner.control.slow_ms);
+    if slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    }
+    let key = request
+        .headers()
+        .get("idempotency-key")
+        .and_then(|key| key.to_str().ok());
+    let call = ServiceCall {
+        method: request.method().to_string(),
+        path: request.path().to_owned(),
+        key: key.unwrap_or_default().to_owned(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    };
+    let run = service.with(|inner| {
+        if inner.control.drop_before_run > 0 {
+            inner.control.drop_before_run -= 1;
+            return None;
+        }
+        inner.stats.runs.push(call);
+        if inner.control.drop_after_run > 0 {
+            inner.control.drop_after_run -= 1;
+            return None;
+        }
+        Some(inner.stats.runs.len())
+    });
+    match run {
+        Some(number) => HttpResponse::Created().json(&serde_json::json!({ "number": number })),
+        None => dropped(),
+    }
+}
+
+/// Returns an answer whose body fails at once, which closes the connection.
+pub(crate) fn dropped() -> HttpResponse {
+    let broken = stream::iter([Err::<Bytes, _>(io::Error::other("injected fault"))]);
+    HttpResponse::Ok().streaming(broken)
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,200 @@
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use ::store::{Expect, HostEntry, HostList as _, MemoryTable, StoreError};
+use futures::FutureExt as _;
+use ntex::{
+    http::header,
+    util::Bytes,
+    web::{self, App, HttpRequest, HttpResponse, HttpServer, types},
+};
+use serde::Deserialize;
+
+use crate::{Running, StoreControl, service::dropped};
+
+#[derive(Default)]
+struct Inner {
+    control: StoreControl,
+    table: MemoryTable,
+    reads: u64,
+    writes: u64,
+}
+
+/// Stand-in of the platform's table service and host list.
+#[derive(Clone, Default)]
+pub struct Store {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Deserialize)]
+struct Changes {
+    since: u64,
+    prefix: String,
+}
+
+impl Store {
+    /// Replaces the injected faults.
+    pub fn control(&self, control: StoreControl) {
+        self.with(|inner| inner.control = control);
+    }
+
+    /// Sets the host list.
+    pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
+        self.with(|inner| inner.table.set_hosts(hosts));
+    }
+
+    /// Returns the number of reads and writes so far.
+    #[must_use]
+    pub fn calls(&self) -> (u64, u64) {
+        self.with(|inner| (inner.reads, inner.writes))
+    }
+
+    /// Starts the server; port 0 picks a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub fn start(&self, address: SocketAddr) -> io::Result<Running> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let store = self.clone();
+        let server = HttpServer::new(async move || {
+            App::new()
+                .state(store.clone())
+                .state(types::PayloadConfig::new(16 * 1024 * 1024))
+                .service(web::resource("/control").route(web::post().to(set_control)))
+                .service(
+                    web::resource("/hosts")
+                        .route(web::get().to(get_hosts))
+                        .route(web::put().to(put_hosts)),
+                )
+                .service(web::resource("/changes").route(web::get().to(get_changes)))
+                .service(
+                    web::resource("/rows/{key}*")
+                        .route(web::get().to(get_row))
+                        .route(web::put().to(put_row)),
+                )
+        })
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?
+        .run();
+        Ok(Running::new(address, server))
+    }
+
+    fn with<R, F>(&self, act: F) -> R
+    where
+        F: FnOnce(&mut Inner) -> R,
+    {
+        act(&mut self.inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    async fn gate(&self) -> Option<HttpResponse> {
+        let control = self.with(|inner| inner.control.clone());
+        if control.slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(control.slow_ms)).await;
+        }
+        control
+            .down
+            .then(|| HttpResponse::ServiceUnavailable().finish())
+    }
+}
+
+async fn set_control(
+    store: types::State<Store>,
+    control: types::Json<StoreControl>,
+) -> HttpResponse {
+    store.control(control.into_inner());
+    HttpResponse::Ok().finish()
+}
+
+async fn get_hosts(store: types::State<Store>) -> HttpResponse {
+    if let Some(answer) = store.gate().await {
+        return answer;
+    }
+    let hosts = store.with(|inner| {
+        inner.reads += 1;
+        inner.table.list().now_or_never()
+    });
+    match hosts {
+        Some(Ok(hosts)) => HttpResponse::Ok().json(&hosts),
+        _ => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn put_hosts(store: types::State<Store>, hosts: types::Json<Vec<HostEntry>>) -> HttpResponse {
+    store.set_hosts(hosts.into_inner());
+    HttpResponse::Ok().finish()
+}
+
+async fn get_changes(store: types::State<Store>, changes: types::Query<Changes>) -> HttpResponse {
+    if let Some(answer) = store.gate().await {
+        return answer;
+    }
+    let rows = store.with(|inner| {
+        inner.reads += 1;
+        inner.table.scan_now(&changes.prefix, changes.since)
+    });
+    match rows {
+        Ok(rows) => HttpResponse::Ok().json(&rows),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn get_row(request: HttpRequest, store: types::State<Store>) -> HttpResponse {
+    if let Some(answer) = store.gate().await {
+        return answer;
+    }
+    let row = store.with(|inner| {
+        inner.reads += 1;
+        inner.table.read_now(row_key(&request))
+    });
+    match row {
+        Ok(Some(row)) => HttpResponse::Ok().json(&row),
+        Ok(None) => HttpResponse::NotFound().finish(),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn put_row(request: HttpRequest, store: types::State<Store>, body: Bytes) -> HttpResponse {
+    if let Some(answer) = store.gate().await {
+        return answer;
+    }
+    let matched = request
+        .headers()
+        .get(header::IF_MATCH)
+        .and_then(|value| value.to_str().ok());
+    let expect = match matched.map(str::parse) {
+        Some(Ok(version)) => Expect::Version(version),
+        Some(Err(_)) => return HttpResponse::BadRequest().finish(),
+        None => Expect::Absent,
+    };
+    let Ok(value) = std::str::from_utf8(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let (written, lost) = store.with(|inner| {
+        inner.writes += 1;
+        let lost = inner.control.lose_answers > 0;
+        inner.control.lose_answers = inner.control.lose_answers.saturating_sub(1);
+        (
+            inner.table.write_now(row_key(&request), expect, value),
+            lost,
+        )
+    });
+    if lost {
+        return dropped();
+    }
+    match written {
+        Ok(version) => HttpResponse::Ok().json(&serde_json::json!({ "version": version })),
+        Err(StoreError::Conflict(row)) => HttpResponse::PreconditionFailed().json(&row),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn row_key(request: &HttpRequest) -> &str {
+    request.path().strip_prefix("/rows/").unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/text.rs
@@ -0,0 +1,37 @@
+//! Deterministic answers, so that a test can tell a gap, a repeat or a crossed answer.
+
+/// Returns word number `index` of the answer to a prompt; one word is one token.
+#[must_use]
+pub fn word(prompt: &str, index: u32) -> String {
+    // FNV-1a, 64 bit: stable over runs and platforms.
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for byte in prompt.bytes().chain(index.to_le_bytes()) {
+        hash ^= u64::from(byte);
+        hash = hash.wrapping_mul(0x0100_0000_01b3);
+    }
+    format!("{index}:{:04x} ", hash >> 48)
+}
+
+/// Returns the first `tokens` words of the answer to a prompt.
+///
+/// # Examples
+///
+/// ```
+/// assert!(standin::answer_text("drip", 3).starts_with(&standin::answer_text("drip", 2)));
+/// ```
+#[must_use]
+pub fn answer_text(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|index| word(prompt, index)).collect()
+}
+
+/// Returns the answer's length: the number behind `len=` in the prompt, or 8 to 135 words.
+pub(crate) fn answer_tokens(prompt: &str) -> u32 {
+    let named = prompt.rsplit_once("len=").and_then(|(_, rest)| {
+        let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+        digits.parse().ok()
+    });
+    named.unwrap_or_else(|| {
+        let sum: u32 = prompt.bytes().map(u32::from).sum();
+        8 + sum % 128
+    })
+}
