refactor(route): move upstream choice behind a pool with a stable interface

Cause: queue order and upstream choice were one type, so they could not be worked on or measured apart.

Change: route::Pool with Need, Pick, Ending and Load; the dispatcher composes it. The share of an upstream's slots that this daemon may use can be set from outside.

Conclusion: queue, limits and choice can now grow side by side.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,7 +1,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use code::Code;
-use sched::{Action, Dispatcher, JobId};
+use sched::{Action, Dispatcher, JobId, Place};
 use tokio::sync::mpsc::UnboundedSender;
 
 /// Decision for the task that handles one request.
@@ -31,6 +31,13 @@
 }
 
 impl Core {
+    pub(crate) fn new(place: Place) -> Self {
+        Self {
+            dispatcher: Dispatcher::new(place),
+            ..Self::default()
+        }
+    }
+
     /// Registers the channel of a job.
     pub(crate) fn register(&mut self, id: JobId, sender: UnboundedSender<Decision>) {
         self.waiters.insert(id, sender);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,7 +4,7 @@
 };
 
 use arc_swap::ArcSwap;
-use sched::{Job, JobId};
+use sched::{Job, JobId, Place};
 use settings::{Config, Host};
 use tokio::sync::mpsc;
 
@@ -22,13 +22,14 @@
 
 impl Shared {
     pub(crate) fn new(host: Host) -> Self {
+        let place = Place::new(&host.region, &host.zone);
         Self {
             host,
             clock: Clock::new(),
             view: ArcSwap::from_pointee(View::default()),
             draining: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
-            core: Mutex::new(Core::default()),
+            core: Mutex::new(Core::new(place)),
         }
     }
 
--- /dev/null
+++ b/crates/route/src/place.rs
@@ -0,0 +1,19 @@
+/// Region and availability zone of a host.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Place {
+    /// Region.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+}
+
+impl Place {
+    /// Creates a place.
+    #[must_use]
+    pub fn new(region: &str, zone: &str) -> Self {
+        Self {
+            region: region.to_owned(),
+            zone: zone.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/target.rs
@@ -0,0 +1,10 @@
+use std::sync::Arc;
+
+/// What a job needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// An engine that serves this model.
+    Model(Arc<str>),
+    /// An upstream of this plain service.
+    Service(Arc<str>),
+}
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -1,9 +1,10 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use code::Code;
-use settings::{Config, Kind, State};
+use route::{Ending, Load, Need, Place, Pool};
+use settings::Config;
 
-use crate::{Action, Job, JobId, Load, Outcome, Target};
+use crate::{Action, Job, JobId, Outcome};
 
 /// Attempts of one job, the first included.
 const ATTEMPTS_MAX: u32 = 3;
@@ -19,17 +20,7 @@
     job: Job,
     attempt: u32,
     upstream: Option<Arc<str>>,
-}
-
-#[derive(Debug)]
-struct Slot {
-    name: Arc<str>,
-    kind: Kind,
-    models: Vec<Arc<str>>,
-    service: Arc<str>,
-    slots: u32,
-    outstanding: u32,
-    live: bool,
+    resume: bool,
 }
 
 /// Decides when and where each job runs.
@@ -37,34 +28,42 @@
 pub struct Dispatcher {
     jobs: BTreeMap<JobId, Entry>,
     queues: [Vec<JobId>; TIERS],
-    slots: Vec<Slot>,
+    pool: Pool,
 }
 
 impl Dispatcher {
+    /// Creates a dispatcher of a daemon at this place.
+    #[must_use]
+    pub fn new(place: Place) -> Self {
+        Self {
+            pool: Pool::new(place),
+            ..Self::default()
+        }
+    }
+
     /// Takes up a configuration.
     pub fn configure(&mut self, now_us: u64, config: &Config, actions: &mut Vec<Action>) {
-        let old = std::mem::take(&mut self.slots);
-        for upstream in &config.upstreams {
-            let outstanding = old
-                .binary_search_by(|slot| slot.name.as_ref().cmp(upstream.name.as_str()))
-                .map_or(0, |index| old[index].outstanding);
-            self.slots.push(Slot {
-                name: upstream.name.as_str().into(),
-                kind: upstream.kind,
-                models: upstream
-                    .models
-                    .iter()
-                    .map(|model| model.as_str().into())
-                    .collect(),
-                service: upstream.service.as_str().into(),
-                slots: upstream.slots,
-                outstanding,
-                live: upstream.state == State::Live,
-            });
-        }
+        self.pool.configure(now_us, config);
         self.dispatch(now_us, actions);
     }
 
+    /// Sets how many jobs this daemon may run on an upstream; `None` lifts the limit.
+    pub fn set_share(
+        &mut self,
+        now_us: u64,
+        upstream: &str,
+        slots: Option<u32>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.pool.set_share(upstream, slots);
+        self.dispatch(now_us, actions);
+    }
+
+    /// Marks an upstream as leaving: it gets no new work.
+    pub fn set_leaving(&mut self, upstream: &str) {
+        self.pool.set_leaving(upstream);
+    }
+
     /// Takes in a new job.
     pub fn submit(&mut self, now_us: u64, job: Job, actions: &mut Vec<Action>) {
         let id = job.id;
@@ -84,6 +83,7 @@
                 job,
                 attempt: 0,
                 upstream: None,
+                resume: false,
             },
         );
         self.dispatch(now_us, actions);
@@ -97,10 +97,11 @@
 
     /// Notes the end of a job's current attempt.
     pub fn finish(&mut self, now_us: u64, id: JobId, outcome: Outcome, actions: &mut Vec<Action>) {
-        self.release(id);
-        let Some(entry) = self.jobs.get(&id) else {
+        self.release(now_us, id, ending_of(outcome));
+        let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
+        entry.resume |= matches!(outcome, Outcome::LostMidStream { .. });
         let code = match outcome {
             Outcome::Complete => None,
             Outcome::NotSent => Some(Code::ConnectFailed),
@@ -132,7 +133,7 @@
 
     /// Drops a job whose caller has left.
     pub fn cancel(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>) {
-        self.release(id);
+        self.release(now_us, id, Ending::Cancelled);
         self.jobs.remove(&id);
         self.dispatch(now_us, actions);
     }
@@ -182,33 +183,39 @@
         self.jobs.len()
     }
 
-    fn release(&mut self, id: JobId) {
+    fn release(&mut self, now_us: u64, id: JobId, ending: Ending) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
-        let Some(name) = entry.upstream.take() else {
-            return;
-        };
-        if let Ok(index) = self.slots.binary_search_by(|slot| slot.name.cmp(&name)) {
-            self.slots[index].outstanding = self.slots[index].outstanding.saturating_sub(1);
+        if let Some(upstream) = entry.upstream.take() {
+            self.pool.end(now_us, &upstream, ending);
         }
     }
 
-    fn dispatch(&mut self, _now_us: u64, actions: &mut Vec<Action>) {
+    fn dispatch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         for queue in &mut self.queues {
             queue.retain(|&id| {
                 let Some(entry) = self.jobs.get_mut(&id) else {
                     return false;
                 };
-                let Some(slot) = choose(&mut self.slots, &entry.job.target) else {
+                let need = Need {
+                    target: &entry.job.target,
+                    tier: entry.job.tier,
+                    prompt_tokens: entry.job.prompt_tokens,
+                    output_tokens: entry.job.max_tokens,
+                    body_bytes: entry.job.body_bytes,
+                    prefix_hash: entry.job.prefix_hash,
+                    resume: entry.resume,
+                    avoid: None,
+                };
+                let Some(pick) = self.pool.choose(now_us, &need) else {
                     return true;
                 };
-                slot.outstanding += 1;
                 entry.attempt += 1;
-                entry.upstream = Some(slot.name.clone());
+                entry.upstream = Some(pick.upstream.clone());
                 actions.push(Action::Start {
                     id,
-                    upstream: slot.name.clone(),
+                    upstream: pick.upstream,
                     attempt: entry.attempt,
                     priority: i32::from(entry.job.tier),
                 });
@@ -218,13 +225,12 @@
     }
 }
 
-fn choose<'a>(slots: &'a mut [Slot], target: &Target) -> Option<&'a mut Slot> {
-    let fits = |slot: &Slot| match target {
-        Target::Model(model) => slot.kind == Kind::Model && slot.models.contains(model),
-        Target::Service(service) => slot.kind == Kind::Service && slot.service == *service,
-    };
-    slots
-        .iter_mut()
-        .filter(|slot| slot.live && slot.outstanding < slot.slots && fits(slot))
-        .min_by_key(|slot| slot.outstanding)
+const fn ending_of(outcome: Outcome) -> Ending {
+    match outcome {
+        Outcome::Complete => Ending::Complete,
+        Outcome::NotSent => Ending::ConnectFailed,
+        Outcome::Rejected => Ending::Rejected,
+        Outcome::LostBeforeAnswer | Outcome::LostMidStream { .. } => Ending::Lost,
+        Outcome::Failed => Ending::Failed,
+    }
 }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -1,18 +1,11 @@
 use std::sync::Arc;
 
+use route::Target;
+
 /// Identifier of a job inside one daemon, growing with every job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId(pub u64);
 
-/// What a job needs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Target {
-    /// An engine that serves this model.
-    Model(Arc<str>),
-    /// An upstream of this plain service.
-    Service(Arc<str>),
-}
-
 /// One request on its way to an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Job {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,7 +6,6 @@
 mod action;
 mod dispatcher;
 mod job;
-mod load;
 mod outcome;
 #[cfg(test)]
 mod tests;
@@ -14,7 +13,7 @@
 pub use self::{
     action::Action,
     dispatcher::Dispatcher,
-    job::{Job, JobId, Target},
-    load::Load,
+    job::{Job, JobId},
     outcome::Outcome,
 };
+pub use route::{Load, Place, Target};
