--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -1,5 +1,7 @@
 use std::fmt;
 
+use serde::{Serialize, Serializer};
+
 use crate::{Entry, Retry, Run, TABLE};
 
 /// Numbered result code.
@@ -136,3 +138,12 @@
         write!(f, "{} {}", self.number(), self.name())
     }
 }
+
+impl Serialize for Code {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serializer.collect_str(self)
+    }
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,6 +1,10 @@
 use std::sync::Arc;
 
-use ntex::web::{HttpResponse, types::State};
+use metric::Gauges;
+use ntex::web::{
+    HttpResponse,
+    types::{Path, State},
+};
 use serde_json::json;
 
 use crate::shared::Shared;
@@ -12,7 +16,7 @@
 
 /// Serves `/readyz`: the host takes new work.
 pub(crate) async fn readyz(shared: State<Arc<Shared>>) -> HttpResponse {
-    if shared.is_draining() || shared.view.load().config.version == 0 {
+    if !shared.is_ready() {
         return HttpResponse::ServiceUnavailable().body("not ready\n");
     }
     HttpResponse::Ok().body("ready\n")
@@ -39,6 +43,35 @@
     }))
 }
 
+/// Serves `/metrics`.
+pub(crate) async fn metrics(shared: State<Arc<Shared>>) -> HttpResponse {
+    let mut gauges = shared.with_core(|_, core| Gauges {
+        queued: [0, 1, 2].map(|tier| core.dispatcher.queued(tier) as u64),
+        in_flight: core.dispatcher.in_flight() as u64,
+        ..Gauges::default()
+    });
+    gauges.config_version = shared.view.load().config.version;
+    gauges.ready = shared.is_ready();
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(shared.metrics.encode(&gauges))
+}
+
+/// Serves `/admin/explain/ID`: the recorded decisions of one request.
+pub(crate) async fn explain(id: Path<String>, shared: State<Arc<Shared>>) -> HttpResponse {
+    let number = id
+        .rsplit('-')
+        .next()
+        .and_then(|digits| u64::from_str_radix(digits, 16).ok());
+    let records = number.and_then(|number| {
+        shared.with_core(|_, core| core.journal.explain(number).map(<[_]>::to_vec))
+    });
+    match records {
+        Some(records) => HttpResponse::Ok().json(&json!({"id": *id, "records": records})),
+        None => HttpResponse::NotFound().json(&json!({"id": *id, "records": []})),
+    }
+}
+
 /// Serves `/admin/drain`.
 pub(crate) async fn drain(shared: State<Arc<Shared>>) -> HttpResponse {
     shared.set_draining();
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 
 use code::Code;
-use log::info;
 use ntex::{
     client::Client,
     util::Bytes,
@@ -16,7 +15,8 @@
 
 use crate::{
     input::{authenticate, check_ready, class_of, read_body, request_id},
-    refusal::Refusal,
+    progress::Progress,
+    refusal::{Refusal, note_refusal},
     relay::Relay,
     shared::Shared,
     sse_body::sse_body,
@@ -54,7 +54,7 @@
     match answer(form, &request, payload, shared, client, id).await {
         Ok(response) => response,
         Err(refusal) => {
-            info!("caller: {request_id} refused with {}", refusal.code);
+            note_refusal(shared, &request_id, &refusal);
             refusal.response(&request_id)
         }
     }
@@ -91,9 +91,17 @@
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: true,
     };
+    let progress = Progress::new(class, shared.clock.now_us());
     let handle = shared.submit(job);
     let request_id = request_id(shared, id);
-    let relay = Relay::new(shared.clone(), client.clone(), handle, parsed, request_id);
+    let relay = Relay::new(
+        shared.clone(),
+        client.clone(),
+        handle,
+        parsed,
+        request_id,
+        progress,
+    );
     if relay.request().is_stream() {
         stream(relay).await
     } else {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,5 +1,6 @@
 use std::{collections::BTreeMap, sync::Arc};
 
+use audit::{Journal, Step};
 use code::Code;
 use sched::{Action, Dispatcher, JobId, Place};
 use tokio::sync::mpsc::UnboundedSender;
@@ -19,22 +20,28 @@
     Cancel,
 }
 
+/// Requests that `/admin/explain` knows: some minutes at the peak, about 20 MB.
+const JOURNAL_REQUESTS: usize = 20_000;
+
 /// Dispatcher with the channels to the tasks that wait for its decisions.
 ///
 /// One lock guards both: a total order of events is what makes the priority order exact, and one
 /// event takes a few microseconds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Core {
     pub(crate) dispatcher: Dispatcher,
     waiters: BTreeMap<JobId, UnboundedSender<Decision>>,
     actions: Vec<Action>,
+    pub(crate) journal: Journal,
 }
 
 impl Core {
     pub(crate) fn new(place: Place) -> Self {
         Self {
             dispatcher: Dispatcher::new(place),
-            ..Self::default()
+            waiters: BTreeMap::new(),
+            actions: Vec::new(),
+            journal: Journal::new(JOURNAL_REQUESTS),
         }
     }
 
@@ -49,34 +56,15 @@
     }
 
     /// Passes one event to the dispatcher and its decisions to the waiting tasks.
-    pub(crate) fn act<F>(&mut self, event: F)
+    pub(crate) fn act<F>(&mut self, now_us: u64, event: F)
     where
         F: FnOnce(&mut Dispatcher, &mut Vec<Action>),
     {
         event(&mut self.dispatcher, &mut self.actions);
         for action in self.actions.drain(..) {
             let id = action.id();
-            let decision = match action {
-                Action::Start {
-                    upstream,
-                    attempt,
-                    priority,
-                    ..
-                } => Decision::Start {
-                    upstream,
-                    attempt,
-                    priority,
-                },
-                Action::Refuse {
-                    code,
-                    retry_after_ms,
-                    ..
-                } => Decision::Refuse {
-                    code,
-                    retry_after_ms,
-                },
-                Action::Cancel { .. } => Decision::Cancel,
-            };
+            let (decision, step) = translate(action);
+            self.journal.record(now_us, id.0, step);
             let ended = matches!(decision, Decision::Refuse { .. });
             // A closed channel belongs to a request that was dropped; its handle cancels the job.
             if let Some(sender) = self.waiters.get(&id) {
@@ -88,3 +76,37 @@
         }
     }
 }
+
+fn translate(action: Action) -> (Decision, Step) {
+    match action {
+        Action::Start {
+            upstream,
+            attempt,
+            priority,
+            ..
+        } => {
+            let step = Step::Started {
+                upstream: upstream.clone(),
+                attempt,
+            };
+            let decision = Decision::Start {
+                upstream,
+                attempt,
+                priority,
+            };
+            (decision, step)
+        }
+        Action::Refuse {
+            code,
+            retry_after_ms,
+            ..
+        } => {
+            let decision = Decision::Refuse {
+                code,
+                retry_after_ms,
+            };
+            (decision, Step::Refused { code })
+        }
+        Action::Cancel { upstream, .. } => (Decision::Cancel, Step::Preempted { upstream }),
+    }
+}
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Returns the identifier of the job.
+    pub(crate) const fn id(&self) -> JobId {
+        self.id
+    }
+
     /// Waits for the next decision.
     pub(crate) async fn decision(&mut self) -> Decision {
         let decision = self.decisions.recv().await;
@@ -46,7 +51,9 @@
     pub(crate) fn first_token(&self) {
         let id = self.id;
         self.shared.with_core(|now_us, core| {
-            core.act(|dispatcher, actions| dispatcher.first_token(now_us, id, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.first_token(now_us, id, actions);
+            });
         });
     }
 
@@ -54,7 +61,9 @@
     pub(crate) fn tokens(&self, count: u32) {
         let id = self.id;
         self.shared.with_core(|now_us, core| {
-            core.act(|dispatcher, actions| dispatcher.tokens(now_us, id, count, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.tokens(now_us, id, count, actions);
+            });
         });
     }
 
@@ -64,7 +73,9 @@
         let complete = outcome == Outcome::Complete;
         self.ended |= complete;
         self.shared.with_core(|now_us, core| {
-            core.act(|dispatcher, actions| dispatcher.finish(now_us, id, outcome, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.finish(now_us, id, outcome, actions);
+            });
             if complete {
                 core.forget(id);
             }
@@ -79,7 +90,9 @@
         }
         let id = self.id;
         self.shared.with_core(|now_us, core| {
-            core.act(|dispatcher, actions| dispatcher.cancel(now_us, id, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.cancel(now_us, id, actions);
+            });
             core.forget(id);
         });
     }
--- /dev/null
+++ b/crates/daemon/src/progress.rs
@@ -0,0 +1,83 @@
+use std::sync::Arc;
+
+use metric::Attainment;
+use settings::Class;
+
+/// What the caller of one request has seen so far, against the targets of its class.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    class: Arc<str>,
+    first_token_target_us: u64,
+    token_gap_target_us: u64,
+    received_us: u64,
+    first_token_us: Option<u64>,
+    last_token_us: u64,
+    tokens: u32,
+}
+
+impl Progress {
+    pub(crate) fn new(class: &Class, received_us: u64) -> Self {
+        Self {
+            class: class.name.as_str().into(),
+            first_token_target_us: class.first_token_ms * 1_000,
+            token_gap_target_us: class.token_gap_ms * 1_000,
+            received_us,
+            first_token_us: None,
+            last_token_us: received_us,
+            tokens: 0,
+        }
+    }
+
+    pub(crate) fn class(&self) -> &str {
+        &self.class
+    }
+
+    pub(crate) const fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Notes a token and returns the time to the first token if this is the first one.
+    pub(crate) fn token(&mut self, now_us: u64) -> Option<u64> {
+        self.tokens += 1;
+        self.last_token_us = now_us;
+        if self.first_token_us.is_some() {
+            return None;
+        }
+        self.first_token_us = Some(now_us);
+        Some(now_us.saturating_sub(self.received_us))
+    }
+
+    /// Returns the mean gap between tokens, if there were at least two.
+    pub(crate) fn mean_gap_us(&self) -> Option<u64> {
+        let first_us = self.first_token_us?;
+        let gaps = u64::from(self.tokens)
+            .checked_sub(1)
+            .filter(|&gaps| gaps > 0)?;
+        Some(self.last_token_us.saturating_sub(first_us) / gaps)
+    }
+
+    /// Judges a complete answer.
+    pub(crate) fn judge_complete(&self) -> Attainment {
+        let first_us = self.first_token_us.unwrap_or(self.last_token_us);
+        let in_time = first_us.saturating_sub(self.received_us) <= self.first_token_target_us;
+        let fluent = self
+            .mean_gap_us()
+            .is_none_or(|gap_us| gap_us <= self.token_gap_target_us);
+        if in_time && fluent {
+            Attainment::Met
+        } else {
+            Attainment::Missed
+        }
+    }
+
+    /// Judges a request whose caller left: it counts only if it was already late.
+    pub(crate) fn judge_left(&self, now_us: u64) -> Attainment {
+        match self.first_token_us {
+            Some(_) => self.judge_complete(),
+            None if now_us.saturating_sub(self.received_us) > self.first_token_target_us => {
+                Attainment::Missed
+            }
+            None => Attainment::NotJudged,
+        }
+    }
+}
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -1,10 +1,13 @@
 use code::Code;
+use log::info;
 use ntex::{
     http::{StatusCode, header},
     web::HttpResponse,
 };
 use wire::error_body;
 
+use crate::shared::Shared;
+
 /// Answer with a result code instead of a result.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -60,3 +63,11 @@
         Self::new(code)
     }
 }
+
+/// Logs and counts a refusal.
+pub(crate) fn note_refusal(shared: &Shared, request_id: &str, refusal: &Refusal) {
+    info!("caller: {request_id} refused with {}", refusal.code);
+    shared
+        .metrics
+        .refused(refusal.code.number(), refusal.code.name());
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -1,14 +1,17 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use audit::Step;
 use code::Code;
 use log::{debug, info};
+use metric::Attainment;
 use ntex::client::Client;
 use sched::Outcome;
 use serde_json::json;
 use wire::{Chunk, DONE, Request};
 
 use crate::{
-    attempt::Attempt, core::Decision, handle::JobHandle, refusal::Refusal, shared::Shared,
+    attempt::Attempt, core::Decision, handle::JobHandle, progress::Progress, refusal::Refusal,
+    shared::Shared,
 };
 
 /// Answer of one request, over as many attempts as it takes.
@@ -24,7 +27,8 @@
     attempt: Option<Attempt>,
     attempts: u32,
     received: String,
-    received_tokens: u32,
+    progress: Progress,
+    finished: bool,
     ended: bool,
     detail: String,
 }
@@ -36,6 +40,7 @@
         handle: JobHandle,
         request: Request,
         request_id: String,
+        progress: Progress,
     ) -> Self {
         Self {
             shared,
@@ -46,7 +51,8 @@
             attempt: None,
             attempts: 0,
             received: String::new(),
-            received_tokens: 0,
+            progress,
+            finished: false,
             ended: false,
             detail: String::new(),
         }
@@ -108,14 +114,21 @@
                 priority,
             } => {
                 self.attempts = attempt;
+                self.shared.metrics.attempt(attempt);
                 self.open(&upstream, priority).await;
                 Ok(())
             }
             Decision::Refuse {
                 code,
                 retry_after_ms,
-            } => Err(self.refusal(code).with_retry_after_ms(retry_after_ms)),
-            Decision::Cancel => Ok(()),
+            } => {
+                self.note_refusal();
+                Err(self.refusal(code).with_retry_after_ms(retry_after_ms))
+            }
+            Decision::Cancel => {
+                self.shared.metrics.preempted();
+                Ok(())
+            }
         }
     }
 
@@ -132,17 +145,14 @@
         let priority = upstream.honours.priority.then_some(priority);
         let body = self
             .request
-            .upstream_body(priority, &self.received, self.received_tokens);
+            .upstream_body(priority, &self.received, self.progress.tokens());
         let form = self.request.form();
         match Attempt::open(&self.client, upstream, form, &self.request_id, body).await {
             Ok(attempt) => self.attempt = Some(attempt),
             Err(error) => {
-                info!(
-                    "relay: {} failed at {name}: {}",
-                    self.request_id, error.detail
-                );
+                self.note_failure(&error.detail);
                 self.detail = error.detail;
-                let begun = self.received_tokens > 0;
+                let begun = self.progress.tokens() > 0;
                 self.handle.finish(match error.outcome {
                     Outcome::LostBeforeAnswer if begun => {
                         Outcome::LostMidStream { resumable: true }
@@ -165,29 +175,36 @@
             return None;
         }
         if !chunk.text().is_empty() {
-            if self.received_tokens == 0 {
-                self.handle.first_token();
-            } else {
-                self.handle.tokens(1);
-            }
-            self.received_tokens += 1;
+            self.note_token();
             self.received.push_str(chunk.text());
         }
         self.ended |= chunk.finish_reason().is_some();
         chunk.value["id"] = json!(self.request_id);
         if self.attempts > 1 && chunk.usage().is_some() {
-            chunk.value["usage"]["completion_tokens"] = json!(self.received_tokens);
+            chunk.value["usage"]["completion_tokens"] = json!(self.progress.tokens());
         }
         Some(chunk)
     }
 
+    fn note_token(&mut self) {
+        let now_us = self.shared.clock.now_us();
+        match self.progress.token(now_us) {
+            Some(elapsed_us) => {
+                let seconds = Duration::from_micros(elapsed_us).as_secs_f64();
+                self.shared
+                    .metrics
+                    .first_token(self.progress.class(), seconds);
+                self.shared.record(self.handle.id(), Step::FirstToken);
+                self.handle.first_token();
+            }
+            None => self.handle.tokens(1),
+        }
+    }
+
     fn lose_attempt(&mut self) {
         self.attempt = None;
-        info!(
-            "relay: {} lost after {} tokens",
-            self.request_id, self.received_tokens
-        );
-        self.handle.finish(if self.received_tokens == 0 {
+        self.note_failure("connection lost");
+        self.handle.finish(if self.progress.tokens() == 0 {
             Outcome::LostBeforeAnswer
         } else {
             Outcome::LostMidStream { resumable: true }
@@ -196,10 +213,58 @@
 
     fn complete(&mut self) {
         self.attempt = None;
+        self.finished = true;
         self.handle.finish(Outcome::Complete);
+        let (class, tokens) = (self.progress.class(), self.progress.tokens());
+        let metrics = &self.shared.metrics;
+        metrics.ended(class, self.progress.judge_complete(), tokens);
+        if let Some(gap_us) = self.progress.mean_gap_us() {
+            metrics.token_gap(class, Duration::from_micros(gap_us).as_secs_f64());
+        }
+        let received_tokens = tokens;
+        self.shared
+            .record(self.handle.id(), Step::Complete { received_tokens });
+    }
+
+    fn note_failure(&self, detail: &str) {
+        info!(
+            "relay: {} attempt {}: {detail}",
+            self.request_id, self.attempts
+        );
+        let step = Step::AttemptFailed {
+            detail: detail.into(),
+            received_tokens: self.progress.tokens(),
+        };
+        self.shared.record(self.handle.id(), step);
+    }
+
+    fn note_refusal(&mut self) {
+        self.finished = true;
+        let (class, tokens) = (self.progress.class(), self.progress.tokens());
+        self.shared
+            .metrics
+            .wasted(class, "broken", Attainment::Missed, tokens);
     }
 
     fn refusal(&self, code: Code) -> Refusal {
         Refusal::new(code).with_detail(&self.detail)
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if self.finished {
+            return;
+        }
+        let received_tokens = self.progress.tokens();
+        let attainment = self.progress.judge_left(self.shared.clock.now_us());
+        self.shared.metrics.wasted(
+            self.progress.class(),
+            "caller_left",
+            attainment,
+            received_tokens,
+        );
+        self.shared
+            .record(self.handle.id(), Step::CallerLeft { received_tokens });
+    }
+}
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -1,7 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
 use code::Code;
-use log::info;
 use ntex::{
     client::Client,
     util::Bytes,
@@ -17,7 +16,7 @@
     core::Decision,
     handle::JobHandle,
     input::{authenticate, check_ready, class_of, read_body, request_id},
-    refusal::Refusal,
+    refusal::{Refusal, note_refusal},
     shared::Shared,
 };
 
@@ -44,7 +43,7 @@
     match answer(&request, payload, &shared, &client, id).await {
         Ok(response) => response,
         Err(refusal) => {
-            info!("caller: {request_id} refused with {}", refusal.code);
+            note_refusal(&shared, &request_id, &refusal);
             refusal.response(&request_id)
         }
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -4,7 +4,9 @@
 };
 
 use arc_swap::ArcSwap;
-use sched::{Job, JobId, Place};
+use audit::Step;
+use metric::Metrics;
+use sched::{Job, JobId, Place, Target};
 use settings::{Config, Host};
 use tokio::sync::mpsc;
 
@@ -17,6 +19,7 @@
     pub(crate) view: ArcSwap<View>,
     draining: AtomicBool,
     next_id: AtomicU64,
+    pub(crate) metrics: Metrics,
     core: Mutex<Core>,
 }
 
@@ -29,6 +32,7 @@
             view: ArcSwap::from_pointee(View::default()),
             draining: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
+            metrics: Metrics::default(),
             core: Mutex::new(Core::new(place)),
         }
     }
@@ -37,6 +41,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns whether the host takes new work.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view.load().config.version > 0
+    }
+
     pub(crate) fn set_draining(&self) {
         self.draining.store(true, Ordering::Release);
     }
@@ -59,13 +68,23 @@
     pub(crate) fn submit(self: &Arc<Self>, job: Job) -> JobHandle {
         let (sender, decisions) = mpsc::unbounded_channel();
         let id = job.id;
+        self.metrics.received(&job.class);
+        let received = received_step(&job);
         self.with_core(|now_us, core| {
+            core.journal.record(now_us, id.0, received);
             core.register(id, sender);
-            core.act(|dispatcher, actions| dispatcher.submit(now_us, job, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.submit(now_us, job, actions);
+            });
         });
         JobHandle::new(self.clone(), id, decisions)
     }
 
+    /// Adds a step of a request to the journal.
+    pub(crate) fn record(&self, id: JobId, step: Step) {
+        self.with_core(|now_us, core| core.journal.record(now_us, id.0, step));
+    }
+
     /// Takes up a configuration if it is newer than the one in force.
     pub(crate) fn configure(&self, config: Config) -> bool {
         if config.version <= self.view.load().config.version {
@@ -77,9 +96,24 @@
             if view.config.version <= self.view.load().config.version {
                 return false;
             }
-            core.act(|dispatcher, actions| dispatcher.configure(now_us, &view.config, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.configure(now_us, &view.config, actions);
+            });
             self.view.store(view);
             true
         })
     }
 }
+
+fn received_step(job: &Job) -> Step {
+    let target = match &job.target {
+        Target::Model(name) | Target::Service(name) => name.clone(),
+    };
+    Step::Received {
+        account: job.account.clone(),
+        class: job.class.clone(),
+        tier: job.tier,
+        target,
+        prompt_tokens: job.prompt_tokens,
+    }
+}
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -92,6 +92,8 @@
             .state(shared.clone())
             .service(web::resource("/healthz").route(web::get().to(admin::healthz)))
             .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
+            .service(web::resource("/metrics").route(web::get().to(admin::metrics)))
+            .service(web::resource("/admin/explain/{id}").route(web::get().to(admin::explain)))
             .service(web::resource("/admin/status").route(web::get().to(admin::status)))
             .service(web::resource("/admin/drain").route(web::post().to(admin::drain)))
     })
@@ -117,7 +119,9 @@
     loop {
         tokio::time::sleep(TICK).await;
         shared.with_core(|now_us, core| {
-            core.act(|dispatcher, actions| dispatcher.tick(now_us, actions));
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.tick(now_us, actions);
+            });
         });
     }
 }
--- /dev/null
+++ b/crates/metric/src/metrics.rs
@@ -0,0 +1,284 @@
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use crate::{Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel};
+
+/// Prefix of every metric.
+const PREFIX: &str = "fireflylever";
+
+/// Metric families of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<ClassLabel, Counter>,
+    judged: Family<ClassLabel, Counter>,
+    met: Family<ClassLabel, Counter>,
+    goodput_tokens: Family<ClassLabel, Counter>,
+    wasted_tokens: Family<WasteLabel, Counter>,
+    first_token_seconds: Family<ClassLabel, Histogram>,
+    token_gap_seconds: Family<ClassLabel, Histogram>,
+    refused: Family<CodeLabel, Counter>,
+    attempts: Counter,
+    retries: Counter,
+    preemptions: Counter,
+    hedges: Counter,
+    queued: Family<TierLabel, Gauge>,
+    oldest_us: Family<TierLabel, Gauge>,
+    in_flight: Gauge,
+    stragglers: Gauge,
+    config_version: Gauge,
+    live_peers: Gauge,
+    ready: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            requests: Family::default(),
+            judged: Family::default(),
+            met: Family::default(),
+            goodput_tokens: Family::default(),
+            wasted_tokens: Family::default(),
+            first_token_seconds: Family::new_with_constructor(first_token_histogram),
+            token_gap_seconds: Family::new_with_constructor(token_gap_histogram),
+            refused: Family::default(),
+            attempts: Counter::default(),
+            retries: Counter::default(),
+            preemptions: Counter::default(),
+            hedges: Counter::default(),
+            queued: Family::default(),
+            oldest_us: Family::default(),
+            in_flight: Gauge::default(),
+            stragglers: Gauge::default(),
+            config_version: Gauge::default(),
+            live_peers: Gauge::default(),
+            ready: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Counts a request that was accepted for scheduling.
+    pub fn received(&self, class: &str) {
+        self.requests.get_or_create(&class_label(class)).inc();
+    }
+
+    /// Counts a request that got a complete answer.
+    pub fn ended(&self, class: &str, attainment: Attainment, tokens: u32) {
+        let label = class_label(class);
+        self.judge(&label, attainment);
+        self.goodput_tokens
+            .get_or_create(&label)
+            .inc_by(u64::from(tokens));
+    }
+
+    /// Counts a request that ended without a complete answer, and the tokens generated for nobody.
+    pub fn wasted(&self, class: &str, cause: &'static str, attainment: Attainment, tokens: u32) {
+        self.judge(&class_label(class), attainment);
+        let label = WasteLabel {
+            class: class.to_owned(),
+            cause,
+        };
+        self.wasted_tokens
+            .get_or_create(&label)
+            .inc_by(u64::from(tokens));
+    }
+
+    /// Observes the time to the first token.
+    pub fn first_token(&self, class: &str, seconds: f64) {
+        self.first_token_seconds
+            .get_or_create(&class_label(class))
+            .observe(seconds);
+    }
+
+    /// Observes the mean gap between the tokens of an answer.
+    pub fn token_gap(&self, class: &str, seconds: f64) {
+        self.token_gap_seconds
+            .get_or_create(&class_label(class))
+            .observe(seconds);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, number: u16, name: &'static str) {
+        let label = CodeLabel {
+            code: u32::from(number),
+            name,
+        };
+        self.refused.get_or_create(&label).inc();
+    }
+
+    /// Counts an attempt at an upstream.
+    pub fn attempt(&self, number: u32) {
+        self.attempts.inc();
+        if number > 1 {
+            self.retries.inc();
+        }
+    }
+
+    /// Counts a preemption.
+    pub fn preempted(&self) {
+        self.preemptions.inc();
+    }
+
+    /// Counts a hedge.
+    pub fn hedged(&self) {
+        self.hedges.inc();
+    }
+
+    /// Writes all families in the text form.
+    #[must_use]
+    pub fn encode(&self, gauges: &Gauges) -> String {
+        for (tier, (queued, oldest_us)) in (0..).zip(gauges.queued.iter().zip(gauges.oldest_us)) {
+            self.queued
+                .get_or_create(&TierLabel { tier })
+                .set(signed(*queued));
+            self.oldest_us
+                .get_or_create(&TierLabel { tier })
+                .set(signed(oldest_us));
+        }
+        self.in_flight.set(signed(gauges.in_flight));
+        self.stragglers.set(signed(gauges.stragglers));
+        self.config_version.set(signed(gauges.config_version));
+        self.live_peers.set(signed(gauges.live_peers));
+        self.ready.set(i64::from(gauges.ready));
+        let mut text = String::new();
+        // Writing into a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn judge(&self, label: &ClassLabel, attainment: Attainment) {
+        if attainment != Attainment::NotJudged {
+            self.judged.get_or_create(label).inc();
+        }
+        if attainment == Attainment::Met {
+            self.met.get_or_create(label).inc();
+        }
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        register(
+            registry,
+            "requests",
+            "Requests accepted for scheduling",
+            &self.requests,
+        );
+        register(
+            registry,
+            "judged_requests",
+            "Requests with a judged target",
+            &self.judged,
+        );
+        register(
+            registry,
+            "attained_requests",
+            "Requests that met their targets",
+            &self.met,
+        );
+        register(
+            registry,
+            "goodput_tokens",
+            "Tokens of complete answers",
+            &self.goodput_tokens,
+        );
+        register(
+            registry,
+            "wasted_tokens",
+            "Tokens generated for nobody",
+            &self.wasted_tokens,
+        );
+        register(
+            registry,
+            "refused_requests",
+            "Refusals by result code",
+            &self.refused,
+        );
+        registry.register("attempts", "Attempts at upstreams", self.attempts.clone());
+        registry.register("retries", "Attempts after the first", self.retries.clone());
+        registry.register(
+            "preemptions",
+            "Attempts cancelled for a higher tier",
+            self.preemptions.clone(),
+        );
+        registry.register("hedges", "Hedged attempts", self.hedges.clone());
+        let help = "Time to the first token";
+        registry.register(
+            "first_token_seconds",
+            help,
+            self.first_token_seconds.clone(),
+        );
+        let help = "Mean gap between tokens of an answer";
+        registry.register("token_gap_seconds", help, self.token_gap_seconds.clone());
+        registry.register(
+            "queued_requests",
+            "Waiting requests by tier",
+            self.queued.clone(),
+        );
+        let help = "Age of the oldest waiting request by tier, in microseconds";
+        registry.register("queue_age_us", help, self.oldest_us.clone());
+        registry.register(
+            "in_flight_requests",
+            "Requests queued or running",
+            self.in_flight.clone(),
+        );
+        registry.register(
+            "straggler_upstreams",
+            "Upstreams judged to be slow",
+            self.stragglers.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "live_peers",
+            "Other daemons that are live",
+            self.live_peers.clone(),
+        );
+        registry.register(
+            "ready",
+            "Whether the host takes new work",
+            self.ready.clone(),
+        );
+    }
+}
+
+fn register<L>(registry: &mut Registry, name: &str, help: &str, family: &Family<L, Counter>)
+where
+    L: EncodeLabelSet + Clone + Eq + std::hash::Hash + std::fmt::Debug + Send + Sync + 'static,
+{
+    registry.register(name, help, family.clone());
+}
+
+fn class_label(class: &str) -> ClassLabel {
+    ClassLabel {
+        class: class.to_owned(),
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+/// 12 ms to 25 s, the target of 0.79 s between two bounds.
+fn first_token_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.0123, 2.0, 12))
+}
+
+/// 2 ms to 2 s, the target of 33 ms between two bounds.
+fn token_gap_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.002, 2.0, 11))
+}
--- /dev/null
+++ b/crates/metric/src/tests.rs
@@ -0,0 +1,45 @@
+use crate::{Attainment, Gauges, Metrics};
+
+/// Guards against a family that is counted and never written, or written under another name.
+#[test]
+fn every_family_is_written() {
+    let metrics = Metrics::default();
+    metrics.received("urgent");
+    metrics.ended("urgent", Attainment::Met, 7);
+    metrics.wasted("bulk", "caller_left", Attainment::NotJudged, 3);
+    metrics.first_token("urgent", 0.2);
+    metrics.token_gap("urgent", 0.02);
+    metrics.refused(3001, "queue_full");
+    metrics.attempt(1);
+    metrics.attempt(2);
+    metrics.preempted();
+    metrics.hedged();
+    let gauges = Gauges {
+        queued: [1, 2, 3],
+        config_version: 4,
+        ..Gauges::default()
+    };
+    let text = metrics.encode(&gauges);
+    let lines = [
+        "fireflylever_requests_total{class=\"urgent\"} 1",
+        "fireflylever_judged_requests_total{class=\"urgent\"} 1",
+        "fireflylever_attained_requests_total{class=\"urgent\"} 1",
+        "fireflylever_goodput_tokens_total{class=\"urgent\"} 7",
+        "fireflylever_wasted_tokens_total{class=\"bulk\",cause=\"caller_left\"} 3",
+        "fireflylever_refused_requests_total{code=\"3001\",name=\"queue_full\"} 1",
+        "fireflylever_attempts_total 2",
+        "fireflylever_retries_total 1",
+        "fireflylever_preemptions_total 1",
+        "fireflylever_hedges_total 1",
+        "fireflylever_queued_requests{tier=\"2\"} 3",
+        "fireflylever_config_version 4",
+        "fireflylever_first_token_seconds_count{class=\"urgent\"} 1",
+        "fireflylever_token_gap_seconds_count{class=\"urgent\"} 1",
+    ];
+    for line in lines {
+        assert!(
+            text.lines().any(|found| found == line),
+            "missing {line} in\n{text}"
+        );
+    }
+}
