feat(claim): claim non-idempotent calls so that each runs at most once

Cause: a reservation, order or invoice could run twice when an answer was lost, a host stopped, or the caller repeated it through another host.

Ruled out: leases on claims, which a suspended holder outlives; taking over old claims by age, which runs a call twice when its first holder resumes; an outcome kept only in memory, which hosts lose.

Change: claim::Claim, a state machine without I/O over a conditional write with a unique attempt. A claim is never taken over; an answer lost by the store is resolved by reading back the own attempt. "In progress" now says run: unknown, since the call behind the key may be running.

--- /dev/null
+++ b/crates/claim/src/fuzz_tests.rs
@@ -0,0 +1,202 @@
+//! Several hosts with the same key against a table with faults, interleaved at every step.
+
+use code::Run;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use store::{Fault, MemoryTable};
+
+use crate::{Answer, Claim, Fingerprint, Next, Record, Sent, Verdict, row_key};
+
+const HOSTS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Transition {
+    /// The host begins a new call with the key, if it has none.
+    Begin { host: usize },
+    /// The host takes its next step; a fault hits its call of the table.
+    Step {
+        host: usize,
+        fault: Option<Fault>,
+        sent: SentKind,
+    },
+    /// The host stops for good at this point and starts anew.
+    Restart { host: usize },
+}
+
+#[derive(Debug, Clone, Copy)]
+enum SentKind {
+    Answered,
+    NotSent,
+    LostBeforeRun,
+    LostAfterRun,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = Self;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self).boxed()
+    }
+
+    fn transitions(_state: &Self) -> BoxedStrategy<Transition> {
+        let fault = prop_oneof![
+            4 => Just(None),
+            1 => Just(Some(Fault::Down)),
+            1 => Just(Some(Fault::AnswerLost)),
+            1 => Just(Some(Fault::RequestLost)),
+            1 => Just(Some(Fault::Stale)),
+        ];
+        let sent = prop_oneof![
+            Just(SentKind::Answered),
+            Just(SentKind::NotSent),
+            Just(SentKind::LostBeforeRun),
+            Just(SentKind::LostAfterRun),
+        ];
+        prop_oneof![
+            2 => (0..HOSTS).prop_map(|host| Transition::Begin { host }),
+            8 => (0..HOSTS, fault, sent)
+                .prop_map(|(host, fault, sent)| Transition::Step { host, fault, sent }),
+            1 => (0..HOSTS).prop_map(|host| Transition::Restart { host }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _transition: &Transition) -> Self {
+        state
+    }
+}
+
+struct Call {
+    claim: Claim,
+    next: Next,
+    sent: bool,
+}
+
+#[derive(Default)]
+struct System {
+    table: MemoryTable,
+    calls: [Option<Call>; HOSTS],
+    attempts: u32,
+    runs: Vec<String>,
+}
+
+impl System {
+    fn begin(&mut self, host: usize) {
+        if self.calls[host].is_some() {
+            return;
+        }
+        self.attempts += 1;
+        let fingerprint = Fingerprint::new("POST", "/orders", b"x");
+        let record = Record::new("k", &self.attempts.to_string(), "host", fingerprint);
+        let mut claim = Claim::new(record, 0, 1_000);
+        let next = claim.start();
+        let sent = false;
+        self.calls[host] = Some(Call { claim, next, sent });
+    }
+
+    fn step(&mut self, host: usize, fault: Option<Fault>, kind: SentKind) {
+        let Some(mut call) = self.calls[host].take() else {
+            return;
+        };
+        let key = row_key("account", "k");
+        self.table.push_fault(fault);
+        let next = match call.next {
+            Next::Write { expect, record, .. } => {
+                let result = self.table.write_now(&key, expect, &record.to_value());
+                call.claim.written(result)
+            }
+            Next::Read { .. } => call.claim.read(self.table.read_now(&key)),
+            Next::Send => {
+                call.sent = true;
+                let sent = self.send(kind);
+                // The table was not called, so the fault must not hit another host's call.
+                let _ = self.table.read_now(&key);
+                call.claim.sent(sent)
+            }
+            Next::Finish(_) => unreachable!("a finished call is dropped"),
+        };
+        if let Next::Finish(verdict) = &next {
+            self.check(verdict, call.sent);
+            return;
+        }
+        call.next = next;
+        self.calls[host] = Some(call);
+    }
+
+    fn send(&mut self, kind: SentKind) -> Sent {
+        let body = self.attempts.to_string();
+        match kind {
+            SentKind::NotSent => Sent::NotSent(code::Code::ConnectFailed),
+            SentKind::LostBeforeRun => Sent::Lost,
+            SentKind::LostAfterRun => {
+                self.runs.push(body);
+                Sent::Lost
+            }
+            SentKind::Answered => {
+                self.runs.push(body.clone());
+                let content_type = String::new();
+                Sent::Answered(Answer {
+                    status: 201,
+                    content_type,
+                    body,
+                })
+            }
+        }
+    }
+
+    fn check(&self, verdict: &Verdict, sent: bool) {
+        match verdict {
+            Verdict::Answer(answer) | Verdict::Replay(answer) => {
+                assert_eq!(self.runs.as_slice(), std::slice::from_ref(&answer.body));
+            }
+            Verdict::Refuse(code) if code.run() == Run::No && !sent => {}
+            Verdict::Refuse(code) if code.run() == Run::No => {
+                assert_eq!(
+                    *code,
+                    code::Code::ConnectFailed,
+                    "only an unsent call was not run"
+                );
+            }
+            Verdict::Refuse(_) => {}
+        }
+    }
+}
+
+struct Test;
+
+impl StateMachineTest for Test {
+    type SystemUnderTest = System;
+    type Reference = Reference;
+
+    fn init_test(_reference: &Reference) -> System {
+        System::default()
+    }
+
+    fn apply(mut system: System, _reference: &Reference, transition: Transition) -> System {
+        match transition {
+            Transition::Begin { host } => system.begin(host),
+            Transition::Step { host, fault, sent } => system.step(host, fault, sent),
+            Transition::Restart { host } => system.calls[host] = None,
+        }
+        system
+    }
+
+    fn check_invariants(system: &System, _reference: &Reference) {
+        assert!(system.runs.len() <= 1, "ran {} times", system.runs.len());
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    /// Guards against two runs of one key under any interleaving of hosts, stops and store faults.
+    #[test]
+    fn holds_once_for_racing_hosts(sequential 1..60 => Test);
+}
--- /dev/null
+++ b/crates/claim/src/tests.rs
@@ -0,0 +1,194 @@
+use code::{Code, Run};
+use store::{Expect, Fault, MemoryTable};
+
+use crate::{Answer, Claim, Fingerprint, Next, Record, Sent, State, Verdict, parse_key, row_key};
+
+fn record(attempt: &str, body: &str) -> Record {
+    let fingerprint = Fingerprint::new("POST", "/inventory/reservations", body.as_bytes());
+    Record::new("r-1", attempt, "entry-1", fingerprint).with_claimed_unix_ms(1_000)
+}
+
+fn answer(body: &str) -> Answer {
+    Answer {
+        status: 201,
+        content_type: "application/json".to_owned(),
+        body: body.to_owned(),
+    }
+}
+
+/// Drives a claim against a table; returns the verdict and how often the call was sent.
+fn drive(table: &MemoryTable, attempt: &str, body: &str, sent: &Sent) -> (Verdict, u32) {
+    let mut claim = Claim::new(record(attempt, body), 2_000, 15_000);
+    let key = row_key("member-a", "r-1");
+    let mut next = claim.start();
+    let mut sends = 0;
+    loop {
+        next = match next {
+            Next::Write { expect, record, .. } => {
+                claim.written(table.write_now(&key, expect, &record.to_value()))
+            }
+            Next::Read { .. } => claim.read(table.read_now(&key)),
+            Next::Send => {
+                sends += 1;
+                claim.sent(sent.clone())
+            }
+            Next::Finish(verdict) => return (verdict, sends),
+        };
+    }
+}
+
+/// Guards against a second run, and against a refusal that misstates whether the call ran, for
+/// every single fault of the store during the first call.
+#[test]
+fn holds_once_under_each_store_fault() {
+    let done = Sent::Answered(answer("1"));
+    let cases: [(&str, &[Option<Fault>], Verdict, u32); 7] = [
+        ("no fault", &[], Verdict::Answer(answer("1")), 1),
+        (
+            "down",
+            &[Some(Fault::Down)],
+            Verdict::Refuse(Code::ClaimStoreDown),
+            0,
+        ),
+        (
+            "claim answer lost",
+            &[Some(Fault::AnswerLost)],
+            Verdict::Answer(answer("1")),
+            1,
+        ),
+        (
+            "claim lost",
+            &[Some(Fault::RequestLost)],
+            Verdict::Answer(answer("1")),
+            1,
+        ),
+        (
+            "outcome answer lost",
+            &[None, Some(Fault::AnswerLost)],
+            Verdict::Answer(answer("1")),
+            1,
+        ),
+        (
+            "outcome lost",
+            &[None, Some(Fault::RequestLost)],
+            Verdict::Answer(answer("1")),
+            1,
+        ),
+        (
+            "claim lost and read lost",
+            &[Some(Fault::AnswerLost), Some(Fault::AnswerLost)],
+            Verdict::Answer(answer("1")),
+            1,
+        ),
+    ];
+    for (name, faults, verdict, sends) in cases {
+        let table = MemoryTable::default();
+        for &fault in faults {
+            table.push_fault(fault);
+        }
+        assert_eq!(drive(&table, "a", "x", &done), (verdict, sends), "{name}");
+        let (repeat, sends_again) = drive(&table, "b", "x", &done);
+        assert_eq!(sends + sends_again, 1, "{name}: {repeat:?}");
+    }
+}
+
+/// Guards against a repeat that runs again or gets something else than the recorded outcome.
+#[test]
+fn holds_once_for_repeats_of_each_outcome() {
+    let cases = [
+        (
+            "answered",
+            Sent::Answered(answer("1")),
+            Verdict::Replay(answer("1")),
+            0,
+        ),
+        ("lost", Sent::Lost, Verdict::Refuse(Code::MayHaveRun), 0),
+        (
+            "not sent",
+            Sent::NotSent(Code::ConnectFailed),
+            Verdict::Answer(answer("2")),
+            1,
+        ),
+    ];
+    for (name, first, expected, sends) in cases {
+        let table = MemoryTable::default();
+        drive(&table, "a", "x", &first);
+        let repeat = drive(&table, "b", "x", &Sent::Answered(answer("2")));
+        assert_eq!(repeat, (expected, sends), "{name}");
+    }
+}
+
+/// Guards against a key that is reused for another call.
+#[test]
+fn another_body_with_the_same_key_is_refused() {
+    let table = MemoryTable::default();
+    let done = Sent::Answered(answer("1"));
+    drive(&table, "a", "x", &done);
+    assert_eq!(
+        drive(&table, "b", "y", &done),
+        (Verdict::Refuse(Code::KeyReused), 0)
+    );
+}
+
+/// Guards against a claim of a stopped host that is taken over, and against one that says "not run".
+#[test]
+fn holds_once_for_a_claim_of_a_stopped_host() {
+    for (now_unix_ms, code) in [(2_000, Code::InProgress), (60_000, Code::MayHaveRun)] {
+        let table = MemoryTable::default();
+        let key = row_key("member-a", "r-1");
+        table
+            .write_now(&key, Expect::Absent, &record("a", "x").to_value())
+            .unwrap();
+        let mut claim = Claim::new(record("b", "x"), now_unix_ms, 15_000);
+        let Next::Write { expect, record, .. } = claim.start() else {
+            panic!("a write")
+        };
+        let next = claim.written(table.write_now(&key, expect, &record.to_value()));
+        assert_eq!(next, Next::Finish(Verdict::Refuse(code)));
+        assert_eq!(code.run(), Run::Unknown);
+    }
+}
+
+/// Guards against a settled claim that does not follow the operator.
+#[test]
+fn settled_claims_follow_the_operator() {
+    for (ran, expected) in [
+        (true, (Verdict::Refuse(Code::MayHaveRun), 0)),
+        (false, (Verdict::Answer(answer("2")), 1)),
+    ] {
+        let table = MemoryTable::default();
+        let state = State::Settled {
+            by: "ana".to_owned(),
+            reason: "asked the member".to_owned(),
+            ran,
+            at_unix_ms: 5_000,
+        };
+        let settled = record("a", "x").with_state(state);
+        let key = row_key("member-a", "r-1");
+        table
+            .write_now(&key, Expect::Absent, &settled.to_value())
+            .unwrap();
+        assert_eq!(
+            drive(&table, "b", "x", &Sent::Answered(answer("2"))),
+            expected
+        );
+    }
+}
+
+/// Guards against keys that are cut, escaped or accepted empty.
+#[test]
+fn keys_are_parsed() {
+    let long = "k".repeat(256);
+    let cases = [
+        ("\"r-1\"", Some("r-1")),
+        (" r-1 ", Some("r-1")),
+        ("", None),
+        ("\"\"", None),
+        ("\"r-1", None),
+        ("r 1", None),
+        (long.as_str(), None),
+    ];
+    for (value, key) in cases {
+        assert_eq!(parse_key(value), key, "{value}");
+    }
+}
--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -62,7 +62,7 @@
     MayHaveRun,
     /// The idempotency key was used with another request.
     KeyReused,
-    /// A call with this idempotency key is in progress.
+    /// A call with this idempotency key is in progress; it is not run again.
     InProgress,
     /// The platform's store is down, so the call was not started.
     ClaimStoreDown,
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -241,9 +241,9 @@
         number: 5003,
         name: "in_progress",
         http_status: 409,
-        run: Run::No,
+        run: Run::Unknown,
         retry: Retry::SameKey,
-        message: "A call with this idempotency key is in progress.",
+        message: "A call with this idempotency key is in progress; it is not run again.",
     },
     Entry {
         code: Code::ClaimStoreDown,
