--- /dev/null
+++ b/crates/daemon/src/claimed.rs
@@ -0,0 +1,69 @@
+use std::{
+    future::Future,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use claim::{Claim, Next, Record, Sent, Verdict};
+use log::warn;
+use store::Table;
+
+/// Slack on top of a service's longest answer before a claim counts as abandoned.
+const BUSY_SLACK_MS: u64 = 10_000;
+
+/// Runs one call under a claim; `send` is called at most once.
+pub(crate) async fn run_claimed<F, S>(
+    table: &dyn Table,
+    row_key: &str,
+    record: Record,
+    answer_max_ms: u64,
+    send: S,
+) -> Verdict
+where
+    F: Future<Output = Sent>,
+    S: FnOnce() -> F,
+{
+    let now_unix_ms = unix_ms();
+    let record = record.with_claimed_unix_ms(now_unix_ms);
+    let mut claim = Claim::new(record, now_unix_ms, answer_max_ms + BUSY_SLACK_MS);
+    let mut send = Some(send);
+    let mut next = claim.start();
+    loop {
+        next = match next {
+            Next::Write {
+                expect,
+                record,
+                after_ms,
+            } => {
+                pause(after_ms).await;
+                let result = table.write(row_key, expect, &record.to_value()).await;
+                if let Err(error) = &result {
+                    warn!("claim: write of {row_key}: {error}");
+                }
+                claim.written(result)
+            }
+            Next::Read { after_ms } => {
+                pause(after_ms).await;
+                claim.read(table.read(row_key).await)
+            }
+            Next::Send => match send.take() {
+                Some(send) => claim.sent(send().await),
+                None => claim.sent(Sent::Lost),
+            },
+            Next::Finish(verdict) => return verdict,
+        };
+    }
+}
+
+async fn pause(after_ms: u64) {
+    if after_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
+    }
+}
+
+/// Returns the wall-clock time, which only serves operators and the age of a claim.
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -4,13 +4,14 @@
 use sched::{JobId, Outcome};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::{core::Decision, shared::Shared};
+use crate::{core::Decision, exposure::Exposure, shared::Shared};
 
 /// Owner of a submitted job; dropping it cancels the job.
 pub(crate) struct JobHandle {
     shared: Arc<Shared>,
     id: JobId,
     decisions: UnboundedReceiver<Decision>,
+    exposure: Exposure,
     ended: bool,
 }
 
@@ -24,6 +25,7 @@
             shared,
             id,
             decisions,
+            exposure: Exposure::NotRun,
             ended: false,
         }
     }
@@ -40,11 +42,25 @@
             code: Code::Draining,
             retry_after_ms: 1_000,
         };
-        let decision = decision.unwrap_or(closed);
-        if matches!(decision, Decision::Refuse { .. }) {
-            self.ended = true;
+        match decision.unwrap_or(closed) {
+            Decision::Refuse {
+                code,
+                retry_after_ms,
+            } => {
+                self.ended = true;
+                let code = self.exposure.truthful(code);
+                Decision::Refuse {
+                    code,
+                    retry_after_ms,
+                }
+            }
+            decision => decision,
         }
-        decision
+    }
+
+    /// Notes that the current attempt was dropped on a decision to cancel it.
+    pub(crate) fn cancelled(&mut self, answered: bool) {
+        self.exposure.add_cancelled(answered);
     }
 
     /// Notes the first token.
@@ -71,6 +87,7 @@
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         let id = self.id;
         let complete = outcome == Outcome::Complete;
+        self.exposure.add(outcome);
         self.ended |= complete;
         self.shared.with_core(|now_us, core| {
             core.act(now_us, |dispatcher, actions| {
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -12,6 +12,9 @@
 
 use crate::{refusal::Refusal, shared::Shared, view::View};
 
+/// Bytes of a body over the limit that are read and dropped, as a multiple of the limit.
+const DISCARD_FACTOR: usize = 8;
+
 /// Reads a body within the limits of the host.
 pub(crate) async fn read_body(
     shared: &Shared,
@@ -21,19 +24,29 @@
     let max_bytes = shared.host.body_max_bytes;
     let length = request.headers().get(header::CONTENT_LENGTH);
     let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if length.is_some_and(|length| length > max_bytes) {
-        return Err(Code::BodyTooLarge.into());
-    }
+    let mut too_large = length.is_some_and(|length| length > max_bytes);
     let read = async {
         let mut body = BytesMut::new();
+        let mut discarded_bytes = 0;
         while let Some(chunk) = payload.recv().await {
             let chunk = chunk.map_err(|_| Refusal::new(Code::BadRequest))?;
-            if body.len() + chunk.len() > max_bytes {
-                return Err(Code::BodyTooLarge.into());
+            too_large |= body.len() + chunk.len() > max_bytes;
+            if too_large {
+                // A client that is still sending would see a reset instead of the answer, so the
+                // rest is read and dropped, up to a bound.
+                discarded_bytes += chunk.len();
+                if discarded_bytes > DISCARD_FACTOR * max_bytes {
+                    break;
+                }
+            } else {
+                body.extend_from_slice(&chunk);
             }
-            body.extend_from_slice(&chunk);
         }
-        Ok(body.freeze())
+        if too_large {
+            Err(Code::BodyTooLarge.into())
+        } else {
+            Ok(body.freeze())
+        }
     };
     let limit = Duration::from_millis(shared.host.receive_max_ms);
     tokio::time::timeout(limit, read)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,9 +6,14 @@
 
 mod admin;
 mod attempt;
+mod calls;
+mod claimed;
 mod clock;
 mod completions;
 mod core;
+mod exposure;
+#[cfg(test)]
+mod exposure_tests;
 mod follow;
 mod handle;
 mod input;
--- a/crates/daemon/src/models.rs
+++ b/crates/daemon/src/models.rs
@@ -1,9 +1,14 @@
 use std::sync::Arc;
 
+use code::Code;
 use ntex::web::{HttpRequest, HttpResponse, types::State};
 use serde_json::{Value, json};
 
-use crate::{input::authenticate, shared::Shared};
+use crate::{
+    input::authenticate,
+    refusal::{Refusal, note_refusal},
+    shared::Shared,
+};
 
 /// Serves `/v1/models`.
 pub(crate) async fn models(request: HttpRequest, shared: State<Arc<Shared>>) -> HttpResponse {
@@ -16,3 +21,10 @@
     let data: Vec<Value> = view.config.models().iter().map(entry).collect();
     HttpResponse::Ok().json(&json!({"object": "list", "data": data}))
 }
+
+/// Serves every path that no interface has.
+pub(crate) async fn unknown_path(shared: State<Arc<Shared>>) -> HttpResponse {
+    let refusal = Refusal::new(Code::UnknownPath);
+    note_refusal(&shared, "", &refusal);
+    refusal.response("")
+}
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -40,12 +40,32 @@
         error_body(self.code, &self.detail, request_id)
     }
 
+    /// Returns whether the answer may leave before the request's body was read. The server closes
+    /// such a connection; without the header a client would reuse it and lose its next request.
+    const fn closes_connection(&self) -> bool {
+        matches!(
+            self.code,
+            Code::BodyTooLarge
+                | Code::Draining
+                | Code::NoConfig
+                | Code::SlowSender
+                | Code::StaleView
+                | Code::UnknownClass
+                | Code::UnknownKey
+                | Code::UnknownPath
+                | Code::UnknownService
+        )
+    }
+
     /// Returns the answer to the caller.
     pub(crate) fn response(&self, request_id: &str) -> HttpResponse {
         let status = StatusCode::from_u16(self.code.http_status());
         let mut response = HttpResponse::build(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
         response.header("x-request-id", request_id);
         response.header("x-result-code", self.code.number().to_string());
+        if self.closes_connection() {
+            response.force_close();
+        }
         if self.retry_after_ms > 0 {
             response.header(
                 header::RETRY_AFTER,
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -85,8 +85,12 @@
         self.tasks.push((handle, joined));
     }
 
+    fn in_flight(&self) -> usize {
+        self.shared.calls.open() + self.shared.with_core(|_, core| core.dispatcher.in_flight())
+    }
+
     async fn wait_idle(&self) {
-        while self.shared.with_core(|_, core| core.dispatcher.in_flight()) > 0 {
+        while self.in_flight() > 0 {
             tokio::time::sleep(DRAIN_POLL).await;
         }
     }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -1,20 +1,24 @@
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
+use claim::{Answer, Fingerprint, Record, Sent, Verdict, parse_key, row_key};
 use code::Code;
 use ntex::{
     client::Client,
+    http::{Method, StatusCode},
     util::Bytes,
     web::{
         HttpRequest, HttpResponse,
         types::{Payload, State},
     },
 };
-use sched::{Job, JobId, Outcome, Target};
+use sched::{Job, Outcome, Target};
+use settings::Service;
+use store::Table;
 
 use crate::{
     attempt::outcome_of,
+    claimed::run_claimed,
     core::Decision,
-    handle::JobHandle,
     input::{authenticate, check_ready, class_of, read_body, request_id},
     refusal::{Refusal, note_refusal},
     shared::Shared,
@@ -23,12 +27,33 @@
 /// Largest answer of a plain service.
 const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
 
+/// Header that makes a non-idempotent call repeatable for its caller.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Request headers that are passed on to a plain service.
+const FORWARDED: [&str; 3] = ["content-type", "accept", IDEMPOTENCY_KEY];
+
+/// Connections and table of one worker thread.
+#[derive(Clone)]
+pub(crate) struct ServiceLinks {
+    /// Client with pooled connections, for calls that may be repeated.
+    pub(crate) pooled: Client,
+    /// Client that opens a connection for each call. A pooled connection that the service has just
+    /// closed can't be told from a call that was lost after it ran.
+    pub(crate) fresh: Client,
+    /// Platform's table service.
+    pub(crate) table: Rc<dyn Table>,
+}
+
 /// Call of a plain service.
-struct Call<'a> {
-    method: ntex::http::Method,
-    path: &'a str,
+#[derive(Clone)]
+struct Call {
+    method: Method,
+    path: String,
+    headers: Vec<(&'static str, String)>,
     body: Bytes,
     answer_max: Duration,
+    idempotent: bool,
 }
 
 /// Serves `/services/NAME/...`.
@@ -36,25 +61,23 @@
     request: HttpRequest,
     payload: Payload,
     shared: State<Arc<Shared>>,
-    client: State<Client>,
+    links: State<ServiceLinks>,
 ) -> HttpResponse {
     let id = shared.next_id();
     let request_id = request_id(&shared, id);
-    match answer(&request, payload, &shared, &client, id).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            note_refusal(&shared, &request_id, &refusal);
-            refusal.response(&request_id)
-        }
-    }
+    let result = answer(&request, payload, &shared, &links, id).await;
+    result.unwrap_or_else(|refusal| {
+        note_refusal(&shared, &request_id, &refusal);
+        refusal.response(&request_id)
+    })
 }
 
 async fn answer(
     request: &HttpRequest,
     payload: Payload,
     shared: &Arc<Shared>,
-    client: &Client,
-    id: JobId,
+    links: &ServiceLinks,
+    id: sched::JobId,
 ) -> Result<HttpResponse, Refusal> {
     let view = shared.view.load_full();
     check_ready(shared, &view)?;
@@ -72,8 +95,8 @@
         .ok_or_else(|| Refusal::new(Code::UnknownService))?;
     let class = class_of(&view, account, request, None)?;
     let body = read_body(shared, request, payload).await?;
-    let idempotent = !service.is_non_idempotent(request.method().as_str(), path);
-    let handle = shared.submit(Job {
+    let call = Call::new(request, service, path, body);
+    let job = Job {
         id,
         account: account.name.as_str().into(),
         class: class.name.as_str().into(),
@@ -81,33 +104,90 @@
         target: Target::Service(name.into()),
         prompt_tokens: 0,
         max_tokens: 0,
-        body_bytes: body.len() as u64,
+        body_bytes: call.body.len() as u64,
         prefix_hash: 0,
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
-        idempotent,
-    });
-    let call = Call {
-        method: request.method().clone(),
-        path,
-        body,
-        answer_max: Duration::from_millis(service.answer_max_ms),
+        idempotent: call.idempotent,
+    };
+    let key = request.headers().get(IDEMPOTENCY_KEY);
+    let (Some(key), false) = (key, call.idempotent) else {
+        let sent = send(shared, links, job, &call).await;
+        return response(sent);
     };
-    send(shared, client, handle, &call).await
+    let key = key
+        .to_str()
+        .ok()
+        .and_then(parse_key)
+        .ok_or_else(|| Refusal::new(Code::BadKey))?;
+    let fingerprint = Fingerprint::new(call.method.as_str(), request.path(), &call.body);
+    let record = Record::new(
+        key,
+        &shared.unique_attempt(id),
+        &shared.host.name,
+        fingerprint,
+    );
+    let row_key = row_key(&account.name, key);
+    finish_claimed(shared, links, job, call, &row_key, record).await
 }
 
-async fn send(
+/// Runs a claimed call in a task of its own: when the caller leaves midway, the call still ends
+/// and its outcome is recorded for a repeat. A planned stop waits for the task by its guard.
+async fn finish_claimed(
     shared: &Arc<Shared>,
-    client: &Client,
-    mut handle: JobHandle,
-    call: &Call<'_>,
+    links: &ServiceLinks,
+    job: Job,
+    call: Call,
+    row_key: &str,
+    record: Record,
 ) -> Result<HttpResponse, Refusal> {
+    let guard = shared.calls.begin();
+    let (shared, links, row_key) = (shared.clone(), links.clone(), row_key.to_owned());
+    let task = ntex::rt::spawn(async move {
+        let answer_max_ms = u64::try_from(call.answer_max.as_millis()).unwrap_or(u64::MAX);
+        let send = async || match send(&shared, &links, job, &call).await {
+            Ok(answer) => Sent::Answered(answer),
+            Err(refusal) if refusal.code.run() == code::Run::No => Sent::NotSent(refusal.code),
+            Err(_) => Sent::Lost,
+        };
+        let table = links.table.as_ref();
+        let verdict = run_claimed(table, &row_key, record, answer_max_ms, send).await;
+        drop(guard);
+        verdict
+    });
+    match task.await {
+        Ok(Verdict::Answer(answer)) => response(Ok(answer)),
+        Ok(Verdict::Replay(answer)) => {
+            let mut response = response(Ok(answer))?;
+            let replayed = ntex::http::header::HeaderValue::from_static("true");
+            response.headers_mut().insert(
+                ntex::http::header::HeaderName::from_static("idempotency-replayed"),
+                replayed,
+            );
+            Ok(response)
+        }
+        Ok(Verdict::Refuse(code)) => Err(Refusal::new(code).with_retry_after_ms(1_000)),
+        Err(_) => Err(Code::MayHaveRun.into()),
+    }
+}
+
+/// Sends a call, on as many upstreams as the dispatcher allows.
+async fn send(
+    shared: &Arc<Shared>,
+    links: &ServiceLinks,
+    job: Job,
+    call: &Call,
+) -> Result<Answer, Refusal> {
+    let mut handle = shared.submit(job);
     loop {
         match handle.decision().await {
-            Decision::Start { upstream, .. } => {
-                match attempt(shared, client, &upstream, call).await {
-                    Ok(response) => {
+            Decision::Start {
+                upstream, attempt, ..
+            } => {
+                shared.metrics.attempt(attempt);
+                match try_upstream(shared, links, &upstream, call).await {
+                    Ok(answer) => {
                         handle.finish(Outcome::Complete);
-                        return Ok(response);
+                        return Ok(answer);
                     }
                     Err(outcome) => handle.finish(outcome),
                 }
@@ -115,36 +195,78 @@
             Decision::Refuse {
                 code,
                 retry_after_ms,
-            } => {
-                return Err(Refusal::new(code).with_retry_after_ms(retry_after_ms));
-            }
-            Decision::Cancel => {}
+            } => return Err(Refusal::new(code).with_retry_after_ms(retry_after_ms)),
+            Decision::Cancel => handle.cancelled(false),
         }
     }
 }
 
-async fn attempt(
+async fn try_upstream(
     shared: &Shared,
-    client: &Client,
+    links: &ServiceLinks,
     upstream: &str,
-    call: &Call<'_>,
-) -> Result<HttpResponse, Outcome> {
+    call: &Call,
+) -> Result<Answer, Outcome> {
     let view = shared.view.load_full();
     let upstream = view.config.upstream(upstream).ok_or(Outcome::NotSent)?;
     let url = format!("http://{}{}", upstream.address, call.path);
+    let client = if call.idempotent {
+        &links.pooled
+    } else {
+        &links.fresh
+    };
     let exchange = async {
-        let request = client.request(call.method.clone(), url);
+        let mut request = client.request(call.method.clone(), url);
+        if !call.idempotent {
+            request = request.force_close();
+        }
+        for (name, value) in &call.headers {
+            request = request.header(*name, value.as_str());
+        }
         let sent = request.send_body(call.body.clone()).await;
         let response = sent.map_err(|error| outcome_of(&error))?;
         let body = response.body().limit(ANSWER_MAX_BYTES).await;
         let body = body.map_err(|_| Outcome::LostBeforeAnswer)?;
-        let mut answer = HttpResponse::build(response.status());
-        if let Some(kind) = response.header("content-type") {
-            answer.header("content-type", kind.clone());
-        }
-        Ok(answer.body(body))
+        let content_type = response
+            .header("content-type")
+            .and_then(|kind| kind.to_str().ok());
+        Ok(Answer {
+            status: response.status().as_u16(),
+            content_type: content_type.unwrap_or_default().to_owned(),
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
     };
-    tokio::time::timeout(call.answer_max, exchange)
-        .await
-        .unwrap_or(Err(Outcome::LostBeforeAnswer))
+    let result = tokio::time::timeout(call.answer_max, exchange).await;
+    result.unwrap_or(Err(Outcome::LostBeforeAnswer))
+}
+
+fn response(answer: Result<Answer, Refusal>) -> Result<HttpResponse, Refusal> {
+    let answer = answer?;
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    if !answer.content_type.is_empty() {
+        response.content_type(answer.content_type.as_str());
+    }
+    Ok(response.body(answer.body))
+}
+
+impl Call {
+    fn new(request: &HttpRequest, service: &Service, path: &str, body: Bytes) -> Self {
+        let header = |name: &'static str| {
+            let value = request.headers().get(name)?.to_str().ok()?;
+            Some((name, value.to_owned()))
+        };
+        let path = match request.query_string() {
+            "" => path.to_owned(),
+            query => format!("{path}?{query}"),
+        };
+        Self {
+            method: request.method().clone(),
+            headers: FORWARDED.iter().filter_map(|name| header(name)).collect(),
+            idempotent: !service.is_non_idempotent(request.method().as_str(), &path),
+            path,
+            body,
+            answer_max: Duration::from_millis(service.answer_max_ms),
+        }
+    }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,7 +10,7 @@
 use settings::{Config, Host};
 use tokio::sync::mpsc;
 
-use crate::{clock::Clock, core::Core, handle::JobHandle, view::View};
+use crate::{calls::Calls, clock::Clock, core::Core, handle::JobHandle, view::View};
 
 /// State that all threads of a daemon share.
 pub(crate) struct Shared {
@@ -20,6 +20,9 @@
     draining: AtomicBool,
     next_id: AtomicU64,
     pub(crate) metrics: Metrics,
+    pub(crate) calls: Calls,
+    /// Distinguishes this start of the daemon from all others in claims.
+    start_nonce: u64,
     core: Mutex<Core>,
 }
 
@@ -33,6 +36,8 @@
             draining: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
             metrics: Metrics::default(),
+            calls: Calls::default(),
+            start_nonce: rand::random(),
             core: Mutex::new(Core::new(place)),
         }
     }
@@ -54,6 +59,11 @@
         JobId(self.next_id.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Returns an attempt that no other host or start uses.
+    pub(crate) fn unique_attempt(&self, id: JobId) -> String {
+        format!("{}/{:016x}/{:x}", self.host.name, self.start_nonce, id.0)
+    }
+
     /// Runs a closure with the dispatcher and its channels.
     pub(crate) fn with_core<R, F>(&self, act: F) -> R
     where
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -1,5 +1,6 @@
 use std::{
     net::{SocketAddr, TcpListener},
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -9,18 +10,32 @@
 use ntex::{
     SharedCfg,
     client::{Client, ClientBuilder, Connector},
+    time::Seconds,
     web::{self, App, HttpServer},
 };
 use settings::Host;
 use store::HttpTable;
 
 use crate::{
-    admin, completions, follow::follow_releases, models, running::Running, services, shared::Shared,
+    admin, completions,
+    follow::follow_releases,
+    models,
+    running::Running,
+    services::{self, ServiceLinks},
+    shared::Shared,
 };
 
 /// Time limit of one call to the table service.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// In effect no limit. A limit of 0 means none as well, but then ntex 3.12 never wakes a request that
+/// waits for another one's connection.
+const CONNECTIONS_MAX: usize = 1 << 20;
+
+/// Time for the last bytes of answers to leave, after all work in flight has ended. It also bounds
+/// the wait for idle connections that callers keep open.
+const CLOSE_MAX: Seconds = Seconds(5);
+
 /// Pause between two looks at deadlines.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -48,7 +63,7 @@
         let (admin_listener, admin_listen) = bind(host.admin_listen)?;
         let callers = serve_callers(&shared, listener)?;
         let admin = serve_admin(&shared, admin_listener)?;
-        let table = HttpTable::new(host.store, STORE_TIMEOUT).await?;
+        let table = store_client(&shared).await;
         info!(
             "daemon: {} serves callers at {listen}, operators at {admin_listen}",
             host.name
@@ -70,15 +85,24 @@
     let workers = shared.host.workers;
     let shared = shared.clone();
     let server = HttpServer::new(async move || {
+        let client = upstream_client().await;
+        let links = ServiceLinks {
+            pooled: client.clone(),
+            fresh: upstream_client().await,
+            table: Rc::new(store_client(&shared).await),
+        };
         App::new()
             .state(shared.clone())
-            .state(upstream_client().await)
+            .state(client.clone())
+            .state(links)
             .service(web::resource("/v1/chat/completions").route(web::post().to(completions::chat)))
             .service(web::resource("/v1/completions").route(web::post().to(completions::text)))
             .service(web::resource("/v1/models").route(web::get().to(models::models)))
             .service(web::resource("/services/{path}*").route(web::to(services::service)))
+            .default_service(web::to(models::unknown_path))
     })
     .workers(workers)
+    .shutdown_timeout(CLOSE_MAX)
     .disable_signals()
     .listen(listener)?
     .run();
@@ -107,7 +131,7 @@
 /// Returns the client for upstreams; time limits are set for each request.
 async fn upstream_client() -> Client {
     ClientBuilder::new()
-        .connector::<()>(Connector::new().limit(0))
+        .connector::<()>(Connector::new().limit(CONNECTIONS_MAX))
         .disable_timeout()
         .disable_redirects()
         .build(SharedCfg::new("UPSTREAM"))
@@ -115,6 +139,13 @@
         .expect("the plain connector needs nothing that can fail")
 }
 
+/// Returns a client of the platform's table service.
+async fn store_client(shared: &Shared) -> HttpTable {
+    HttpTable::new(shared.host.store, STORE_TIMEOUT)
+        .await
+        .expect("the plain connector needs nothing that can fail")
+}
+
 async fn tick(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(TICK).await;
--- /dev/null
+++ b/crates/e2e/tests/planned_stop.rs
@@ -0,0 +1,76 @@
+//! A planned stop of a daemon process under load.
+
+mod support;
+
+use futures::future::{join, join_all};
+use ntex::client::{Client, Connector};
+use serde_json::json;
+use standin::answer_text;
+use support::{Process, chat, config, host_settings, put_config, wait_ok};
+
+/// Guards against a SIGTERM that cuts off streams or queued requests, or that ends the process
+/// with an error.
+#[ntex::test]
+async fn holds_stop_when_a_process_is_terminated() {
+    let engine = Process::standin("standin-engine", &[]);
+    let service = Process::standin("standin-service", &[]);
+    let store = Process::standin("standin-store", &[]);
+    let settings = host_settings("entry-stop", store.address);
+    let daemon = Process::daemon(&settings);
+    let client = Client::builder()
+        .connector::<()>(Connector::new().limit(1 << 20))
+        .build(ntex::SharedCfg::new("TEST"))
+        .await
+        .unwrap();
+    put_config(
+        &client,
+        store.address,
+        &config(1, engine.address, service.address),
+    )
+    .await;
+    wait_ok(
+        &client,
+        settings["admin_listen"].as_str().unwrap(),
+        "/readyz",
+    )
+    .await;
+
+    // 8 slots: a part streams and a part is queued when the signal comes.
+    let prompts: Vec<String> = (0..24).map(|n| format!("question {n} len=25")).collect();
+    let address = daemon.address;
+    let requests = prompts.iter().map(|prompt| {
+        let messages = [json!({"role": "user", "content": prompt})];
+        let body = json!({"model": "faucet-vision", "messages": messages, "stream": true});
+        let client = &client;
+        async move { chat(client, address, &body).await }
+    });
+    let terminate = async {
+        let url = format!("http://{}/stats", engine.address);
+        loop {
+            let stats = client
+                .get(&url)
+                .send()
+                .await
+                .unwrap()
+                .json::<serde_json::Value>()
+                .await;
+            if stats.unwrap()["generated_tokens"].as_u64().unwrap() > 8 {
+                break;
+            }
+        }
+        daemon.signal("TERM");
+    };
+    let (answers, ()) = join(join_all(requests), terminate).await;
+    for ((status, body), prompt) in answers.iter().zip(&prompts) {
+        assert_eq!(*status, 200, "{body}");
+        let mut events = Vec::new();
+        wire::SseDecoder::default().push(body.as_bytes(), &mut events);
+        assert_eq!(events.pop().as_deref(), Some(wire::DONE), "{body}");
+        let chunks = events
+            .iter()
+            .map(|event| wire::Chunk::parse(event).unwrap());
+        let text: String = chunks.map(|chunk| chunk.text().to_owned()).collect();
+        assert_eq!(text, answer_text(prompt, 25));
+    }
+    assert!(daemon.wait().success());
+}
--- a/crates/e2e/tests/support/mod.rs
+++ b/crates/e2e/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! Processes of one test: started on free ports, ended with the test.
 
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
 use std::{
     fs,
     io::{BufRead as _, BufReader},
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -24,8 +24,8 @@
     pub drop_before_run: u32,
     /// Drops this many calls after they ran, without an answer.
     pub drop_after_run: u32,
-    /// Pause before a call runs.
-    pub slow_ms: u64,
+    /// Holds calls before they run, until this is lifted.
+    pub held: bool,
 }
 
 /// Faults of the store stand-in.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod engine;
 mod running;
+mod samples;
 mod service;
 mod store;
 mod text;
@@ -16,6 +17,7 @@
     control::{EngineControl, ServiceControl, StoreControl},
     engine::{Engine, EngineStats},
     running::Running,
+    samples::{SAMPLE_KEY, SAMPLE_MODEL, sample_config, sample_host},
     service::{Service, ServiceCall, ServiceStats},
     store::Store,
     text::{answer_text, word},
--- /dev/null
+++ b/crates/standin/src/samples.rs
@@ -0,0 +1,124 @@
+//! Small configuration for tests and the demo.
+
+use std::net::SocketAddr;
+
+use settings::{
+    Account, Class, Config, Honours, Host, Kind, PeerKey, Rule, Service, State, Upstream,
+    hash_api_key,
+};
+
+/// API key of the sample client account.
+pub const SAMPLE_KEY: &str = "sample-key";
+
+/// Model of the sample engines.
+pub const SAMPLE_MODEL: &str = "faucet-vision";
+
+/// Returns a configuration with these engines and upstreams of the service `inventory`.
+#[must_use]
+pub fn sample_config(version: u64, engines: &[SocketAddr], services: &[SocketAddr]) -> Config {
+    let mut config = Config {
+        version,
+        classes: vec![
+            class("urgent", 0, 790),
+            class("counter", 1, 2_000),
+            class("bulk", 2, 10_000),
+        ],
+        accounts: vec![Account {
+            name: "member-a".to_owned(),
+            key_sha256: vec![hash_api_key(SAMPLE_KEY)],
+            default_class: "urgent".to_owned(),
+            classes: vec!["bulk".to_owned(), "counter".to_owned()],
+            requests_per_s: 10_000,
+            requests_in_flight: 10_000,
+            tokens_in_flight: 100_000_000,
+            weight: 1,
+        }],
+        upstreams: engines
+            .iter()
+            .zip(1..)
+            .map(|(&address, n)| engine(n, address))
+            .collect(),
+        services: vec![Service {
+            name: "inventory".to_owned(),
+            answer_max_ms: 5_000,
+            non_idempotent: vec![Rule {
+                method: "POST".to_owned(),
+                path_prefix: "/reservations".to_owned(),
+            }],
+        }],
+    };
+    config.upstreams.extend(
+        services
+            .iter()
+            .zip(1..)
+            .map(|(&address, n)| inventory(n, address)),
+    );
+    config.sort();
+    config
+}
+
+/// Returns the settings of a host on free loopback ports.
+#[must_use]
+pub fn sample_host(name: &str, store: SocketAddr) -> Host {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Host {
+        name: name.to_owned(),
+        region: "costa".to_owned(),
+        zone: "costa-norte".to_owned(),
+        listen: any,
+        admin_listen: any,
+        peer_listen: any,
+        store,
+        peer_keys: vec![PeerKey {
+            id: 1,
+            secret_hex: "00112233445566778899aabbccddeeff".to_owned(),
+        }],
+        workers: 2,
+        body_max_bytes: 1 << 20,
+        receive_max_ms: 5_000,
+        store_poll_ms: 50,
+        drain_max_ms: 60_000,
+        cross_region_bytes_per_s: 312_500,
+    }
+}
+
+fn class(name: &str, tier: u8, first_token_ms: u64) -> Class {
+    Class {
+        name: name.to_owned(),
+        tier,
+        first_token_ms,
+        token_gap_ms: 33,
+        max_wait_ms: 60_000,
+        reserved_percent: if tier == 2 { 10 } else { 0 },
+    }
+}
+
+fn engine(number: usize, address: SocketAddr) -> Upstream {
+    Upstream {
+        name: format!("engine-{number}"),
+        kind: Kind::Model,
+        models: vec![SAMPLE_MODEL.to_owned()],
+        honours: Honours {
+            priority: true,
+            resume: true,
+            fencing: false,
+        },
+        service: String::new(),
+        ..inventory(number, address)
+    }
+}
+
+fn inventory(number: usize, address: SocketAddr) -> Upstream {
+    Upstream {
+        name: format!("inventory-{number}"),
+        kind: Kind::Service,
+        address,
+        region: "costa".to_owned(),
+        zone: "costa-norte".to_owned(),
+        models: Vec::new(),
+        service: "inventory".to_owned(),
+        slots: 16,
+        honours: Honours::default(),
+        state: State::Live,
+    }
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -14,6 +14,9 @@
 
 use crate::{Running, ServiceControl};
 
+/// Pause between two looks at whether calls are held.
+const HOLD_PAUSE: Duration = Duration::from_millis(5);
+
 /// One call that the plain service ran.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceCall {
@@ -30,6 +33,8 @@
 /// What the plain service ran.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceStats {
+    /// Calls that arrived.
+    pub received: u64,
     /// Calls in the order in which they ran.
     pub runs: Vec<ServiceCall>,
 }
@@ -102,9 +107,9 @@
 }
 
 async fn call(request: HttpRequest, service: types::State<Service>, body: Bytes) -> HttpResponse {
-    let slow_ms = service.with(|inner| inner.control.slow_ms);
-    if slow_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    service.with(|inner| inner.stats.received += 1);
+    while service.with(|inner| inner.control.held) {
+        tokio::time::sleep(HOLD_PAUSE).await;
     }
     let key = request
         .headers()
--- a/crates/store/src/http_table.rs
+++ b/crates/store/src/http_table.rs
@@ -17,6 +17,10 @@
 /// A configuration of 2,300 upstreams is about 1 MiB of JSON.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
 
+/// In effect no limit. A limit of 0 means none as well, but then ntex 3.12 never wakes a request that
+/// waits for another one's connection.
+const CONNECTIONS_MAX: usize = 1 << 20;
+
 /// Client of the platform's table service over HTTP.
 ///
 /// A connection that can't be opened is reported as [`StoreError::Down`]: nothing was sent. Any
@@ -41,7 +45,7 @@
     pub async fn new(address: SocketAddr, timeout: Duration) -> Result<Self, ClientBuilderError> {
         let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
         let client = ClientBuilder::new()
-            .connector::<()>(Connector::new().limit(0))
+            .connector::<()>(Connector::new().limit(CONNECTIONS_MAX))
             .response_timeout(Millis(timeout_ms))
             .response_payload_limit(ANSWER_MAX_BYTES)
             .build(SharedCfg::new("STORE"))
