feat(load,demo): load tool with both mixes, and a demonstration in one process

Cause: a newcomer had nothing to run, and the daemon's overhead could not be measured beside direct calls.

Ruled out: counting every token of an abandoned answer as generated for nobody; its caller read the tokens before it left.

Change: load::Plan from a mix and a seed, open loop and bounded; load::Overhead, in turns with direct calls; demo with 6 engines and 3 daemons.

Conclusion: demo prints its table and ends with "demo: ok".

--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -49,6 +49,12 @@
         self.admin_listen
     }
 
+    /// Returns whether the daemon takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
     /// Stops gracefully: takes no new work, finishes what is queued or running, then ends.
     ///
     /// Work that is still there after the host's `drain_max_ms` is cut off.
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,38 @@
-//! Load generator.
+//! Load tool with the mixes of both deployments. Not shipped.
+//!
+//! A [`Plan`] is drawn from a [`Mix`] and a seed: when each request is sent, of which class, how
+//! long, and whether its caller leaves midway. [`run`] sends it to the daemons in turn, open loop,
+//! bounded in count and time, and returns a [`Report`].
+//!
+//! ```
+//! use load::{Mix, Plan};
+//!
+//! let plan = Plan::draw(&Mix::grifo_comun(), 20.0, 2, 7);
+//! assert_eq!(plan.requests(), Plan::draw(&Mix::grifo_comun(), 20.0, 2, 7).requests());
+//! ```
+
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "counts and times of a bounded run are far below 2^52"
+)]
+
+mod mix;
+mod overhead;
+mod plan;
+mod report;
+mod request;
+mod run;
+mod sample;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    mix::{Mix, Share},
+    overhead::{Overhead, measure_overhead},
+    plan::{Plan, Planned},
+    report::{ClassReport, Report},
+    run::{Target, run},
+    sample::{End, Sample},
+};
--- /dev/null
+++ b/crates/load/src/mix.rs
@@ -0,0 +1,131 @@
+/// Part of a mix: requests of one class and kind.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Share {
+    /// Class of service.
+    pub class: &'static str,
+    /// What is asked, the beginning of each prompt.
+    pub topic: &'static str,
+    /// Share of the requests, relative to the other parts.
+    pub weight: f64,
+    /// Shortest and longest prompt.
+    pub prompt_tokens: (u32, u32),
+    /// Shortest and longest answer; short ones are more frequent.
+    pub output_tokens: (u32, u32),
+    /// Share of the callers that leave midway.
+    pub leave_share: f64,
+    /// Target for the first token.
+    pub first_token_ms: u64,
+    /// Target for the mean gap between tokens.
+    pub token_gap_ms: u64,
+}
+
+/// Mix of requests of one deployment.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Mix {
+    /// Name of the deployment.
+    pub name: &'static str,
+    /// Parts of the mix.
+    pub shares: Vec<Share>,
+    /// Rate at the peak of a swing, relative to the mean rate.
+    pub peak_factor: f64,
+}
+
+impl Mix {
+    /// Returns the mix of a deployment by its name.
+    #[must_use]
+    pub fn by_name(name: &str) -> Option<Self> {
+        match name {
+            "grifo-comun" => Some(Self::grifo_comun()),
+            "fliperama" => Some(Self::fliperama()),
+            _ => None,
+        }
+    }
+
+    /// Faucet distributors: many urgent questions that arrive together, most callers leave early.
+    #[must_use]
+    pub fn grifo_comun() -> Self {
+        Self {
+            name: "grifo-comun",
+            shares: vec![
+                share("urgent", "dripping tap with a photo, which cartridge", 0.6)
+                    .with_lengths((60, 300), (8, 60))
+                    .with_leaving(0.6)
+                    .with_targets(790, 33),
+                share("counter", "compare the catalogues of two brands", 0.3)
+                    .with_lengths((200, 800), (20, 120))
+                    .with_leaving(0.5)
+                    .with_targets(2_000, 33),
+                share("bulk", "index a whole catalogue", 0.1)
+                    .with_lengths((500, 2_000), (100, 400))
+                    .with_leaving(0.2)
+                    .with_targets(10_000, 33),
+            ],
+            peak_factor: 2.0,
+        }
+    }
+
+    /// Pinball repair rounds: long manual reads beside quick coil questions.
+    #[must_use]
+    pub fn fliperama() -> Self {
+        Self {
+            name: "fliperama",
+            shares: vec![
+                share("urgent", "coil value of the left flipper", 0.5)
+                    .with_lengths((30, 120), (5, 40))
+                    .with_leaving(0.6)
+                    .with_targets(790, 33),
+                share("counter", "draft a diagnosis note for this board", 0.3)
+                    .with_lengths((200, 900), (30, 150))
+                    .with_leaving(0.4)
+                    .with_targets(2_000, 33),
+                share("bulk", "read the service manual and the board history", 0.2)
+                    .with_lengths((2_000, 6_000), (150, 600))
+                    .with_leaving(0.4)
+                    .with_targets(10_000, 33),
+            ],
+            peak_factor: 1.5,
+        }
+    }
+}
+
+impl Share {
+    /// Sets the ranges of prompt and answer lengths.
+    #[must_use]
+    pub const fn with_lengths(
+        mut self,
+        prompt_tokens: (u32, u32),
+        output_tokens: (u32, u32),
+    ) -> Self {
+        self.prompt_tokens = prompt_tokens;
+        self.output_tokens = output_tokens;
+        self
+    }
+
+    /// Sets the share of callers that leave midway.
+    #[must_use]
+    pub const fn with_leaving(mut self, leave_share: f64) -> Self {
+        self.leave_share = leave_share;
+        self
+    }
+
+    /// Sets the targets.
+    #[must_use]
+    pub const fn with_targets(mut self, first_token_ms: u64, token_gap_ms: u64) -> Self {
+        self.first_token_ms = first_token_ms;
+        self.token_gap_ms = token_gap_ms;
+        self
+    }
+}
+
+const fn share(class: &'static str, topic: &'static str, weight: f64) -> Share {
+    Share {
+        class,
+        topic,
+        weight,
+        prompt_tokens: (1, 1),
+        output_tokens: (1, 1),
+        leave_share: 0.0,
+        first_token_ms: 0,
+        token_gap_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,148 @@
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+use crate::{End, Mix, Sample};
+
+/// Longest recorded time, in microseconds.
+const TIME_MAX_US: u64 = 600_000_000;
+
+/// What the callers of one run saw, by class.
+#[derive(Debug)]
+pub struct Report {
+    classes: Vec<ClassReport>,
+}
+
+/// What the callers of one class saw.
+#[derive(Debug)]
+pub struct ClassReport {
+    /// Class of service.
+    pub class: &'static str,
+    /// Requests sent.
+    pub requests: u64,
+    /// Complete answers.
+    pub complete: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Answers that broke off.
+    pub broken: u64,
+    /// Callers that left midway.
+    pub left: u64,
+    /// Requests that met the targets of the class.
+    pub attained: u64,
+    /// Tokens of complete answers.
+    pub goodput_tokens: u64,
+    first_token_us: Histogram<u64>,
+    first_token_target_us: u64,
+    token_gap_target_us: u64,
+}
+
+impl Report {
+    pub(crate) fn new(mix: &Mix) -> Self {
+        let classes = mix.shares.iter().map(|share| ClassReport {
+            class: share.class,
+            requests: 0,
+            complete: 0,
+            refused: 0,
+            broken: 0,
+            left: 0,
+            attained: 0,
+            goodput_tokens: 0,
+            first_token_us: Histogram::new_with_max(TIME_MAX_US, 3).expect("valid bounds"),
+            first_token_target_us: share.first_token_ms * 1_000,
+            token_gap_target_us: share.token_gap_ms * 1_000,
+        });
+        Self {
+            classes: classes.collect(),
+        }
+    }
+
+    /// Returns the classes in the order of the mix.
+    #[must_use]
+    pub fn classes(&self) -> &[ClassReport] {
+        &self.classes
+    }
+
+    /// Returns the number of answers that broke off.
+    #[must_use]
+    pub fn broken(&self) -> u64 {
+        self.classes.iter().map(|class| class.broken).sum()
+    }
+
+    pub(crate) fn add(&mut self, sample: &Sample) {
+        let class = &mut self.classes[sample.share];
+        class.requests += 1;
+        match sample.end {
+            End::Complete => {
+                class.complete += 1;
+                class.goodput_tokens += u64::from(sample.tokens);
+            }
+            End::Left => class.left += 1,
+            End::Refused => class.refused += 1,
+            End::Broken => class.broken += 1,
+        }
+        if sample.tokens > 0 {
+            class
+                .first_token_us
+                .saturating_record(sample.first_token_us);
+        }
+        let answered = matches!(sample.end, End::Complete | End::Left);
+        let in_time = sample.first_token_us <= class.first_token_target_us;
+        let fluent = sample.token_gap_us <= class.token_gap_target_us;
+        class.attained += u64::from(answered && in_time && fluent);
+    }
+
+    pub(crate) fn add_unsent(&mut self, share: usize) {
+        let class = &mut self.classes[share];
+        class.requests += 1;
+        class.refused += 1;
+    }
+}
+
+impl ClassReport {
+    /// Returns the share of requests that met the targets; refusals count as missed.
+    #[must_use]
+    pub fn attainment(&self) -> f64 {
+        self.attained as f64 / self.requests.max(1) as f64
+    }
+
+    /// Returns a quantile of the time to the first token.
+    #[must_use]
+    pub fn first_token_ms(&self, quantile: f64) -> f64 {
+        self.first_token_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<10} {:>9} {:>9} {:>6} {:>8} {:>7} {:>11} {:>10} {:>10}",
+            "class",
+            "requests",
+            "complete",
+            "left",
+            "refused",
+            "broken",
+            "attainment",
+            "p50 ms",
+            "p95 ms"
+        )?;
+        for class in &self.classes {
+            writeln!(
+                f,
+                "{:<10} {:>9} {:>9} {:>6} {:>8} {:>7} {:>11.3} {:>10.1} {:>10.1}",
+                class.class,
+                class.requests,
+                class.complete,
+                class.left,
+                class.refused,
+                class.broken,
+                class.attainment(),
+                class.first_token_ms(0.5),
+                class.first_token_ms(0.95),
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/src/request.rs
@@ -0,0 +1,74 @@
+use futures::StreamExt as _;
+use ntex::client::Client;
+use serde_json::json;
+use tokio::time::Instant;
+use wire::{Chunk, DONE, SseDecoder};
+
+use crate::{End, Planned, Sample, run::Target};
+
+/// Sends one planned request and reads its answer.
+pub(crate) async fn send(
+    client: &Client,
+    target: &Target,
+    class: &str,
+    planned: &Planned,
+) -> Sample {
+    let start = Instant::now();
+    let mut sample = Sample {
+        share: planned.share,
+        end: End::Broken,
+        first_token_us: 0,
+        token_gap_us: 0,
+        tokens: 0,
+    };
+    let body = json!({
+        "model": target.model,
+        "messages": [{"role": "user", "content": planned.prompt}],
+        "stream": true,
+    });
+    let request = client
+        .post(format!(
+            "http://{}/v1/chat/completions",
+            target.next_address()
+        ))
+        .header("authorization", format!("Bearer {}", target.key))
+        .header("x-service-class", class);
+    let Ok(answer) = request.send_json(&body).await else {
+        return sample;
+    };
+    if !answer.status().is_success() {
+        sample.end = End::Refused;
+        return sample;
+    }
+    let mut payload = answer.take_payload();
+    let mut decoder = SseDecoder::default();
+    while let Some(Ok(bytes)) = payload.next().await {
+        let mut events = Vec::new();
+        decoder.push(&bytes, &mut events);
+        for event in events {
+            if event == DONE {
+                sample.end = End::Complete;
+                return sample;
+            }
+            if !Chunk::parse(&event).is_ok_and(|chunk| !chunk.text().is_empty()) {
+                continue;
+            }
+            note_token(&mut sample, start);
+            if planned.leave_after_tokens == Some(sample.tokens) {
+                sample.end = End::Left;
+                return sample;
+            }
+        }
+    }
+    sample
+}
+
+fn note_token(sample: &mut Sample, start: Instant) {
+    let now_us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+    sample.tokens += 1;
+    if sample.tokens == 1 {
+        sample.first_token_us = now_us;
+    } else {
+        sample.token_gap_us = (now_us - sample.first_token_us) / u64::from(sample.tokens - 1);
+    }
+}
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,102 @@
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use eyre::{Result, eyre};
+use futures::{StreamExt as _, stream::FuturesUnordered};
+use ntex::{
+    SharedCfg,
+    client::{Client, Connector},
+};
+use tokio::time::Instant;
+
+use crate::{Plan, Report, request::send};
+
+/// Requests in flight; a request over it is not sent and counts as refused.
+const IN_FLIGHT_MAX: usize = 2_000;
+
+/// Where the load goes.
+#[derive(Debug)]
+pub struct Target {
+    /// Addresses of the daemons, used in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// API key.
+    pub key: String,
+    /// Model.
+    pub model: String,
+    next: AtomicUsize,
+}
+
+impl Target {
+    /// Creates a target.
+    #[must_use]
+    pub const fn new(addresses: Vec<SocketAddr>, key: String, model: String) -> Self {
+        Self {
+            addresses,
+            key,
+            model,
+            next: AtomicUsize::new(0),
+        }
+    }
+
+    pub(crate) fn next_address(&self) -> SocketAddr {
+        let index = self.next.fetch_add(1, Ordering::Relaxed);
+        self.addresses[index % self.addresses.len()]
+    }
+}
+
+/// Sends a plan in real time and reports what the callers saw.
+///
+/// # Errors
+///
+/// Returns an error if there is no address, an address is not on this machine's loopback range, or
+/// the HTTP client can't be set up.
+pub async fn run(target: &Target, plan: &Plan) -> Result<Report> {
+    if target.addresses.is_empty() {
+        return Err(eyre!("no address to send to"));
+    }
+    if let Some(address) = target
+        .addresses
+        .iter()
+        .find(|address| !address.ip().is_loopback())
+    {
+        return Err(eyre!(
+            "{address} is not a loopback address; load stays on this machine"
+        ));
+    }
+    let client = client().await?;
+    let start = Instant::now();
+    let mut report = Report::new(plan.mix());
+    let mut open = FuturesUnordered::new();
+    for planned in plan.requests() {
+        let due = start + Duration::from_micros(planned.at_us);
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(due) => break,
+                Some(sample) = open.next() => report.add(&sample),
+            }
+        }
+        if open.len() >= IN_FLIGHT_MAX {
+            report.add_unsent(planned.share);
+            continue;
+        }
+        let class = plan.mix().shares[planned.share].class;
+        open.push(send(&client, target, class, planned));
+    }
+    while let Some(sample) = open.next().await {
+        report.add(&sample);
+    }
+    Ok(report)
+}
+
+pub(crate) async fn client() -> Result<Client> {
+    let client = Client::builder()
+        // A limit of 0 never wakes requests that wait for a connection (ntex 3.12).
+        .connector::<()>(Connector::new().limit(1 << 20))
+        .disable_timeout()
+        .build(SharedCfg::new("LOAD"))
+        .await?;
+    Ok(client)
+}
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -83,7 +83,7 @@
             .inc_by(u64::from(tokens));
     }
 
-    /// Counts a request that ended without a complete answer, and the tokens generated for nobody.
+    /// Counts a request that ended without a complete answer, and the tokens it had by then.
     pub fn wasted(&self, class: &str, cause: &'static str, attainment: Attainment, tokens: u32) {
         self.judge(&class_label(class), attainment);
         let label = WasteLabel {
@@ -196,7 +196,7 @@
         register(
             registry,
             "wasted_tokens",
-            "Tokens generated for nobody",
+            "Tokens of answers that ended incomplete",
             &self.wasted_tokens,
         );
         register(
--- a/crates/standin/src/bin/engine.rs
+++ b/crates/standin/src/bin/engine.rs
@@ -16,6 +16,8 @@
     model: String,
     #[options(help = "sequences that run at once", default = "32")]
     slots: usize,
+    #[options(help = "fixed part of a step in microseconds", default = "10000")]
+    step_us: u64,
 }
 
 #[ntex::main]
@@ -23,7 +25,8 @@
     env_logger::init();
     let args = Args::parse_args_default_or_exit();
     let address: SocketAddr = args.listen.parse()?;
-    let profile = batch::Profile::default().with_slots(args.slots);
+    let mut profile = batch::Profile::default().with_slots(args.slots);
+    profile.step_us = args.step_us;
     let running = standin::Engine::new(profile, &[&args.model]).start(address)?;
     println!("{}", running.address());
     Ok(running.wait().await?)
