feat(queue,limit): fair tiered queue, reserved share, output lengths, account limits

The dispatcher kept one FIFO vector per tier: one account could crowd out the rest, removal was linear, and lower tiers had no share under overload. A sorted vector per account was ruled out for the items themselves, since removal from the middle has to stay logarithmic with 100,000 items.

Queue orders accounts by received service over weight in each lane and tier; Reserve turns the reserved percentage into credit for starts; Limits holds an equal share of the fleet-wide limits; RetryBudget bounds retries to 10% of recent starts plus three.

--- /dev/null
+++ b/crates/limit/src/account_limit.rs
@@ -0,0 +1,56 @@
+use std::sync::Arc;
+
+use crate::{Allowance, Bucket, Exceeded};
+
+/// Limits of one client account and what counts against them here.
+#[derive(Debug)]
+pub(crate) struct AccountLimit {
+    pub(crate) name: Arc<str>,
+    pub(crate) fleet: Allowance,
+    share: Allowance,
+    bucket: Bucket,
+    pub(crate) requests: u32,
+    tokens: u64,
+}
+
+impl AccountLimit {
+    pub(crate) fn new(now_us: u64, name: &str, fleet: Allowance, daemons: u32) -> Self {
+        let share = fleet.share(daemons);
+        Self {
+            name: name.into(),
+            fleet,
+            share,
+            bucket: Bucket::new(now_us, share.requests_per_s),
+            requests: 0,
+            tokens: 0,
+        }
+    }
+
+    pub(crate) fn set(&mut self, now_us: u64, fleet: Allowance, daemons: u32) {
+        self.fleet = fleet;
+        self.share = fleet.share(daemons);
+        self.bucket.set_rate(now_us, self.share.requests_per_s);
+    }
+
+    pub(crate) fn admit(&mut self, now_us: u64, tokens: u64) -> Result<(), Exceeded> {
+        if self.requests >= self.share.requests_in_flight {
+            return Err(Exceeded::Requests);
+        }
+        // A request larger than the whole share runs alone rather than never.
+        if self.tokens > 0 && self.tokens.saturating_add(tokens) > self.share.tokens_in_flight {
+            return Err(Exceeded::Tokens);
+        }
+        if !self.bucket.take(now_us) {
+            let retry_after_us = self.bucket.wait_us(now_us);
+            return Err(Exceeded::Rate { retry_after_us });
+        }
+        self.requests += 1;
+        self.tokens += tokens;
+        Ok(())
+    }
+
+    pub(crate) fn release(&mut self, tokens: u64) {
+        self.requests = self.requests.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(tokens);
+    }
+}
--- /dev/null
+++ b/crates/limit/src/tests.rs
@@ -0,0 +1,102 @@
+use crate::{Allowance, Bucket, Exceeded, Limits, RetryBudget};
+
+const ALLOWANCE: Allowance = Allowance {
+    requests_per_s: 60,
+    requests_in_flight: 12,
+    tokens_in_flight: 600,
+};
+
+fn limits(daemons: u32) -> Limits {
+    let mut limits = Limits::default();
+    limits.set_fleet(0, daemons);
+    limits.configure(0, [("a", ALLOWANCE)]);
+    limits
+}
+
+/// Guards against a limit that is not enforced, or that is reported as another one.
+#[test]
+fn each_limit_has_its_code() {
+    for (name, daemons, tokens, wait_us, admitted, expected) in [
+        ("requests", 1, 1, 0, 12, Exceeded::Requests),
+        ("requests of a share", 6, 1, 0, 2, Exceeded::Requests),
+        ("tokens", 1, 100, 0, 6, Exceeded::Tokens),
+        ("large request runs alone", 6, 500, 0, 1, Exceeded::Tokens),
+    ] {
+        let mut limits = limits(daemons);
+        for _ in 0..admitted {
+            assert_eq!(limits.admit(wait_us, "a", tokens), Ok(()), "{name}");
+        }
+        assert_eq!(limits.admit(wait_us, "a", tokens), Err(expected), "{name}");
+        limits.release("a", tokens);
+        assert_eq!(limits.admit(wait_us, "a", tokens), Ok(()), "{name}");
+    }
+}
+
+/// Guards against a rate above the share, and against a retry time that is too early.
+#[test]
+fn rate_is_a_share_of_the_fleet() {
+    let mut limits = limits(6);
+    for _ in 0..10 {
+        assert_eq!(limits.admit(0, "a", 1), Ok(()));
+        limits.release("a", 1);
+    }
+    let retry_after_us = 100_000;
+    assert_eq!(
+        limits.admit(0, "a", 1),
+        Err(Exceeded::Rate { retry_after_us })
+    );
+    assert!(limits.admit(retry_after_us - 1, "a", 1).is_err());
+    assert_eq!(limits.admit(retry_after_us, "a", 1), Ok(()));
+}
+
+/// Guards against a daemon that takes the whole limit when it loses sight of its peers.
+#[test]
+fn share_is_kept_without_peers() {
+    let mut limits = limits(6);
+    limits.set_fleet(1, 0);
+    assert_eq!(limits.admit(1, "a", 1), Ok(()));
+    assert_eq!(limits.admit(1, "a", 1), Ok(()));
+    assert_eq!(limits.admit(1, "a", 1), Err(Exceeded::Requests));
+    limits.set_fleet(2, 3);
+    assert_eq!(limits.admit(2, "a", 1), Ok(()));
+    assert_eq!(limits.in_flight("a"), 3);
+}
+
+/// Guards against counts that are lost when a configuration changes while requests run.
+#[test]
+fn counts_survive_a_configuration() {
+    let mut limits = limits(6);
+    assert_eq!(limits.admit(0, "a", 1), Ok(()));
+    limits.configure(1, [("b", ALLOWANCE), ("a", ALLOWANCE)]);
+    assert_eq!(limits.in_flight("a"), 1);
+    assert_eq!(limits.admit(1, "unlimited", 1_000_000), Ok(()));
+}
+
+/// Guards against a bucket that gains tokens from a clock that does not move.
+#[test]
+fn bucket_holds_one_second() {
+    let mut bucket = Bucket::new(0, 5);
+    let taken = (0..100).filter(|_| bucket.take(0)).count();
+    assert_eq!(taken, 5);
+    let taken = (0..100).filter(|_| bucket.take(60_000_000)).count();
+    assert_eq!(taken, 5);
+    assert!(!Bucket::new(0, 0).take(0));
+}
+
+/// Guards against retries that multiply the load of a failing upstream.
+#[test]
+fn retries_are_a_fraction_of_starts() {
+    for (name, starts, at_us, expected) in [
+        ("floor", 0, 0, 3),
+        ("fraction", 100, 0, 13),
+        ("half a window later", 100, 15_000_000, 8),
+        ("long ago", 100, 40_000_000, 3),
+    ] {
+        let mut budget = RetryBudget::default();
+        for _ in 0..starts {
+            budget.start(0);
+        }
+        let retries = (0..100).filter(|_| budget.retry(at_us)).count();
+        assert_eq!(retries, expected, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/queue/src/item.rs
@@ -0,0 +1,26 @@
+use std::sync::Arc;
+
+use crate::Variant;
+
+/// Waiting job as the queue sees it.
+///
+/// The owner keeps the item and passes it again to remove it; it must not change in between.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// Identifier of the job.
+    pub id: u64,
+    /// Lane of the model or plain service.
+    pub lane: usize,
+    /// Tier, 0 is the highest.
+    pub tier: u8,
+    /// Client account.
+    pub account: Arc<str>,
+    /// What it needs beyond its lane.
+    pub variant: Variant,
+    /// Unique number of the arrival, kept when the job is queued again.
+    pub arrival: u64,
+    /// Time after which the job is no longer started.
+    pub deadline_us: u64,
+    /// Expected service, in tokens.
+    pub cost: u64,
+}
--- /dev/null
+++ b/crates/queue/src/lengths_tests.rs
@@ -0,0 +1,35 @@
+use std::sync::Arc;
+
+use crate::Lengths;
+
+/// Guards against an estimate that never follows what was observed, or ignores the caller's cap.
+#[test]
+fn estimate_follows_observations() {
+    let class: Arc<str> = "notes".into();
+    let mut lengths = Lengths::default();
+    assert_eq!(lengths.expect(&class, 0, 0), 256);
+    for _ in 0..100 {
+        lengths.observe(&class, 0, 1_000);
+    }
+    for (name, lane, max_tokens, expected) in [
+        ("learned", 0, 0, 1_000),
+        ("capped", 0, 10, 10),
+        ("other lane", 1, 0, 256),
+    ] {
+        let tokens = lengths.expect(&class, lane, max_tokens);
+        assert!(
+            tokens.abs_diff(expected) <= expected / 50,
+            "{name}: {tokens}"
+        );
+    }
+}
+
+/// Guards against state that grows with every class name ever seen.
+#[test]
+fn state_is_bounded() {
+    let mut lengths = Lengths::default();
+    for number in 0..1_000 {
+        lengths.observe(&number.to_string().into(), number, 5);
+    }
+    assert!(lengths.len() <= 256);
+}
--- /dev/null
+++ b/crates/queue/src/queue.rs
@@ -0,0 +1,145 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use crate::{Head, Item, TIERS, Variant, fair_queue::FairQueue};
+
+/// Waiting jobs of one daemon in lanes and tiers.
+///
+/// Choice and removal are logarithmic in the number of items and linear in the number of client
+/// accounts with a history in the lane.
+#[derive(Debug, Default)]
+pub struct Queue {
+    lanes: Vec<[FairQueue; TIERS]>,
+    /// Weights of the client accounts, sorted by name.
+    weights: Vec<(Arc<str>, u32)>,
+    deadlines: BTreeSet<(u64, u64)>,
+    arrivals: [BTreeMap<u64, u64>; TIERS],
+    fresh: usize,
+}
+
+impl Queue {
+    /// Sets the weights of the client accounts; an account without one has weight 1.
+    pub fn set_weights<'a, I>(&mut self, weights: I)
+    where
+        I: IntoIterator<Item = (&'a str, u32)>,
+    {
+        self.weights = weights
+            .into_iter()
+            .map(|(name, weight)| (name.into(), weight))
+            .collect();
+        self.weights.sort();
+        let weights = &self.weights;
+        for tier in self.lanes.iter_mut().flatten() {
+            tier.set_weights(|name| weight_of(weights, name));
+        }
+    }
+
+    /// Adds an item; one that was queued before keeps its place through its arrival number.
+    pub fn push(&mut self, item: &Item) {
+        if self.lanes.len() <= item.lane {
+            self.lanes.resize_with(item.lane + 1, Default::default);
+        }
+        let weights = &self.weights;
+        self.lanes[item.lane][tier_of(item)]
+            .push(item, || weight_of(weights, &item.account).unwrap_or(1));
+        self.deadlines.insert((item.deadline_us, item.id));
+        self.arrivals[tier_of(item)].insert(item.arrival, item.id);
+        self.fresh += usize::from(item.variant == Variant::Fresh);
+    }
+
+    /// Removes an item that will not start; returns whether it was waiting.
+    pub fn remove(&mut self, item: &Item) -> bool {
+        let lane = self.lanes.get_mut(item.lane);
+        let removed = lane.is_some_and(|lane| lane[tier_of(item)].remove(item));
+        if removed {
+            self.unindex(item);
+        }
+        removed
+    }
+
+    /// Removes an item that starts and charges its expected service to its client account.
+    pub fn start(&mut self, item: &Item) -> bool {
+        let lane = self.lanes.get_mut(item.lane);
+        let started = lane.is_some_and(|lane| lane[tier_of(item)].start(item));
+        if started {
+            self.unindex(item);
+        }
+        started
+    }
+
+    /// Replaces the expected service of a started item by the actual one.
+    pub fn settle(&mut self, item: &Item, actual: u64) {
+        if let Some(lane) = self.lanes.get_mut(item.lane) {
+            lane[tier_of(item)].settle(&item.account, item.cost, actual);
+        }
+    }
+
+    /// Returns the next item of a lane's tier among the variants in the mask.
+    #[must_use]
+    pub fn head(&self, lane: usize, tier: usize, mask: u8) -> Option<Head> {
+        self.lanes.get(lane)?[tier].head(mask)
+    }
+
+    /// Returns the expected service before a waiting item: of all higher tiers, and of its own
+    /// tier in fair order.
+    #[must_use]
+    pub fn cost_ahead(&self, item: &Item) -> u64 {
+        let Some(lane) = self.lanes.get(item.lane) else {
+            return 0;
+        };
+        let tier = tier_of(item);
+        let higher: u64 = lane[..tier].iter().map(FairQueue::cost).sum();
+        higher + lane[tier].cost_ahead(&item.account, item.cost)
+    }
+
+    /// Returns the newest item of the lowest tier below `tier`.
+    #[must_use]
+    pub fn newest_below(&self, tier: u8) -> Option<Head> {
+        let first = usize::from(tier).min(TIERS - 1) + 1;
+        let newest = self.arrivals[first..]
+            .iter()
+            .rev()
+            .find_map(BTreeMap::last_key_value);
+        newest.map(|(&arrival, &id)| Head { arrival, id })
+    }
+
+    /// Returns the earliest deadlines up to `until_us`, with their jobs.
+    pub fn due(&self, until_us: u64) -> impl Iterator<Item = (u64, u64)> {
+        self.deadlines.range(..=(until_us, u64::MAX)).copied()
+    }
+
+    /// Returns the number of waiting items in a tier of a lane.
+    #[must_use]
+    pub fn waiting(&self, lane: usize, tier: usize) -> usize {
+        self.lanes.get(lane).map_or(0, |lane| lane[tier].len())
+    }
+
+    /// Returns the number of waiting items of a tier.
+    #[must_use]
+    pub fn len(&self, tier: usize) -> usize {
+        self.arrivals[tier].len()
+    }
+
+    /// Returns the number of waiting items that have never begun an answer.
+    #[must_use]
+    pub const fn fresh_len(&self) -> usize {
+        self.fresh
+    }
+
+    fn unindex(&mut self, item: &Item) {
+        self.deadlines.remove(&(item.deadline_us, item.id));
+        self.arrivals[tier_of(item)].remove(&item.arrival);
+        self.fresh -= usize::from(item.variant == Variant::Fresh);
+    }
+}
+
+fn tier_of(item: &Item) -> usize {
+    usize::from(item.tier).min(TIERS - 1)
+}
+
+fn weight_of(weights: &[(Arc<str>, u32)], name: &str) -> Option<u32> {
+    let index = weights.binary_search_by(|(other, _)| other.as_ref().cmp(name));
+    index.ok().map(|index| weights[index].1)
+}
