feat(sched): compose fair queue, limits, preemption, estimates and reasons

The dispatcher ran one FIFO per tier: a full model blocked nothing but scanned every waiting job on every event, a higher tier waited behind running lower tiers, and a refusal could state that a job had not run although an attempt had been sent.

Upstreams that share a model form a group; in it tiers, reserved share, fair order and arrival decide. A job that finds no room preempts a lower tier, then a long answer of its own tier where long answers hold more than half of an upstream. Estimates refuse what can't start in time. Codes agree with what earlier attempts may have run. Every action carries its reason.

Two tests changed: higher_tier_starts_first used preemptable jobs, so the higher tier now starts before the event under test; it uses non-idempotent jobs and keeps its assertion. expired_job_is_refused clears the new Queued action before the event under test.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -76,6 +76,7 @@
                     retry_after_ms,
                 },
                 Action::Cancel { .. } => Decision::Cancel,
+                Action::Queued { .. } => continue,
             };
             let ended = matches!(decision, Decision::Refuse { .. });
             // A closed channel belongs to a request that was dropped; its handle cancels the job.
--- a/crates/queue/src/item.rs
+++ b/crates/queue/src/item.rs
@@ -23,4 +23,6 @@
     pub deadline_us: u64,
     /// Expected service, in tokens.
     pub cost: u64,
+    /// Whether it counts towards the bound of the queue and may be shed; a job that has run isn't.
+    pub bounded: bool,
 }
--- a/crates/queue/src/lengths.rs
+++ b/crates/queue/src/lengths.rs
@@ -22,6 +22,8 @@
     lane: usize,
     /// Mean in 1/16 tokens.
     mean: u64,
+    /// Running estimate of the median, which a few very long answers don't move.
+    median: u32,
     samples: u64,
 }
 
@@ -29,15 +31,19 @@
     /// Returns the expected number of output tokens, at most `max_tokens` unless that is 0.
     #[must_use]
     pub fn expect(&self, class: &str, lane: usize, max_tokens: u32) -> u32 {
-        let mean = match self.index(class, lane) {
-            Ok(index) => u32::try_from(self.estimates[index].mean >> SHIFT).unwrap_or(u32::MAX),
-            Err(_) => DEFAULT_TOKENS,
-        };
-        if max_tokens == 0 {
-            mean
-        } else {
-            mean.min(max_tokens)
-        }
+        let mean = self.index(class, lane).map_or(DEFAULT_TOKENS, |index| {
+            u32::try_from(self.estimates[index].mean >> SHIFT).unwrap_or(u32::MAX)
+        });
+        cap(mean, max_tokens)
+    }
+
+    /// Returns the length that half of the answers stay below, at most `max_tokens` unless that
+    /// is 0.
+    #[must_use]
+    pub fn typical(&self, class: &str, lane: usize, max_tokens: u32) -> u32 {
+        let median = self.index(class, lane);
+        let median = median.map_or(DEFAULT_TOKENS, |index| self.estimates[index].median);
+        cap(median, max_tokens)
     }
 
     /// Notes the length of a complete answer.
@@ -47,6 +53,12 @@
             Ok(index) => {
                 let estimate = &mut self.estimates[index];
                 estimate.mean = estimate.mean - (estimate.mean >> SHIFT) + sample;
+                let step = (estimate.median >> SHIFT).max(1);
+                estimate.median = if tokens > estimate.median {
+                    estimate.median.saturating_add(step)
+                } else {
+                    estimate.median.saturating_sub(step)
+                };
                 estimate.samples += 1;
             }
             Err(index) => {
@@ -54,6 +66,7 @@
                     class: class.clone(),
                     lane,
                     mean: sample << SHIFT,
+                    median: tokens.min(DEFAULT_TOKENS),
                     samples: 1,
                 };
                 self.estimates.insert(index, estimate);
@@ -96,3 +109,11 @@
         }
     }
 }
+
+fn cap(tokens: u32, max_tokens: u32) -> u32 {
+    if max_tokens == 0 {
+        tokens
+    } else {
+        tokens.min(max_tokens)
+    }
+}
--- a/crates/queue/src/lengths_tests.rs
+++ b/crates/queue/src/lengths_tests.rs
@@ -24,6 +24,18 @@
     }
 }
 
+/// Guards against a few very long answers that make every answer of a class count as long.
+#[test]
+fn typical_length_ignores_outliers() {
+    let class: Arc<str> = "notes".into();
+    let mut lengths = Lengths::default();
+    for number in 0..1_000 {
+        lengths.observe(&class, 0, if number % 10 == 0 { 8_000 } else { 100 });
+    }
+    assert!(lengths.expect(&class, 0, 0) > 256);
+    assert!(lengths.typical(&class, 0, 0) < 128);
+}
+
 /// Guards against state that grows with every class name ever seen.
 #[test]
 fn state_is_bounded() {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -18,6 +18,7 @@
 //!     arrival: 1,
 //!     deadline_us: 1_000,
 //!     cost: 50,
+//!     bounded: true,
 //! };
 //! queue.push(&item);
 //! assert_eq!(queue.head(0, 1, Variant::ALL).unwrap().id, 7);
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -3,7 +3,7 @@
     sync::Arc,
 };
 
-use crate::{Head, Item, TIERS, Variant, fair_queue::FairQueue};
+use crate::{Head, Item, TIERS, fair_queue::FairQueue};
 
 /// Waiting jobs of one daemon in lanes and tiers.
 ///
@@ -15,8 +15,9 @@
     /// Weights of the client accounts, sorted by name.
     weights: Vec<(Arc<str>, u32)>,
     deadlines: BTreeSet<(u64, u64)>,
-    arrivals: [BTreeMap<u64, u64>; TIERS],
-    fresh: usize,
+    /// Items that count towards the bound, by arrival.
+    bounded: [BTreeMap<u64, u64>; TIERS],
+    len: [usize; TIERS],
 }
 
 impl Queue {
@@ -45,8 +46,10 @@
         self.lanes[item.lane][tier_of(item)]
             .push(item, || weight_of(weights, &item.account).unwrap_or(1));
         self.deadlines.insert((item.deadline_us, item.id));
-        self.arrivals[tier_of(item)].insert(item.arrival, item.id);
-        self.fresh += usize::from(item.variant == Variant::Fresh);
+        self.len[tier_of(item)] += 1;
+        if item.bounded {
+            self.bounded[tier_of(item)].insert(item.arrival, item.id);
+        }
     }
 
     /// Removes an item that will not start; returns whether it was waiting.
@@ -82,6 +85,12 @@
         self.lanes.get(lane)?[tier].head(mask)
     }
 
+    /// Returns whether an item is waiting; only its deadline and identifier are looked up.
+    #[must_use]
+    pub fn contains(&self, item: &Item) -> bool {
+        self.deadlines.contains(&(item.deadline_us, item.id))
+    }
+
     /// Returns the expected service before a waiting item: of all higher tiers, and of its own
     /// tier in fair order.
     #[must_use]
@@ -94,11 +103,11 @@
         higher + lane[tier].cost_ahead(&item.account, item.cost)
     }
 
-    /// Returns the newest item of the lowest tier below `tier`.
+    /// Returns the newest bounded item of the lowest tier below `tier`.
     #[must_use]
     pub fn newest_below(&self, tier: u8) -> Option<Head> {
         let first = usize::from(tier).min(TIERS - 1) + 1;
-        let newest = self.arrivals[first..]
+        let newest = self.bounded[first..]
             .iter()
             .rev()
             .find_map(BTreeMap::last_key_value);
@@ -118,20 +127,20 @@
 
     /// Returns the number of waiting items of a tier.
     #[must_use]
-    pub fn len(&self, tier: usize) -> usize {
-        self.arrivals[tier].len()
+    pub const fn len(&self, tier: usize) -> usize {
+        self.len[tier]
     }
 
-    /// Returns the number of waiting items that have never begun an answer.
+    /// Returns the number of waiting items that count towards the bound.
     #[must_use]
-    pub const fn fresh_len(&self) -> usize {
-        self.fresh
+    pub fn bounded_len(&self) -> usize {
+        self.bounded.iter().map(BTreeMap::len).sum()
     }
 
     fn unindex(&mut self, item: &Item) {
         self.deadlines.remove(&(item.deadline_us, item.id));
-        self.arrivals[tier_of(item)].remove(&item.arrival);
-        self.fresh -= usize::from(item.variant == Variant::Fresh);
+        self.len[tier_of(item)] -= 1;
+        self.bounded[tier_of(item)].remove(&item.arrival);
     }
 }
 
--- a/crates/queue/src/reserve.rs
+++ b/crates/queue/src/reserve.rs
@@ -72,9 +72,8 @@
         self.held[tier] = self.held[tier].saturating_sub(1);
     }
 
-    /// Notes that a job on a reserved slot gave way to a higher tier and is owed a start.
-    pub fn yielded(&mut self, tier: usize) {
-        self.ended(tier);
+    /// Notes that a job on a reserved slot gave way to a higher tier and is owed another start.
+    pub fn owe(&mut self, tier: usize) {
         self.credit[tier] = (self.credit[tier] + START).min(2 * START);
     }
 
--- a/crates/queue/src/variant.rs
+++ b/crates/queue/src/variant.rs
@@ -5,7 +5,7 @@
     Fresh,
     /// Continues a begun answer, which not every upstream can do.
     Resume,
-    /// Continues a long answer that gave way to short work of its tier.
+    /// Long answer, begun or expected, behind short work of its tier.
     Long,
 }
 
@@ -16,7 +16,7 @@
     /// Mask of the variants that are not demoted.
     pub const SHORT: u8 = 0b011;
 
-    /// Mask of the variants that continue a begun answer.
+    /// Mask of the variants that may continue a begun answer.
     pub const RESUMED: u8 = 0b110;
 
     /// Number of variants.
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -2,7 +2,7 @@
 
 use code::Code;
 
-use crate::JobId;
+use crate::{JobId, Reason};
 
 /// What the caller of the dispatcher has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,6 +17,8 @@
         attempt: u32,
         /// Priority for the engine, smaller runs earlier.
         priority: i32,
+        /// Why now and why there.
+        reason: Reason,
     },
     /// Refuse the job; no attempt of it is running.
     Refuse {
@@ -26,6 +28,8 @@
         code: Code,
         /// When a retry is likely to succeed.
         retry_after_ms: u64,
+        /// Why, in more detail than the code.
+        reason: Reason,
     },
     /// Cancel a running attempt.
     Cancel {
@@ -35,6 +39,15 @@
         upstream: Arc<str>,
         /// Number of the attempt.
         attempt: u32,
+        /// Why.
+        reason: Reason,
+    },
+    /// Nothing has to be done: the job waits in the queue.
+    Queued {
+        /// Job.
+        id: JobId,
+        /// Why.
+        reason: Reason,
     },
 }
 
@@ -43,7 +56,21 @@
     #[must_use]
     pub const fn id(&self) -> JobId {
         match self {
-            Self::Start { id, .. } | Self::Refuse { id, .. } | Self::Cancel { id, .. } => *id,
+            Self::Start { id, .. }
+            | Self::Refuse { id, .. }
+            | Self::Cancel { id, .. }
+            | Self::Queued { id, .. } => *id,
+        }
+    }
+
+    /// Returns why the dispatcher decided so.
+    #[must_use]
+    pub const fn reason(&self) -> Reason {
+        match self {
+            Self::Start { reason, .. }
+            | Self::Refuse { reason, .. }
+            | Self::Cancel { reason, .. }
+            | Self::Queued { reason, .. } => *reason,
         }
     }
 }
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -1,34 +1,35 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::collections::BTreeMap;
 
-use code::Code;
-use route::{Ending, Load, Need, Place, Pool};
+use code::{Code, Run};
+use limit::{Allowance, Limits, RetryBudget};
+use queue::{Lengths, Queue, TIERS};
+use route::{Ending, Load, Place, Pool};
 use settings::Config;
 
-use crate::{Action, Job, JobId, Outcome};
+use crate::{
+    Action, Job, JobId, Outcome, Reason, admission::turn_of, entry::Entry, retry::ending_of,
+    running::Running, topology::Topology,
+};
 
-/// Attempts of one job, the first included.
-const ATTEMPTS_MAX: u32 = 3;
-
-/// Jobs that wait in one tier.
+/// Default bound on waiting jobs that have not run; the bodies are held in memory meanwhile.
 const QUEUE_MAX: usize = 10_000;
 
-/// Number of tiers.
-const TIERS: usize = 3;
-
-#[derive(Debug)]
-struct Entry {
-    job: Job,
-    attempt: u32,
-    upstream: Option<Arc<str>>,
-    resume: bool,
-}
+/// Time before its deadline at which a job may take a slot that is reserved for lower tiers; two
+/// ticks of the daemon, so that the slot is there in time.
+const YIELD_BEFORE_US: u64 = 20_000;
 
 /// Decides when and where each job runs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatcher {
-    jobs: BTreeMap<JobId, Entry>,
-    queues: [Vec<JobId>; TIERS],
-    pool: Pool,
+    pub(crate) jobs: BTreeMap<JobId, Entry>,
+    pub(crate) queue: Queue,
+    pub(crate) queue_max: usize,
+    pub(crate) lengths: Lengths,
+    pub(crate) limits: Limits,
+    pub(crate) budget: RetryBudget,
+    pub(crate) pool: Pool,
+    pub(crate) topology: Topology,
+    arrivals: u64,
 }
 
 impl Dispatcher {
@@ -41,10 +42,45 @@
         }
     }
 
+    /// Sets the bound on waiting jobs that have not run.
+    #[must_use]
+    pub const fn with_queue_max(mut self, queue_max: usize) -> Self {
+        self.queue_max = queue_max;
+        self
+    }
+
     /// Takes up a configuration.
     pub fn configure(&mut self, now_us: u64, config: &Config, actions: &mut Vec<Action>) {
         self.pool.configure(now_us, config);
-        self.dispatch(now_us, actions);
+        let accounts = config.accounts.iter();
+        self.queue.set_weights(
+            accounts
+                .clone()
+                .map(|account| (&*account.name, account.weight)),
+        );
+        let allowances = accounts.map(|account| {
+            let allowance = Allowance {
+                requests_per_s: account.requests_per_s,
+                requests_in_flight: account.requests_in_flight,
+                tokens_in_flight: account.tokens_in_flight,
+            };
+            (&*account.name, allowance)
+        });
+        self.limits.configure(now_us, allowances);
+        self.topology.configure(config);
+        let running = self.jobs.values().filter(|entry| entry.running.is_some());
+        let running: Vec<JobId> = running.map(Entry::id).collect();
+        for id in running {
+            self.hold_again(id);
+            self.add_to_index(id);
+        }
+        self.dispatch_all(now_us, actions);
+    }
+
+    /// Sets the number of live daemons, which share the limits of client accounts; 0 if no peer can
+    /// be reached, which keeps the last share.
+    pub fn set_fleet(&mut self, now_us: u64, live_daemons: u32) {
+        self.limits.set_fleet(now_us, live_daemons);
     }
 
     /// Sets how many jobs this daemon may run on an upstream; `None` lifts the limit.
@@ -56,125 +92,168 @@
         actions: &mut Vec<Action>,
     ) {
         self.pool.set_share(upstream, slots);
-        self.dispatch(now_us, actions);
+        if let Some(member) = self.topology.member_mut(upstream) {
+            member.share = slots;
+        }
+        self.topology.count_slots();
+        if let Some(group) = self.topology.reopen(upstream) {
+            self.dispatch(now_us, group, actions);
+        }
     }
 
     /// Marks an upstream as leaving: it gets no new work.
     pub fn set_leaving(&mut self, upstream: &str) {
         self.pool.set_leaving(upstream);
+        if let Some(member) = self.topology.member_mut(upstream) {
+            member.live = false;
+        }
+        self.topology.count_slots();
     }
 
     /// Takes in a new job.
     pub fn submit(&mut self, now_us: u64, job: Job, actions: &mut Vec<Action>) {
         let id = job.id;
-        let queue = &mut self.queues[usize::from(job.tier).min(TIERS - 1)];
-        if queue.len() >= QUEUE_MAX {
-            actions.push(Action::Refuse {
-                id,
-                code: Code::QueueFull,
-                retry_after_ms: 1_000,
-            });
+        let lane = self.topology.lane_of(&job.target);
+        self.arrivals += 1;
+        let entry = Entry::new(now_us, job, lane, self.arrivals, &self.lengths);
+        let (account, tokens) = (&entry.job.account, entry.limit_tokens);
+        if self.refuse_over_limit(now_us, id, &account.clone(), tokens, actions) {
             return;
         }
-        queue.push(id);
-        self.jobs.insert(
-            id,
-            Entry {
-                job,
-                attempt: 0,
-                upstream: None,
-                resume: false,
-            },
-        );
-        self.dispatch(now_us, actions);
+        self.queue.push(&entry.item);
+        let tier = entry.tier();
+        self.jobs.insert(id, entry);
+        if self.topology.lanes[lane].full[tier] != 0 && self.may_make_room(id) {
+            self.topology.lanes[lane].full[tier] = 0;
+        }
+        self.dispatch(now_us, self.topology.lanes[lane].group, actions);
+        if self.is_queued(id)
+            && !self.enforce_bound(now_us, id, actions)
+            && !self.refuse_unreachable(now_us, id, actions)
+        {
+            let ahead_tokens = self.queue.cost_ahead(&self.jobs[&id].item);
+            let reason = Reason::NoFreeSlot { ahead_tokens };
+            actions.push(Action::Queued { id, reason });
+        }
     }
 
     /// Notes the first token of a job.
-    pub fn first_token(&mut self, _now_us: u64, _id: JobId, _actions: &mut Vec<Action>) {}
+    pub fn first_token(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>) {
+        self.tokens(now_us, id, 1, actions);
+    }
 
     /// Notes further tokens of a job.
-    pub fn tokens(&mut self, _now_us: u64, _id: JobId, _count: u32, _actions: &mut Vec<Action>) {}
-
-    /// Notes the end of a job's current attempt.
-    pub fn finish(&mut self, now_us: u64, id: JobId, outcome: Outcome, actions: &mut Vec<Action>) {
-        self.release(now_us, id, ending_of(outcome));
+    pub fn tokens(&mut self, now_us: u64, id: JobId, count: u32, actions: &mut Vec<Action>) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
-        entry.resume |= matches!(outcome, Outcome::LostMidStream { .. });
-        let code = match outcome {
-            Outcome::Complete => None,
-            Outcome::NotSent => Some(Code::ConnectFailed),
-            Outcome::Rejected => Some(Code::NoUpstream),
-            Outcome::LostBeforeAnswer => Some(Code::UpstreamLost),
-            Outcome::LostMidStream { .. } => Some(Code::StreamBroken),
-            Outcome::Failed => Some(Code::UpstreamError),
-        };
-        let repeatable = match outcome {
-            Outcome::NotSent | Outcome::Rejected => true,
-            Outcome::LostBeforeAnswer => entry.job.idempotent,
-            Outcome::LostMidStream { resumable } => entry.job.idempotent && resumable,
-            Outcome::Complete | Outcome::Failed => false,
+        let Some(running) = entry.running.as_mut() else {
+            // Sent before the cancellation arrived; the caller has it, so it counts.
+            entry.tokens = entry.tokens.saturating_add(count);
+            entry.run = Run::Yes;
+            return;
         };
-        if repeatable && entry.attempt < ATTEMPTS_MAX {
-            self.queues[usize::from(entry.job.tier).min(TIERS - 1)].insert(0, id);
+        let elapsed_us = now_us.saturating_sub(running.last_us);
+        let first = running.tokens == 0;
+        running.last_us = now_us;
+        running.tokens = running.tokens.saturating_add(count);
+        let prompt_tokens = entry.job.prompt_tokens;
+        if first {
+            self.pool
+                .first_token(now_us, &running.upstream, elapsed_us, prompt_tokens);
         } else {
-            self.jobs.remove(&id);
-            if let Some(code) = code {
-                actions.push(Action::Refuse {
-                    id,
-                    code,
-                    retry_after_ms: 1_000,
-                });
+            self.pool
+                .tokens(now_us, &running.upstream, elapsed_us, count);
+        }
+        let (level, long) = (entry.level(), entry.is_long());
+        let tokens = entry.tokens.saturating_add(count);
+        if u32::BITS - tokens.leading_zeros() == level {
+            entry.tokens = tokens;
+            return;
+        }
+        self.remove_from_index(id);
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        entry.tokens = tokens;
+        let became_long = !long && entry.is_long();
+        let lane = entry.item.lane;
+        self.add_to_index(id);
+        if became_long {
+            // Short work that found no room may now find some.
+            self.topology.lanes[lane].full = [0; TIERS];
+            self.dispatch(now_us, self.topology.lanes[lane].group, actions);
+        }
+    }
+
+    /// Notes the end of a job's current attempt.
+    pub fn finish(&mut self, now_us: u64, id: JobId, outcome: Outcome, actions: &mut Vec<Action>) {
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let (lane, class, tokens) = (entry.item.lane, entry.job.class.clone(), entry.tokens);
+        let ended = self.end_attempt(now_us, id, ending_of(outcome));
+        if outcome == Outcome::Complete {
+            // A complete answer counts even if the attempt was cancelled in the meantime.
+            self.lengths.observe(&class, lane, tokens);
+            self.end(id);
+        } else if let Some(running) = ended {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.avoid = Some(running.upstream);
             }
+            self.retry_or_refuse(now_us, id, outcome, actions);
+        }
+        self.dispatch(now_us, self.topology.lanes[lane].group, actions);
+        if self.is_queued(id) {
+            let reason = Reason::AttemptFailed;
+            actions.push(Action::Queued { id, reason });
         }
-        self.dispatch(now_us, actions);
     }
 
     /// Drops a job whose caller has left.
     pub fn cancel(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>) {
-        self.release(now_us, id, Ending::Cancelled);
-        self.jobs.remove(&id);
-        self.dispatch(now_us, actions);
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let (lane, class, tokens) = (entry.item.lane, entry.job.class.clone(), entry.tokens);
+        self.end_attempt(now_us, id, Ending::Cancelled);
+        self.lengths.observe_at_least(&class, lane, tokens);
+        self.end(id);
+        self.dispatch(now_us, self.topology.lanes[lane].group, actions);
     }
 
     /// Notes a load report.
-    pub fn report(
-        &mut self,
-        _now_us: u64,
-        _upstream: &str,
-        _load: &Load,
-        _actions: &mut Vec<Action>,
-    ) {
+    pub fn report(&mut self, now_us: u64, upstream: &str, load: &Load, _actions: &mut Vec<Action>) {
+        self.pool.report(now_us, upstream, load);
     }
 
     /// Refuses jobs whose deadline has passed and starts what fits.
     pub fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for queue in &mut self.queues {
-            queue.retain(|&id| {
-                let Some(entry) = self.jobs.get(&id) else {
-                    return false;
-                };
-                if entry.job.deadline_us > now_us {
-                    return true;
-                }
-                self.jobs.remove(&id);
+        self.topology.reopen_all();
+        self.dispatch_all(now_us, actions);
+        let due = self.queue.due(now_us.saturating_add(YIELD_BEFORE_US));
+        let due: Vec<JobId> = due.map(|(_, id)| JobId(id)).collect();
+        for id in due {
+            if !self.is_queued(id) {
+                continue;
+            }
+            let item = &self.jobs[&id].item;
+            let (turn, passed) = (turn_of(item), item.deadline_us <= now_us);
+            if item.deadline_us >= now_us && self.start_in_place(now_us, turn, actions) {
+                continue;
+            }
+            if passed {
+                let retry_after_ms = self.retry_after_ms(&self.jobs[&id].item);
                 let code = Code::DeadlinePassed;
-                actions.push(Action::Refuse {
-                    id,
-                    code,
-                    retry_after_ms: 1_000,
-                });
-                false
-            });
+                self.refuse(id, code, retry_after_ms, Reason::Deadline, actions);
+            }
         }
-        self.dispatch(now_us, actions);
     }
 
     /// Returns the number of waiting jobs of a tier.
     #[must_use]
     pub fn queued(&self, tier: u8) -> usize {
-        self.queues[usize::from(tier).min(TIERS - 1)].len()
+        self.queue.len(usize::from(tier).min(TIERS - 1))
     }
 
     /// Returns the number of queued and running jobs.
@@ -183,54 +262,110 @@
         self.jobs.len()
     }
 
-    fn release(&mut self, now_us: u64, id: JobId, ending: Ending) {
+    pub(crate) fn is_queued(&self, id: JobId) -> bool {
+        self.jobs
+            .get(&id)
+            .is_some_and(|entry| entry.running.is_none())
+    }
+
+    pub(crate) fn running(&self, id: JobId) -> Option<(&Entry, &Running)> {
+        let entry = self.jobs.get(&id)?;
+        Some((entry, entry.running.as_ref()?))
+    }
+
+    /// Frees the slot of a running attempt and accounts for its service.
+    pub(crate) fn end_attempt(
+        &mut self,
+        now_us: u64,
+        id: JobId,
+        ending: Ending,
+    ) -> Option<Running> {
+        self.remove_from_index(id);
+        let entry = self.jobs.get_mut(&id)?;
+        let running = entry.running.take()?;
+        self.pool.end(now_us, &running.upstream, ending);
+        self.topology.reopen(&running.upstream);
+        let cost = entry.cost_of(running.tokens);
+        self.queue.settle(&entry.item, cost);
+        let lane = &mut self.topology.lanes[entry.item.lane];
+        lane.running = lane.running.saturating_sub(1);
+        if matches!(ending, Ending::Complete) || running.tokens > 0 {
+            lane.note_service(now_us.saturating_sub(running.started_us), cost);
+        }
+        if running.reserved {
+            let group = &mut self.topology.groups[lane.group];
+            group.reserve.ended(entry.tier());
+        }
+        Some(running)
+    }
+
+    /// Queues a job again at its place.
+    pub(crate) fn requeue(&mut self, now_us: u64, id: JobId) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
-        if let Some(upstream) = entry.upstream.take() {
-            self.pool.end(now_us, &upstream, ending);
-        }
-    }
-
-    fn dispatch(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        for queue in &mut self.queues {
-            queue.retain(|&id| {
-                let Some(entry) = self.jobs.get_mut(&id) else {
-                    return false;
-                };
-                let need = Need {
-                    target: &entry.job.target,
-                    tier: entry.job.tier,
-                    prompt_tokens: entry.job.prompt_tokens,
-                    output_tokens: entry.job.max_tokens,
-                    body_bytes: entry.job.body_bytes,
-                    prefix_hash: entry.job.prefix_hash,
-                    resume: entry.resume,
-                    avoid: None,
-                };
-                let Some(pick) = self.pool.choose(now_us, &need) else {
-                    return true;
-                };
-                entry.attempt += 1;
-                entry.upstream = Some(pick.upstream.clone());
-                actions.push(Action::Start {
-                    id,
-                    upstream: pick.upstream,
-                    attempt: entry.attempt,
-                    priority: i32::from(entry.job.tier),
-                });
-                false
-            });
+        entry.refresh_item();
+        if entry.run != Run::No {
+            // It met its deadline with the first start; now it has as long again to continue.
+            let deadline_us = now_us.saturating_add(entry.wait_us);
+            entry.item.deadline_us = entry.item.deadline_us.max(deadline_us);
+        }
+        self.queue.push(&entry.item);
+    }
+
+    /// Ends a queued job with an answer to its caller.
+    pub(crate) fn refuse(
+        &mut self,
+        id: JobId,
+        code: Code,
+        retry_after_ms: u64,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let code = entry.accurate(code);
+        actions.push(Action::Refuse {
+            id,
+            code,
+            retry_after_ms,
+            reason,
+        });
+        self.end(id);
+    }
+
+    fn end(&mut self, id: JobId) {
+        if let Some(entry) = self.jobs.remove(&id) {
+            self.queue.remove(&entry.item);
+            self.limits.release(&entry.job.account, entry.limit_tokens);
+        }
+    }
+
+    fn hold_again(&mut self, id: JobId) {
+        let Some((entry, running)) = self.running(id) else {
+            return;
+        };
+        let (reserved, tier, lane) = (running.reserved, entry.tier(), entry.item.lane);
+        if reserved {
+            let group = self.topology.lanes[lane].group;
+            self.topology.groups[group].reserve.hold(tier);
         }
     }
 }
 
-const fn ending_of(outcome: Outcome) -> Ending {
-    match outcome {
-        Outcome::Complete => Ending::Complete,
-        Outcome::NotSent => Ending::ConnectFailed,
-        Outcome::Rejected => Ending::Rejected,
-        Outcome::LostBeforeAnswer | Outcome::LostMidStream { .. } => Ending::Lost,
-        Outcome::Failed => Ending::Failed,
+impl Default for Dispatcher {
+    fn default() -> Self {
+        Self {
+            jobs: BTreeMap::new(),
+            queue: Queue::default(),
+            queue_max: QUEUE_MAX,
+            lengths: Lengths::default(),
+            limits: Limits::default(),
+            budget: RetryBudget::default(),
+            pool: Pool::default(),
+            topology: Topology::default(),
+            arrivals: 0,
+        }
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,19 +1,39 @@
 //! Dispatcher that composes queue, limits and upstream choice.
 //!
-//! [`Dispatcher`] takes one event and the current time, and appends the resulting [`Action`]s. It
-//! reads no clock and does no I/O; the daemon, the fuzz tests and the bench drive the same type.
+//! [`Dispatcher`] takes one event and the current time, and appends the resulting [`Action`]s, each
+//! with the [`Reason`] for it. It reads no clock and does no I/O; the daemon, the fuzz tests and
+//! the bench drive the same type.
+//!
+//! Upstreams that share a model form a group. In a group a higher tier goes first, except for the
+//! starts that [`queue::Reserve`] owes to lower tiers. A job that finds no room preempts a job of
+//! a lower tier; a job on a reserved slot gives way only if a job of a higher tier would otherwise
+//! be refused.
 
 mod action;
+mod admission;
+mod dispatch;
 mod dispatcher;
+mod entry;
+mod group;
 mod job;
+mod lane;
+mod mean;
+mod member;
 mod outcome;
+mod preempt;
+mod reason;
+mod retry;
+mod running;
 #[cfg(test)]
 mod tests;
+mod topology;
+mod turn;
 
 pub use self::{
     action::Action,
     dispatcher::Dispatcher,
     job::{Job, JobId},
     outcome::Outcome,
+    reason::Reason,
 };
 pub use route::{Load, Place, Target};
--- /dev/null
+++ b/crates/sched/src/preempt.rs
@@ -0,0 +1,148 @@
+//! Preemption of lower tiers and demotion of long jobs.
+
+use std::{cmp::Reverse, collections::BTreeSet};
+
+use queue::Variant;
+use route::Ending;
+
+use crate::{
+    Action, Dispatcher, JobId, Reason,
+    group::{Group, LONG_PERCENT, VictimKey},
+    turn::Turn,
+};
+
+/// Candidates that one search looks at; each may run on an upstream that is of no use.
+const CANDIDATES_MAX: usize = 64;
+
+/// Pause after a preemption that made no room, as when the pool has ejected the upstream.
+const VAIN_PAUSE_US: u64 = 1_000_000;
+
+impl Dispatcher {
+    /// Cancels a job of a lower tier, or a long one of the same tier, for a job that found no room.
+    pub(crate) fn make_room(
+        &mut self,
+        now_us: u64,
+        turn: Turn,
+        actions: &mut Vec<Action>,
+    ) -> Option<JobId> {
+        if let Some(victim) = self.victim(now_us, turn, |group| &group.victims) {
+            let reason = Reason::HigherTier { by: turn.id };
+            self.preempt(now_us, victim, reason, actions);
+            return Some(victim);
+        }
+        let victim = self.long_victim(now_us, turn)?;
+        let reason = Reason::LongAnswer { by: turn.id };
+        self.preempt(now_us, victim, reason, actions);
+        Some(victim)
+    }
+
+    /// Starts a job that would otherwise be refused in place of one on a reserved slot.
+    pub(crate) fn start_in_place(
+        &mut self,
+        now_us: u64,
+        turn: Turn,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(victim) = self.victim(now_us, turn, |group| &group.reserved) else {
+            return false;
+        };
+        let reason = Reason::HigherTier { by: turn.id };
+        self.preempt(now_us, victim, reason, actions);
+        let started = self.start(now_us, turn, Some(victim), actions);
+        if !started {
+            self.note_vain(now_us, self.topology.lanes[turn.lane].group);
+        }
+        started
+    }
+
+    pub(crate) fn note_vain(&mut self, now_us: u64, group: usize) {
+        self.topology.groups[group].vain_until_us = now_us + VAIN_PAUSE_US;
+    }
+
+    /// Returns whether a job that finds no room could get some through preemption.
+    pub(crate) fn may_make_room(&self, id: JobId) -> bool {
+        let Some(entry) = self.jobs.get(&id) else {
+            return false;
+        };
+        let group = &self.topology.groups[self.topology.lanes[entry.item.lane].group];
+        let lowest = group.victims.first();
+        lowest.is_some_and(|(tier, ..)| tier.0 > entry.item.tier)
+            || (entry.item.variant != Variant::Long
+                && !group.has_room_for_long()
+                && !group.long.is_empty())
+    }
+
+    fn victim<'a, F>(&'a self, now_us: u64, turn: Turn, set: F) -> Option<JobId>
+    where
+        F: FnOnce(&'a Group) -> &'a BTreeSet<VictimKey>,
+    {
+        let group = &self.topology.groups[self.topology.lanes[turn.lane].group];
+        if now_us < group.vain_until_us {
+            return None;
+        }
+        let keys = set(group).iter().take(CANDIDATES_MAX);
+        let lower = keys.take_while(|(Reverse(tier), ..)| usize::from(*tier) > turn.tier);
+        let mut ids = lower.map(|&(_, _, Reverse(id))| JobId(id));
+        ids.find(|&id| self.is_useful(id, turn.lane))
+    }
+
+    fn long_victim(&self, now_us: u64, turn: Turn) -> Option<JobId> {
+        let group = &self.topology.groups[self.topology.lanes[turn.lane].group];
+        let entry = self.jobs.get(&turn.id)?;
+        let blocked = entry.item.variant != Variant::Long && now_us >= group.vain_until_us;
+        if !blocked || group.has_room_for_long() {
+            return None;
+        }
+        let tier = entry.item.tier;
+        let keys = group.long.range((tier, 0, 0)..(tier, u32::MAX, u64::MAX));
+        let mut ids = keys.rev().take(CANDIDATES_MAX).map(|key| JobId(key.2));
+        ids.find(|&id| {
+            let Some((entry, running)) = self.running(id) else {
+                return false;
+            };
+            let over = self
+                .topology
+                .member(&running.upstream)
+                .is_some_and(|member| member.long * 100 > (member.slots * LONG_PERCENT).max(100));
+            over && running.tokens > 0
+                && entry.tokens >= entry.demote_tokens
+                && self.is_useful(id, turn.lane)
+        })
+    }
+
+    /// Returns whether the slot of a job would be of use to a lane.
+    fn is_useful(&self, id: JobId, lane: usize) -> bool {
+        let Some((_, running)) = self.running(id) else {
+            return false;
+        };
+        let Some(member) = self.topology.member(&running.upstream) else {
+            return false;
+        };
+        member.lanes.contains(&lane) && self.pool.outstanding(&member.name) <= member.room()
+    }
+
+    /// Cancels a running attempt and queues its job again at its place.
+    fn preempt(&mut self, now_us: u64, id: JobId, reason: Reason, actions: &mut Vec<Action>) {
+        let Some(running) = self.end_attempt(now_us, id, Ending::Cancelled) else {
+            return;
+        };
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        entry.note_run();
+        if matches!(reason, Reason::LongAnswer { .. }) {
+            entry.demote_tokens = entry.tokens.saturating_mul(2);
+        }
+        actions.push(Action::Cancel {
+            id,
+            upstream: running.upstream,
+            attempt: entry.attempt,
+            reason,
+        });
+        if running.reserved {
+            let group = self.topology.lanes[entry.item.lane].group;
+            self.topology.groups[group].reserve.owe(entry.tier());
+        }
+        self.requeue(now_us, id);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/reason.rs
@@ -0,0 +1,82 @@
+use std::fmt;
+
+use crate::JobId;
+
+/// Why the dispatcher took a decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Queued: no upstream of the model or service has a free slot.
+    NoFreeSlot {
+        /// Expected service that goes first, in tokens.
+        ahead_tokens: u64,
+    },
+    /// Queued again: the attempt failed and may be repeated.
+    AttemptFailed,
+    /// Started: a slot was free and no job went before it.
+    InTurn,
+    /// Started ahead of a higher tier, on the share reserved for its own.
+    ReservedShare,
+    /// Started in the slot of another job that was cancelled for it.
+    InPlaceOf {
+        /// Job that was cancelled.
+        preempted: JobId,
+    },
+    /// Cancelled and queued again: a job of a higher tier found no room.
+    HigherTier {
+        /// Job of the higher tier.
+        by: JobId,
+    },
+    /// Cancelled and queued again: short work of the same tier was blocked by too many long jobs.
+    LongAnswer {
+        /// Short job.
+        by: JobId,
+    },
+    /// Refused: a limit of the client account.
+    AccountLimit,
+    /// Refused: the queue is full and holds nothing of a lower tier.
+    QueueBound,
+    /// Refused: dropped from the full queue for an arrival of a higher tier.
+    Shed {
+        /// Job of the higher tier.
+        by: JobId,
+    },
+    /// Refused: the estimated wait exceeds the time left.
+    EstimatedWait {
+        /// Estimated wait.
+        wait_us: u64,
+    },
+    /// Refused: no slot became free before the deadline.
+    Deadline,
+    /// Refused: the attempt ended in a way that must not be repeated.
+    NotRepeatable,
+    /// Refused: too many attempts failed.
+    AttemptsUsed,
+    /// Refused: too many retries of all jobs in the recent past.
+    RetryBudget,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoFreeSlot { ahead_tokens } => {
+                write!(f, "no free slot, {ahead_tokens} tokens go first")
+            }
+            Self::AttemptFailed => f.write_str("the attempt failed and may be repeated"),
+            Self::InTurn => f.write_str("a slot was free"),
+            Self::ReservedShare => f.write_str("share reserved for its tier"),
+            Self::InPlaceOf { preempted } => write!(f, "in the slot of job {}", preempted.0),
+            Self::HigherTier { by } => write!(f, "job {} of a higher tier needs the slot", by.0),
+            Self::LongAnswer { by } => write!(f, "long answer, short job {} was blocked", by.0),
+            Self::AccountLimit => f.write_str("limit of the client account"),
+            Self::QueueBound => f.write_str("the queue is full"),
+            Self::Shed { by } => write!(f, "shed for job {} of a higher tier", by.0),
+            Self::EstimatedWait { wait_us } => {
+                write!(f, "estimated wait of {} ms is too long", wait_us / 1_000)
+            }
+            Self::Deadline => f.write_str("no free slot before the deadline"),
+            Self::NotRepeatable => f.write_str("the attempt must not be repeated"),
+            Self::AttemptsUsed => f.write_str("too many attempts failed"),
+            Self::RetryBudget => f.write_str("the retry budget is used up"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/src/retry.rs
@@ -0,0 +1,68 @@
+//! What follows a failed attempt.
+
+use code::{Code, Run};
+use route::Ending;
+
+use crate::{Action, Dispatcher, JobId, Outcome, Reason, admission::RETRY_AFTER_MS};
+
+/// Failed attempts of one job; preemptions don't count.
+const FAILURES_MAX: u32 = 3;
+
+impl Dispatcher {
+    /// Queues a job again after a failed attempt, or refuses it.
+    pub(crate) fn retry_or_refuse(
+        &mut self,
+        now_us: u64,
+        id: JobId,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        entry.failures += 1;
+        if matches!(outcome, Outcome::LostMidStream { .. } | Outcome::Failed) {
+            entry.run = Run::Yes;
+        } else if outcome == Outcome::LostBeforeAnswer {
+            entry.note_run();
+        }
+        let resumable = self.topology.lanes[entry.item.lane].resumable;
+        let repeatable = match outcome {
+            Outcome::NotSent | Outcome::Rejected => true,
+            Outcome::LostBeforeAnswer => entry.job.idempotent,
+            Outcome::LostMidStream { resumable } => entry.job.idempotent && resumable,
+            Outcome::Complete | Outcome::Failed => false,
+        } && (entry.tokens == 0 || resumable);
+        let reason = if !repeatable {
+            Reason::NotRepeatable
+        } else if entry.failures >= FAILURES_MAX {
+            Reason::AttemptsUsed
+        } else if !self.budget.retry(now_us) {
+            Reason::RetryBudget
+        } else {
+            self.requeue(now_us, id);
+            return;
+        };
+        self.refuse(id, code_of(outcome), RETRY_AFTER_MS, reason, actions);
+    }
+}
+
+const fn code_of(outcome: Outcome) -> Code {
+    match outcome {
+        Outcome::NotSent => Code::ConnectFailed,
+        Outcome::Rejected => Code::NoUpstream,
+        Outcome::LostBeforeAnswer => Code::UpstreamLost,
+        Outcome::LostMidStream { .. } => Code::StreamBroken,
+        Outcome::Complete | Outcome::Failed => Code::UpstreamError,
+    }
+}
+
+pub(crate) const fn ending_of(outcome: Outcome) -> Ending {
+    match outcome {
+        Outcome::Complete => Ending::Complete,
+        Outcome::NotSent => Ending::ConnectFailed,
+        Outcome::Rejected => Ending::Rejected,
+        Outcome::LostBeforeAnswer | Outcome::LostMidStream { .. } => Ending::Lost,
+        Outcome::Failed => Ending::Failed,
+    }
+}
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -43,10 +43,12 @@
     let mut dispatcher = Dispatcher::default();
     let mut actions = Vec::new();
     dispatcher.configure(0, &config(1), &mut actions);
-    for id in 1..=2 {
-        dispatcher.submit(0, job(id, 2), &mut actions);
+    for id in 1..=3 {
+        // Not idempotent, so that the higher tier has to wait for a slot.
+        let mut low = job(id, 2);
+        low.idempotent = false;
+        dispatcher.submit(0, low, &mut actions);
     }
-    dispatcher.submit(0, job(3, 2), &mut actions);
     dispatcher.submit(0, job(4, 0), &mut actions);
     actions.clear();
     dispatcher.finish(1, JobId(1), Outcome::Complete, &mut actions);
@@ -79,6 +81,7 @@
     let mut dispatcher = Dispatcher::default();
     let mut actions = Vec::new();
     dispatcher.submit(0, job(1, 1), &mut actions);
+    actions.clear();
     dispatcher.tick(1_000_000, &mut actions);
     assert!(
         matches!(actions[..], [Action::Refuse { id: JobId(1), .. }]),
