test(sched): fuzz the dispatcher against a simple model

State machine tests for tier, served and complete drive submit, tokens, every outcome, stale ends, cancellation, shares, configurations and ticks, and check each action and all counts.

Fuzzing found that a refusal after a failed connection claimed that a job had not run although its answer had begun; tokens now settle that.

--- a/crates/queue/src/reserve.rs
+++ b/crates/queue/src/reserve.rs
@@ -7,8 +7,8 @@
 ///
 /// Every start of another tier adds a waiting tier's percentage to its credit; a credit of 100
 /// buys the next free slot. A waiting tier with percentage `r` therefore waits for at most
-/// [`Reserve::bound`] starts, unless it already holds its share of the slots. Credit decides only
-/// who takes a free slot: it is no reason to shed or preempt a job of a higher tier.
+/// [`Reserve::bound`] starts on free slots, unless it already holds its share of the slots. Credit
+/// decides only who takes a free slot: it is no reason to shed or preempt a job of a higher tier.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Reserve {
     percent: [u8; TIERS],
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -153,6 +153,7 @@
             entry.run = Run::Yes;
             return;
         };
+        entry.run = Run::Yes;
         let elapsed_us = now_us.saturating_sub(running.last_us);
         let first = running.tokens == 0;
         running.last_us = now_us;
--- /dev/null
+++ b/crates/sched/src/holds_served_tests.rs
@@ -0,0 +1,100 @@
+use proptest::prelude::*;
+use queue::Reserve;
+
+use crate::{
+    Action, Dispatcher, JobId, Outcome, Reason, Target,
+    oracle::{config, job},
+};
+
+/// Runs a permanent backlog of all tiers and returns the starts by tier.
+///
+/// After each event it checks that no tier let more starts of others on free slots pass than its
+/// bound, unless it held its share of the slots.
+fn run_backlog(slots: u32, choices: &[usize], ms: u64) -> [u32; 3] {
+    let mut dispatcher = Dispatcher::default().with_queue_max(10_000);
+    let mut reserve = Reserve::default();
+    reserve.set_percent([0, 20, 10]);
+    let mut actions = Vec::new();
+    dispatcher.configure(0, &config(slots), &mut actions);
+    let mut running: Vec<(JobId, usize, bool)> = Vec::new();
+    let (mut starts, mut passed, mut now_us, mut next) = ([0; 3], [0_u32; 3], 0, 0);
+    for (round, &choice) in choices.iter().enumerate() {
+        now_us += ms * 1_000;
+        for tier in 0..3_u8 {
+            // Some arrivals find the backlog short and preempt, most join it.
+            while dispatcher.queued(tier) < 1 + choice % 3 {
+                next += 1;
+                let mut job = job(tier, Target::Model("faucet".into()), true, 3_600_000);
+                (job.id, job.deadline_us) = (JobId(next), u64::MAX / 2);
+                dispatcher.submit(now_us, job, &mut actions);
+            }
+        }
+        if let Some(&(id, ..)) = running.get(choice % running.len().max(1)) {
+            dispatcher.first_token(now_us, id, &mut actions);
+            dispatcher.tokens(
+                now_us,
+                id,
+                1 + u32::try_from(choice % 500).unwrap(),
+                &mut actions,
+            );
+            running.retain(|(other, ..)| *other != id);
+            dispatcher.finish(now_us, id, Outcome::Complete, &mut actions);
+        }
+        dispatcher.tick(now_us, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Cancel { id, .. } => running.retain(|(other, ..)| *other != id),
+                Action::Start { id, reason, .. } => {
+                    let tier = dispatcher.jobs[&id].tier();
+                    running.push((id, tier, reason == Reason::ReservedShare));
+                    starts[tier] += 1;
+                    let on_free_slot = !matches!(reason, Reason::InPlaceOf { .. });
+                    for other in 1..3 {
+                        let held = running
+                            .iter()
+                            .filter(|(_, held, own)| *held == other && *own);
+                        let share = (2 * slots * [0, 20, 10][other]).div_ceil(100).max(1);
+                        if other == tier || u32::try_from(held.count()).unwrap() >= share {
+                            passed[other] = 0;
+                        } else if on_free_slot {
+                            // Before the first round ends, not every tier has a backlog.
+                            passed[other] += u32::from(round > 0);
+                        }
+                        let bound = reserve.bound(other).unwrap();
+                        assert!(passed[other] <= bound, "tier {other} let {passed:?} pass");
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    starts
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a tier that waits longer than the stated number of starts under overload.
+    #[test]
+    fn holds_served_within_the_bound(
+        slots in 1..6_u32,
+        choices in prop::collection::vec(any::<usize>(), 50..400),
+        ms in 1..50_u64,
+    ) {
+        run_backlog(slots, &choices, ms);
+    }
+}
+
+/// Guards against a reserve that starts lower tiers far less often than their percentage.
+#[test]
+fn holds_served_share_of_starts() {
+    for (name, slots) in [("one slot each", 1), ("ten slots each", 10)] {
+        let choices: Vec<usize> = (0..10_000).map(|number| number * 7).collect();
+        let starts = run_backlog(slots, &choices, 10);
+        let total: u32 = starts.iter().sum();
+        for (tier, percent) in [(1, 20), (2, 10)] {
+            let least = total * percent / 100 * 8 / 10;
+            assert!(starts[tier] >= least, "{name}: {starts:?}");
+        }
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -15,10 +15,16 @@
 mod dispatcher;
 mod entry;
 mod group;
+#[cfg(test)]
+mod holds_complete_tests;
+#[cfg(test)]
+mod holds_served_tests;
 mod job;
 mod lane;
 mod mean;
 mod member;
+#[cfg(test)]
+mod oracle;
 mod outcome;
 mod preempt;
 mod reason;
--- a/crates/sched/src/member.rs
+++ b/crates/sched/src/member.rs
@@ -9,6 +9,8 @@
     pub(crate) slots: u32,
     pub(crate) share: Option<u32>,
     pub(crate) live: bool,
+    /// Whether it can continue a begun answer.
+    pub(crate) resume: bool,
     /// Running long jobs.
     pub(crate) long: u32,
 }
--- /dev/null
+++ b/crates/sched/src/oracle.rs
@@ -0,0 +1,400 @@
+//! Simple model of what the dispatcher may do, for the state machine tests.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use code::{Code, Run};
+use settings::{Class, Config, Honours, Kind, State, Upstream};
+
+use crate::{Action, Dispatcher, Job, JobId, Outcome, Reason, Target};
+
+/// Bound on waiting jobs, small so that it is reached.
+pub(crate) const QUEUE_MAX: usize = 6;
+
+/// Names of the upstreams, with what each serves; `both` joins the two models into one group.
+pub(crate) const UPSTREAMS: [(&str, &[&str]); 4] = [
+    ("both", &["coil", "faucet"]),
+    ("coil", &["coil"]),
+    ("faucet", &["faucet"]),
+    ("parts", &[]),
+];
+
+#[derive(Debug)]
+pub(crate) struct Tracked {
+    pub(crate) job: Job,
+    pub(crate) tokens: u32,
+    pub(crate) running: Option<(String, u32)>,
+    attempt: u32,
+    /// Whether a request was sent that may have run.
+    sent: bool,
+    /// Whether an attempt failed after the deadline, when no other may start.
+    late: bool,
+}
+
+/// Dispatcher under test with the model beside it.
+#[derive(Debug)]
+pub(crate) struct Oracle {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) now_us: u64,
+    pub(crate) jobs: BTreeMap<JobId, Tracked>,
+    pub(crate) ended: BTreeSet<JobId>,
+    slots: BTreeMap<String, u32>,
+    next_id: u64,
+}
+
+impl Oracle {
+    pub(crate) fn new(slots: u32) -> Self {
+        let dispatcher = Dispatcher::default().with_queue_max(QUEUE_MAX);
+        let mut oracle = Self {
+            dispatcher,
+            now_us: 0,
+            jobs: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            slots: BTreeMap::new(),
+            next_id: 1,
+        };
+        oracle.configure(slots);
+        oracle
+    }
+
+    pub(crate) fn configure(&mut self, slots: u32) {
+        for (name, _) in UPSTREAMS {
+            self.slots.insert(name.to_owned(), slots);
+        }
+        let config = config(slots);
+        self.act(|dispatcher, now_us, actions| dispatcher.configure(now_us, &config, actions));
+    }
+
+    pub(crate) fn set_share(&mut self, upstream: usize, share: u32) {
+        let (name, _) = UPSTREAMS[upstream % UPSTREAMS.len()];
+        self.slots.insert(name.to_owned(), share);
+        self.act(|dispatcher, now_us, actions| {
+            dispatcher.set_share(now_us, name, Some(share), actions);
+        });
+    }
+
+    pub(crate) fn submit(&mut self, mut job: Job) {
+        job.id = JobId(self.next_id);
+        job.deadline_us += self.now_us;
+        self.next_id += 1;
+        let tracked = Tracked {
+            job: job.clone(),
+            tokens: 0,
+            running: None,
+            attempt: 0,
+            sent: false,
+            late: false,
+        };
+        self.jobs.insert(job.id, tracked);
+        self.act(|dispatcher, now_us, actions| dispatcher.submit(now_us, job, actions));
+    }
+
+    pub(crate) fn tokens(&mut self, id: JobId, count: u32) {
+        let tracked = self.jobs.get_mut(&id).unwrap();
+        let first = tracked.tokens == 0;
+        tracked.tokens += count;
+        tracked.sent = true;
+        self.act(|dispatcher, now_us, actions| {
+            if first {
+                dispatcher.first_token(now_us, id, actions);
+            }
+            dispatcher.tokens(now_us, id, count - u32::from(first), actions);
+        });
+    }
+
+    pub(crate) fn finish(&mut self, id: JobId, outcome: Outcome) {
+        let now_us = self.now_us;
+        let tracked = self.jobs.get_mut(&id).unwrap();
+        tracked.late |= now_us > tracked.job.deadline_us;
+        if tracked.running.take().is_some() || outcome == Outcome::Complete {
+            tracked.sent |= !matches!(outcome, Outcome::NotSent | Outcome::Rejected);
+            if outcome == Outcome::Complete {
+                self.end(id);
+            }
+        }
+        self.act(|dispatcher, now_us, actions| dispatcher.finish(now_us, id, outcome, actions));
+    }
+
+    pub(crate) fn cancel(&mut self, id: JobId) {
+        self.end(id);
+        self.act(|dispatcher, now_us, actions| dispatcher.cancel(now_us, id, actions));
+    }
+
+    /// Lets time pass with the daemon's tick.
+    pub(crate) fn advance(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(10) {
+            self.now_us += 10_000;
+            self.act(Dispatcher::tick_at);
+        }
+    }
+
+    /// Returns one of the jobs, running or queued.
+    pub(crate) fn pick(&self, index: usize, running: bool) -> Option<JobId> {
+        let matching = |tracked: &&Tracked| tracked.running.is_some() == running;
+        let ids: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(matching)
+            .map(|t| t.job.id)
+            .collect();
+        (!ids.is_empty()).then(|| ids[index % ids.len()])
+    }
+
+    /// Passes one event to the dispatcher and checks each action; returns the actions.
+    pub(crate) fn act<F>(&mut self, event: F) -> Vec<Action>
+    where
+        F: FnOnce(&mut Dispatcher, u64, &mut Vec<Action>),
+    {
+        let mut actions = Vec::new();
+        event(&mut self.dispatcher, self.now_us, &mut actions);
+        for action in &actions {
+            self.check(action);
+        }
+        self.check_counts();
+        actions
+    }
+
+    fn check(&mut self, action: &Action) {
+        let id = action.id();
+        assert!(
+            !self.ended.contains(&id),
+            "complete: {action:?} after the end"
+        );
+        match action {
+            Action::Start {
+                upstream,
+                attempt,
+                reason,
+                ..
+            } => {
+                let held = self.held(upstream);
+                let tracked = &self.jobs[&id];
+                assert_eq!(tracked.running, None, "complete: two attempts of {id:?}");
+                assert_eq!(*attempt, tracked.attempt + 1, "complete: attempt of {id:?}");
+                let once = tracked.job.idempotent || !tracked.sent;
+                assert!(
+                    once,
+                    "complete: {id:?} may have run and is no repeatable job"
+                );
+                assert!(
+                    serves(upstream, &tracked.job.target),
+                    "complete: {action:?}"
+                );
+                assert!(
+                    held < self.slots[&**upstream],
+                    "complete: no slot for {action:?}"
+                );
+                if let Reason::InPlaceOf { preempted } = reason {
+                    let lower = self.jobs[preempted].job.tier;
+                    assert!(
+                        tracked.job.tier <= lower,
+                        "tier: {action:?} over tier {lower}"
+                    );
+                }
+                let tracked = self.jobs.get_mut(&id).unwrap();
+                tracked.attempt = *attempt;
+                tracked.running = Some((upstream.to_string(), *attempt));
+            }
+            Action::Cancel {
+                upstream,
+                attempt,
+                reason,
+                ..
+            } => {
+                let tier = match reason {
+                    Reason::HigherTier { by } => self.jobs[by].job.tier + 1,
+                    Reason::LongAnswer { by } => self.jobs[by].job.tier,
+                    reason => panic!("tier: cancelled with {reason:?}"),
+                };
+                let tracked = self.jobs.get_mut(&id).unwrap();
+                assert!(tracked.job.tier >= tier, "tier: {action:?}");
+                assert!(
+                    tracked.job.idempotent,
+                    "complete: {action:?} can't be repeated"
+                );
+                let running = Some((upstream.to_string(), *attempt));
+                assert_eq!(tracked.running.take(), running, "complete: {action:?}");
+                tracked.sent = true;
+            }
+            Action::Refuse { code, reason, .. } => {
+                let tracked = &self.jobs[&id];
+                assert_eq!(tracked.running, None, "complete: {action:?} while it runs");
+                assert!(
+                    !tracked.sent || code.run() != Run::No,
+                    "refusal: {action:?} was sent"
+                );
+                self.check_tier(action, *code, *reason);
+                self.end(id);
+            }
+            Action::Queued { .. } => assert_eq!(self.jobs[&id].running, None, "complete"),
+        }
+    }
+
+    /// Checks that a refusal for lack of room left no lower tier with room or a place.
+    fn check_tier(&self, action: &Action, code: Code, reason: Reason) {
+        let refused = &self.jobs[&action.id()];
+        let tier = refused.job.tier;
+        if let Reason::Shed { by } = reason {
+            assert!(tier > self.jobs[&by].job.tier, "tier: {action:?}");
+            return;
+        }
+        let wanted = [
+            Code::QueueFull,
+            Code::DeadlineUnreachable,
+            Code::DeadlinePassed,
+        ];
+        if !wanted.contains(&code) || (refused.late && code == Code::DeadlinePassed) {
+            return;
+        }
+        for other in self.jobs.values().filter(|other| other.job.tier > tier) {
+            let waits = other.running.is_none() && !other.sent && other.job.id != action.id();
+            assert!(
+                code != Code::QueueFull || !waits,
+                "tier: {action:?} before {other:?}"
+            );
+            let Some((upstream, _)) = &other.running else {
+                continue;
+            };
+            let yields =
+                other.job.idempotent && other.may_resume() && serves(upstream, &refused.job.target);
+            let room = self.held(upstream) <= self.slots[upstream];
+            assert!(!yields || !room, "tier: {action:?} while {other:?} runs");
+        }
+    }
+
+    fn check_counts(&self) {
+        assert_eq!(
+            self.dispatcher.in_flight(),
+            self.jobs.len(),
+            "complete: jobs"
+        );
+        let queued = (0..3)
+            .map(|tier| self.dispatcher.queued(tier))
+            .sum::<usize>();
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|tracked| tracked.running.is_none());
+        assert_eq!(queued, waiting.count(), "complete: queued");
+        for (name, _) in UPSTREAMS {
+            let outstanding = self.dispatcher.pool.outstanding(name);
+            assert_eq!(outstanding, self.held(name), "complete: slots of {name}");
+        }
+        let groups = &self.dispatcher.topology.groups;
+        let indexed: usize = groups
+            .iter()
+            .map(|g| g.victims.len() + g.reserved.len())
+            .sum();
+        let running = self
+            .jobs
+            .values()
+            .filter(|tracked| tracked.running.is_some());
+        let preemptable = running.filter(|tracked| tracked.job.idempotent && tracked.may_resume());
+        assert_eq!(
+            indexed,
+            preemptable.count(),
+            "complete: index of running jobs"
+        );
+    }
+
+    fn held(&self, upstream: &str) -> u32 {
+        let running = self
+            .jobs
+            .values()
+            .filter_map(|tracked| tracked.running.as_ref());
+        u32::try_from(running.filter(|(name, _)| name == upstream).count()).unwrap()
+    }
+
+    fn end(&mut self, id: JobId) {
+        assert!(
+            self.jobs.remove(&id).is_some(),
+            "complete: {id:?} ended twice"
+        );
+        self.ended.insert(id);
+    }
+}
+
+impl Tracked {
+    fn may_resume(&self) -> bool {
+        self.tokens == 0 || matches!(self.job.target, Target::Model(_))
+    }
+}
+
+impl Dispatcher {
+    fn tick_at(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.tick(now_us, actions);
+    }
+}
+
+pub(crate) fn target(index: usize) -> Target {
+    match index % 3 {
+        0 => Target::Model("faucet".into()),
+        1 => Target::Model("coil".into()),
+        _ => Target::Service("parts".into()),
+    }
+}
+
+fn serves(upstream: &str, target: &Target) -> bool {
+    let (_, models) = UPSTREAMS
+        .iter()
+        .find(|(name, _)| *name == upstream)
+        .unwrap();
+    match target {
+        Target::Model(model) => models.contains(&&**model),
+        Target::Service(service) => **service == *upstream,
+    }
+}
+
+pub(crate) fn config(slots: u32) -> Config {
+    let class = |tier: u8, reserved_percent| Class {
+        name: format!("tier-{tier}"),
+        tier,
+        first_token_ms: 500,
+        token_gap_ms: 33,
+        max_wait_ms: 1_000,
+        reserved_percent,
+    };
+    let upstream = |(name, models): (&str, &[&str])| Upstream {
+        name: name.to_owned(),
+        kind: if models.is_empty() {
+            Kind::Service
+        } else {
+            Kind::Model
+        },
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "costa".to_owned(),
+        zone: "costa-norte".to_owned(),
+        models: models.iter().map(|&model| model.to_owned()).collect(),
+        service: if models.is_empty() {
+            name.to_owned()
+        } else {
+            String::new()
+        },
+        slots,
+        honours: Honours {
+            resume: !models.is_empty(),
+            ..Honours::default()
+        },
+        state: State::Live,
+    };
+    Config {
+        classes: vec![class(0, 0), class(1, 20), class(2, 10)],
+        upstreams: UPSTREAMS.into_iter().map(upstream).collect(),
+        ..Config::default()
+    }
+}
+
+pub(crate) fn job(tier: u8, target: Target, idempotent: bool, wait_ms: u64) -> Job {
+    Job {
+        id: JobId(0),
+        account: format!("account-{}", wait_ms % 3).as_str().into(),
+        class: format!("tier-{tier}").as_str().into(),
+        tier,
+        target,
+        prompt_tokens: 64,
+        max_tokens: 0,
+        body_bytes: 100,
+        prefix_hash: 0,
+        deadline_us: wait_ms * 1_000,
+        idempotent,
+    }
+}
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -83,7 +83,7 @@
         let keys = set(group).iter().take(CANDIDATES_MAX);
         let lower = keys.take_while(|(Reverse(tier), ..)| usize::from(*tier) > turn.tier);
         let mut ids = lower.map(|&(_, _, Reverse(id))| JobId(id));
-        ids.find(|&id| self.is_useful(id, turn.lane))
+        ids.find(|&id| self.is_useful(id, turn))
     }
 
     fn long_victim(&self, now_us: u64, turn: Turn) -> Option<JobId> {
@@ -106,19 +106,25 @@
                 .is_some_and(|member| member.long * 100 > (member.slots * LONG_PERCENT).max(100));
             over && running.tokens > 0
                 && entry.tokens >= entry.demote_tokens
-                && self.is_useful(id, turn.lane)
+                && self.is_useful(id, turn)
         })
     }
 
-    /// Returns whether the slot of a job would be of use to a lane.
-    fn is_useful(&self, id: JobId, lane: usize) -> bool {
+    /// Returns whether the slot of a running job would be of use to the job whose turn it is.
+    fn is_useful(&self, id: JobId, turn: Turn) -> bool {
         let Some((_, running)) = self.running(id) else {
             return false;
         };
         let Some(member) = self.topology.member(&running.upstream) else {
             return false;
         };
-        member.lanes.contains(&lane) && self.pool.outstanding(&member.name) <= member.room()
+        let begun = self
+            .jobs
+            .get(&turn.id)
+            .is_some_and(|entry| entry.tokens > 0);
+        member.lanes.contains(&turn.lane)
+            && (member.resume || !begun)
+            && self.pool.outstanding(&member.name) <= member.room()
     }
 
     /// Cancels a running attempt and queues its job again at its place.
--- a/crates/sched/src/topology.rs
+++ b/crates/sched/src/topology.rs
@@ -132,6 +132,7 @@
             slots: upstream.slots,
             share,
             live,
+            resume: upstream.honours.resume,
             long: 0,
         }
     }
