fix(queue): let the lower tier that started longest ago take a due slot first

A tier with two credits saved up could take two due slots before the other lower tier, one start more than the stated bound: with percentages 20 and 10, tier 1 let 7 starts pass instead of 6. Capping the credit was ruled out, since a start that gave way is credited again.

--- a/crates/queue/src/reserve.rs
+++ b/crates/queue/src/reserve.rs
@@ -14,6 +14,9 @@
     percent: [u8; TIERS],
     credit: [u32; TIERS],
     held: [u32; TIERS],
+    /// Number of the last start of each tier.
+    last: [u64; TIERS],
+    starts: u64,
 }
 
 impl Reserve {
@@ -37,7 +40,7 @@
 
     /// Returns the largest number of starts of other tiers that a waiting tier has to let pass.
     ///
-    /// The second term counts starts of other tiers whose credit fell due at the same time.
+    /// The second term is a start of the other lower tier whose credit fell due at the same time.
     #[must_use]
     pub const fn bound(&self, tier: usize) -> Option<u32> {
         if self.percent[tier] == 0 {
@@ -46,6 +49,15 @@
         Some(START.div_ceil(self.percent[tier] as u32) + 1)
     }
 
+    /// Returns the lower tiers in the order in which they take free slots that are due: the one
+    /// that started longest ago first, so that no two starts of one go before the other.
+    #[must_use]
+    pub fn order(&self) -> [usize; TIERS - 1] {
+        let mut tiers = std::array::from_fn(|index| TIERS - 1 - index);
+        tiers.sort_by_key(|&tier| self.last[tier]);
+        tiers
+    }
+
     /// Returns whether a waiting tier takes the next free slot ahead of higher tiers.
     #[must_use]
     pub fn is_due(&self, tier: usize, slots: u32) -> bool {
@@ -65,6 +77,8 @@
         }
         self.credit[tier] = self.credit[tier].saturating_sub(START);
         self.held[tier] += u32::from(reserved);
+        self.starts += 1;
+        self.last[tier] = self.starts;
     }
 
     /// Notes that a job on a reserved slot ended.
--- a/crates/queue/src/reserve_tests.rs
+++ b/crates/queue/src/reserve_tests.rs
@@ -13,7 +13,10 @@
         reserve.set_percent(percent);
         let mut passed = [0; 3];
         for _ in 0..10_000 {
-            let due = (1..3).rev().find(|&tier| reserve.is_due(tier, 1));
+            let due = reserve
+                .order()
+                .into_iter()
+                .find(|&tier| reserve.is_due(tier, 1));
             let tier = due.unwrap_or(0);
             reserve.started(tier, due.is_some(), [true; 3]);
             if due.is_some() {
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -177,7 +177,7 @@
 
     fn next_turn(&self, group: usize) -> Option<Turn> {
         let state = &self.topology.groups[group];
-        for tier in (1..TIERS).rev() {
+        for tier in state.reserve.order() {
             if state.reserve.is_due(tier, state.slots) {
                 let higher = (0..tier).any(|higher| self.head(group, higher).is_some());
                 if let Some(turn) = self.head(group, tier) {
