--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! let mut journal = Journal::new(2);
 //! for id in 1..=3 {
-//!     journal.record(10 * id, id, Step::Started { upstream: "engine-1".into(), attempt: 1 });
+//!     journal.record(10 * id, id, Step::CallerLeft { received_tokens: 0 });
 //! }
 //! assert!(journal.explain(1).is_none());
 //! assert_eq!(journal.explain(3).unwrap()[0].at_us, 30);
--- a/crates/audit/src/step.rs
+++ b/crates/audit/src/step.rs
@@ -23,7 +23,7 @@
     /// The request waits.
     Queued {
         /// Why it did not start.
-        reason: Arc<str>,
+        reason: String,
     },
     /// An attempt started.
     Started {
@@ -31,11 +31,15 @@
         upstream: Arc<str>,
         /// Number of the attempt, counted from 1.
         attempt: u32,
+        /// Why now and why there.
+        reason: String,
     },
-    /// The attempt was cancelled in favour of a higher tier; the request waits again.
+    /// The attempt was cancelled for other work; the request waits again.
     Preempted {
         /// Name of the upstream.
         upstream: Arc<str>,
+        /// Why.
+        reason: String,
     },
     /// The first token arrived.
     FirstToken,
@@ -60,5 +64,7 @@
     Refused {
         /// Result code.
         code: Code,
+        /// Why, in more detail than the code.
+        reason: String,
     },
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -65,6 +65,7 @@
             let id = action.id();
             let (decision, step) = translate(action);
             self.journal.record(now_us, id.0, step);
+            let Some(decision) = decision else { continue };
             let ended = matches!(decision, Decision::Refuse { .. });
             // A closed channel belongs to a request that was dropped; its handle cancels the job.
             if let Some(sender) = self.waiters.get(&id) {
@@ -77,7 +78,8 @@
     }
 }
 
-fn translate(action: Action) -> (Decision, Step) {
+fn translate(action: Action) -> (Option<Decision>, Step) {
+    let reason = action.reason().to_string();
     match action {
         Action::Start {
             upstream,
@@ -88,13 +90,14 @@
             let step = Step::Started {
                 upstream: upstream.clone(),
                 attempt,
+                reason,
             };
             let decision = Decision::Start {
                 upstream,
                 attempt,
                 priority,
             };
-            (decision, step)
+            (Some(decision), step)
         }
         Action::Refuse {
             code,
@@ -105,8 +108,11 @@
                 code,
                 retry_after_ms,
             };
-            (decision, Step::Refused { code })
+            (Some(decision), Step::Refused { code, reason })
         }
-        Action::Cancel { upstream, .. } => (Decision::Cancel, Step::Preempted { upstream }),
+        Action::Cancel { upstream, .. } => {
+            (Some(Decision::Cancel), Step::Preempted { upstream, reason })
+        }
+        Action::Queued { .. } => (None, Step::Queued { reason }),
     }
 }
