feat(release): check, plan and follow release notes

Cause: a configuration was read from release/current without a check, and nothing could write it. Change: settings lists every fault of a document with its line and allowed range; release holds the note, its check, the difference of two configurations, the plan of the conditional writes and the tracker that daemons use; the daemon shows version, digest and last confirmation in its status. A row that was seeded without a record stays readable, so that tests can write one by hand.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -27,11 +27,15 @@
             dispatcher.in_flight(),
         )
     });
+    let (version, digest, confirmed_us) = shared.releases.status();
+    let now_us = shared.clock.now_us();
     HttpResponse::Ok().json(&json!({
         "host": shared.host.name,
         "region": shared.host.region,
         "zone": shared.host.zone,
-        "version": shared.view.load().config.version,
+        "version": version,
+        "digest": digest,
+        "confirmed_ms_ago": confirmed_us.map(|at_us| now_us.saturating_sub(at_us) / 1_000),
         "draining": shared.is_draining(),
         "uptime_ms": u64::try_from(shared.clock.elapsed().as_millis()).unwrap_or(u64::MAX),
         "queued": queued,
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -8,13 +8,14 @@
 use settings::{Config, Host};
 use tokio::sync::mpsc;
 
-use crate::{clock::Clock, core::Core, handle::JobHandle, view::View};
+use crate::{clock::Clock, core::Core, follow::Releases, handle::JobHandle, view::View};
 
 /// State that all threads of a daemon share.
 pub(crate) struct Shared {
     pub(crate) host: Host,
     pub(crate) clock: Clock,
     pub(crate) view: ArcSwap<View>,
+    pub(crate) releases: Releases,
     draining: AtomicBool,
     next_id: AtomicU64,
     core: Mutex<Core>,
@@ -27,6 +28,7 @@
             host,
             clock: Clock::new(),
             view: ArcSwap::from_pointee(View::default()),
+            releases: Releases::default(),
             draining: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
             core: Mutex::new(Core::new(place)),
--- /dev/null
+++ b/crates/release/src/call.rs
@@ -0,0 +1,29 @@
+use crate::Outcome;
+
+/// Call of the table service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Read a row.
+    Read {
+        /// Key of the row.
+        key: String,
+    },
+    /// Write a row if its version is the expected one.
+    Write {
+        /// Key of the row.
+        key: String,
+        /// Version that the row has; none if it does not exist yet.
+        expect: Option<u64>,
+        /// New value.
+        value: String,
+    },
+}
+
+/// What a change does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Make this call and report its answer.
+    Call(Call),
+    /// The change has ended.
+    Done(Outcome),
+}
--- /dev/null
+++ b/crates/release/src/check.rs
@@ -0,0 +1,235 @@
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+use settings::{Config, Problem};
+
+use crate::{Change, List, Note, diff};
+
+/// Checks a note against the configuration in force and returns the next version.
+///
+/// # Errors
+///
+/// Returns every point in which the note does not match what it would do, and every fault of the
+/// resulting configuration. The paths are those of the note.
+pub fn check(note: &Note, in_force: &Config) -> Result<Config, Vec<Problem>> {
+    let mut problems = Vec::new();
+    if note.base != in_force.version {
+        let message = format!("version {} is in force", in_force.version);
+        problems.push(Problem::new(0, "base", &message));
+    }
+    let Ok(mut config) = serde_json::to_value(in_force) else {
+        return Err(vec![Problem::new(0, "", "configuration can't be written")]);
+    };
+    let added = serde_json::to_value(&note.added).unwrap_or_default();
+    for list in List::ALL {
+        withdraw(note, list, &mut config, &mut problems);
+    }
+    let mut has_effect = false;
+    for (index, change) in note.changed.iter().enumerate() {
+        let path = format!("changed[{index}]");
+        if note.changed[..index].iter().any(|earlier| {
+            (earlier.list, &earlier.name, &earlier.field)
+                == (change.list, &change.name, &change.field)
+        }) {
+            problems.push(Problem::new(0, &path, "the field is changed twice"));
+            continue;
+        }
+        match replace(change, in_force, &mut config) {
+            Ok(()) => has_effect = true,
+            Err((field, message)) => {
+                problems.push(Problem::new(0, &format!("{path}{field}"), &message));
+            }
+        }
+    }
+    for list in List::ALL {
+        add(list, &added, in_force, &mut config, &mut problems);
+    }
+    has_effect |= added.as_object().is_some_and(|lists| !lists.is_empty());
+    has_effect |= List::ALL
+        .iter()
+        .any(|list| !note.withdrawn.of(*list).is_empty());
+    if !has_effect && problems.is_empty() {
+        problems.push(Problem::new(0, "", "the note changes nothing"));
+    }
+    config["version"] = json!(in_force.version + 1);
+    let next = finish(note, &config, problems)?;
+    find_changes_without_effect(note, in_force, &next)?;
+    Ok(next)
+}
+
+/// Converts the result and adds its faults, with the places in the note that caused them.
+fn finish(note: &Note, value: &Value, mut problems: Vec<Problem>) -> Result<Config, Vec<Problem>> {
+    for fault in settings::check_config_value(value) {
+        let path = path_in_note(note, value, &fault.path);
+        let message = match path.as_str() {
+            "" => format!("{}: {}", named_path(value, &fault.path), fault.message),
+            _ => fault.message,
+        };
+        problems.push(Problem::new(0, &path, &message));
+    }
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    let mut config = convert::<Config>(value).map_err(|error| vec![error])?;
+    config.sort();
+    Ok(config)
+}
+
+/// Finds changes whose two values differ only in the way they are written, such as in a default
+/// that only one of them states.
+fn find_changes_without_effect(
+    note: &Note,
+    in_force: &Config,
+    next: &Config,
+) -> Result<(), Vec<Problem>> {
+    let effect = diff(in_force, next, "", "").changed;
+    let key = |change: &Change| (change.list, change.name.clone(), change.field.clone());
+    let effect: Vec<_> = effect.iter().map(key).collect();
+    let idle = note.changed.iter().enumerate();
+    let idle = idle.filter(|(_, change)| !effect.contains(&key(change)));
+    let problems: Vec<Problem> = idle
+        .map(|(index, _)| {
+            let path = format!("changed[{index}].after");
+            Problem::new(0, &path, "the change has no effect")
+        })
+        .collect();
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        Err(problems)
+    }
+}
+
+fn withdraw(note: &Note, list: List, config: &mut Value, problems: &mut Vec<Problem>) {
+    for (index, name) in note.withdrawn.of(list).iter().enumerate() {
+        let items = items_mut(config, list);
+        if let Some(found) = items.iter().position(|item| item["name"] == name.as_str()) {
+            items.remove(found);
+            continue;
+        }
+        let message = format!("{name:?} is not in force, or withdrawn twice");
+        let path = format!("withdrawn.{list}[{index}]");
+        problems.push(Problem::new(0, &path, &message));
+    }
+}
+
+fn replace(
+    change: &Change,
+    in_force: &Config,
+    config: &mut Value,
+) -> Result<(), (&'static str, String)> {
+    let name = change.name.as_str();
+    let mut items = items_mut(config, change.list).iter_mut();
+    let Some(item) = items.find(|item| item["name"] == name) else {
+        let reason = if has(in_force, change.list, name) {
+            "is withdrawn by this note"
+        } else {
+            "is not in force"
+        };
+        return Err((".name", format!("{name:?} {reason}")));
+    };
+    if change.field == "name" {
+        let message = "a name can't change; withdraw the part and add another";
+        return Err((".field", message.to_owned()));
+    }
+    let Some(value) = item.get_mut(&change.field) else {
+        return Err((".field", format!("{} has no such field", change.list)));
+    };
+    if *value != change.before {
+        let message = format!(
+            "the value in force is {value}, the note says {}",
+            change.before
+        );
+        return Err((".before", message));
+    }
+    if change.before == change.after {
+        return Err((".after", "the change has no effect".to_owned()));
+    }
+    *value = change.after.clone();
+    Ok(())
+}
+
+fn add(
+    list: List,
+    added: &Value,
+    in_force: &Config,
+    config: &mut Value,
+    problems: &mut Vec<Problem>,
+) {
+    for (index, item) in added[list.name()]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .enumerate()
+    {
+        let name = item["name"].as_str().unwrap_or_default();
+        if has(in_force, list, name) {
+            let message = format!("{name:?} is already in force; use \"changed\"");
+            let path = format!("added.{list}[{index}].name");
+            problems.push(Problem::new(0, &path, &message));
+            continue;
+        }
+        items_mut(config, list).push(item.clone());
+    }
+}
+
+fn has(config: &Config, list: List, name: &str) -> bool {
+    match list {
+        List::Classes => config.class(name).is_some(),
+        List::Accounts => config.account(name).is_some(),
+        List::Upstreams => config.upstream(name).is_some(),
+        List::Services => config.service(name).is_some(),
+    }
+}
+
+fn items_mut(config: &mut Value, list: List) -> &mut Vec<Value> {
+    match &mut config[list.name()] {
+        Value::Array(items) => items,
+        other => unreachable!("a configuration holds {list} as a list, not as {other}"),
+    }
+}
+
+/// Splits `accounts[3].weight` into the list, the part's name and the rest of the path.
+fn split<'a>(value: &'a Value, path: &'a str) -> Option<(List, &'a str, &'a str)> {
+    let (list, rest) = path.split_once('[')?;
+    let (index, rest) = rest.split_once(']')?;
+    let list = List::ALL.into_iter().find(|known| known.name() == list)?;
+    let item = &value[list.name()][index.parse::<usize>().ok()?];
+    Some((list, item["name"].as_str()?, rest.trim_start_matches('.')))
+}
+
+/// Returns the place in the note that caused a fault, or an empty path if it names none.
+fn path_in_note(note: &Note, value: &Value, path: &str) -> String {
+    let Some((list, name, rest)) = split(value, path) else {
+        return String::new();
+    };
+    let changed = note.changed.iter().position(|change| {
+        change.list == list
+            && change.name == name
+            && rest.split(['.', '[']).next() == Some(&change.field)
+    });
+    if let Some(index) = changed {
+        return format!("changed[{index}].after");
+    }
+    let added = serde_json::to_value(&note.added).unwrap_or_default();
+    let mut items = added[list.name()].as_array().into_iter().flatten();
+    match items.position(|item| item["name"] == name) {
+        Some(index) if rest.is_empty() => format!("added.{list}[{index}]"),
+        Some(index) => format!("added.{list}[{index}].{rest}"),
+        None => String::new(),
+    }
+}
+
+/// Returns a path with the part's name instead of its index.
+fn named_path(value: &Value, path: &str) -> String {
+    match split(value, path) {
+        Some((list, name, rest)) => format!("{list} {name:?} {rest}"),
+        None => path.to_owned(),
+    }
+}
+
+fn convert<T>(value: &Value) -> Result<T, Problem>
+where
+    T: DeserializeOwned + Serialize,
+{
+    T::deserialize(value).map_err(|error| Problem::new(0, "", &error.to_string()))
+}
--- /dev/null
+++ b/crates/release/src/current.rs
@@ -0,0 +1,60 @@
+use serde::Deserialize as _;
+use serde_json::Value;
+use settings::Config;
+
+use crate::Record;
+
+/// Content of the row `release/current`: the fields of the configuration and `record`.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Current {
+    /// Configuration in force.
+    pub config: Config,
+    /// Record of the change that made it; absent if the row was seeded without a release note.
+    pub record: Option<Record>,
+}
+
+impl Current {
+    /// Writes the row's value.
+    #[must_use]
+    pub fn to_text(&self) -> String {
+        let mut value = serde_json::to_value(&self.config).unwrap_or_default();
+        if let Some(record) = &self.record {
+            value["record"] = serde_json::to_value(record).unwrap_or_default();
+        }
+        value.to_string()
+    }
+
+    /// Reads the row's value.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong if the text is not complete or its parts contradict each other.
+    pub fn from_text(text: &str) -> Result<Self, String> {
+        let mut value: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        let record = value
+            .as_object_mut()
+            .and_then(|object| object.remove("record"));
+        let record: Option<Record> = record
+            .map(|record| Record::deserialize(&record))
+            .transpose()
+            .map_err(|error| format!("record: {error}"))?;
+        let mut config = Config::deserialize(&value).map_err(|error| error.to_string())?;
+        config.sort();
+        if let Some(record) = &record {
+            if record.version != config.version {
+                let (inner, outer) = (record.version, config.version);
+                return Err(format!("record of version {inner} in version {outer}"));
+            }
+            if record.digest != config.digest() {
+                return Err("digest does not match the configuration".to_owned());
+            }
+        }
+        Ok(Self { config, record })
+    }
+
+    /// Returns the number of the attempt that made this version.
+    #[must_use]
+    pub fn attempt(&self) -> Option<&str> {
+        self.record.as_ref().map(|record| record.attempt.as_str())
+    }
+}
--- /dev/null
+++ b/crates/release/src/diff.rs
@@ -0,0 +1,76 @@
+use serde::Serialize;
+use serde_json::Value;
+use settings::Config;
+
+use crate::{Change, List, Note};
+
+/// Returns the note that turns one configuration into another.
+#[must_use]
+pub fn diff(before: &Config, after: &Config, author: &str, reason: &str) -> Note {
+    let mut note = Note {
+        base: before.version,
+        author: author.to_owned(),
+        reason: reason.to_owned(),
+        ..Note::default()
+    };
+    note.added.classes = compare(List::Classes, &before.classes, &after.classes, &mut note);
+    note.added.accounts = compare(List::Accounts, &before.accounts, &after.accounts, &mut note);
+    note.added.upstreams = compare(
+        List::Upstreams,
+        &before.upstreams,
+        &after.upstreams,
+        &mut note,
+    );
+    note.added.services = compare(List::Services, &before.services, &after.services, &mut note);
+    note
+}
+
+/// Appends what changed and what is gone to the note, and returns what is new.
+fn compare<T>(list: List, before: &[T], after: &[T], note: &mut Note) -> Vec<T>
+where
+    T: Clone + Serialize,
+{
+    let before: Vec<Value> = before.iter().map(to_value).collect();
+    let mut kept = vec![false; before.len()];
+    let mut added = Vec::new();
+    for item in after {
+        let value = to_value(item);
+        match before.iter().position(|old| old["name"] == value["name"]) {
+            Some(index) => {
+                kept[index] = true;
+                note.changed.extend(changes(list, &before[index], &value));
+            }
+            None => added.push(item.clone()),
+        }
+    }
+    let gone = before.iter().zip(kept).filter(|(_, kept)| !kept);
+    let names = gone.map(|(old, _)| name_of(old)).collect();
+    *note.withdrawn.of_mut(list) = names;
+    added
+}
+
+fn changes(list: List, before: &Value, after: &Value) -> Vec<Change> {
+    let fields = before.as_object().into_iter().flatten();
+    fields
+        .filter(|(field, value)| after[field.as_str()] != **value)
+        .map(|(field, value)| Change {
+            list,
+            name: name_of(before),
+            field: field.clone(),
+            before: value.clone(),
+            after: after[field.as_str()].clone(),
+        })
+        .collect()
+}
+
+fn name_of(item: &Value) -> String {
+    item["name"].as_str().unwrap_or_default().to_owned()
+}
+
+/// The parts of a configuration are plain data with text keys, which always convert.
+fn to_value<T>(item: &T) -> Value
+where
+    T: Serialize,
+{
+    serde_json::to_value(item).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/release/src/tracker.rs
@@ -0,0 +1,62 @@
+use crate::{Current, Taken};
+
+/// Decides whether a row that was read from the store or came from a peer is taken up.
+///
+/// The version never goes back: a stale read, an outage or a damaged row leaves the last good
+/// configuration in force.
+#[derive(Debug, Clone, Default)]
+pub struct Tracker {
+    version: u64,
+    digest: String,
+    confirmed_us: Option<u64>,
+}
+
+impl Tracker {
+    /// Returns the version in force, 0 before the first.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the SHA-256 of the configuration in force, empty before the first.
+    #[must_use]
+    pub fn digest(&self) -> &str {
+        &self.digest
+    }
+
+    /// Returns the last time at which a row showed the version in force.
+    #[must_use]
+    pub const fn confirmed_us(&self) -> Option<u64> {
+        self.confirmed_us
+    }
+
+    /// Decides on the value of the row `release/current`.
+    ///
+    /// The value is checked for form only. The ranges were checked before it was written, and a
+    /// daemon whose ranges are narrower than those of a newer operator program must not keep an
+    /// old configuration for that.
+    pub fn offer(&mut self, now_us: u64, value: &str) -> Taken {
+        let config = match Current::from_text(value) {
+            Ok(current) => current.config,
+            Err(message) => return Taken::Faulty(message),
+        };
+        if config.version < self.version {
+            return Taken::Older;
+        }
+        if config.version == 0 {
+            return Taken::Faulty("version 0 is no release".to_owned());
+        }
+        let digest = config.digest();
+        if config.version > self.version {
+            self.version = config.version;
+            self.digest = digest;
+            self.confirmed_us = Some(now_us);
+            return Taken::Newer(config);
+        }
+        if digest != self.digest {
+            return Taken::Faulty(format!("another content for version {}", self.version));
+        }
+        self.confirmed_us = Some(now_us);
+        Taken::Same
+    }
+}
--- a/crates/settings/src/api_key.rs
+++ b/crates/settings/src/api_key.rs
@@ -11,9 +11,13 @@
 /// ```
 #[must_use]
 pub fn hash_api_key(key: &str) -> String {
-    let mut hex = String::with_capacity(64);
-    for byte in Sha256::digest(key.as_bytes()) {
-        let _ = write!(hex, "{byte:02x}");
+    hex(&Sha256::digest(key.as_bytes()))
+}
+
+pub(crate) fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
     }
-    hex
+    text
 }
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -1,6 +1,9 @@
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 
-use crate::{Account, Class, Kind, Service, Upstream};
+use crate::{
+    Account, Class, Document, Kind, Problem, Service, Upstream, api_key::hex, rules, shapes,
+};
 
 /// Fleet configuration of one version; every list is sorted by name.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +22,37 @@
 }
 
 impl Config {
+    /// Parses and checks a configuration, and sorts its lists.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault with its line.
+    pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
+        let mut config: Self = Document::parse(text)?.read(&shapes::CONFIG, rules::check_config)?;
+        config.sort();
+        Ok(config)
+    }
+
+    /// Returns every fault of a configuration, without lines.
+    #[must_use]
+    pub fn check(&self) -> Vec<Problem> {
+        match serde_json::to_value(self) {
+            Ok(value) => rules::check_config_value(&value),
+            Err(error) => vec![Problem::new(0, "", &error.to_string())],
+        }
+    }
+
+    /// Returns the SHA-256 of the content as hexadecimal digits; equal contents have equal digests.
+    #[must_use]
+    pub fn digest(&self) -> String {
+        let mut sorted = self.clone();
+        sorted.sort();
+        // Writing plain data with text keys to memory can't fail.
+        hex(&Sha256::digest(
+            serde_json::to_vec(&sorted).unwrap_or_default(),
+        ))
+    }
+
     /// Sorts every list by name, as the look-ups need it.
     pub fn sort(&mut self) {
         self.classes.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{PeerKey, Problem, parse};
+use crate::{Document, PeerKey, Problem, rules, shapes};
 
 /// Settings of one host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,7 +51,7 @@
     ///
     /// Returns every fault with its line.
     pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
-        parse(text)
+        Document::parse(text)?.read(&shapes::HOST, rules::check_host)
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -23,13 +23,21 @@
 mod api_key;
 mod class;
 mod config;
+mod document;
+mod field;
 mod honours;
 mod host;
-mod parse;
+mod limits;
 mod peer_key;
 mod problem;
+mod rules;
 mod service;
+mod shape;
+pub mod shapes;
 mod state;
+mod suggest;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 pub use self::{
@@ -37,12 +45,15 @@
     api_key::hash_api_key,
     class::Class,
     config::Config,
+    document::Document,
+    field::Field,
     honours::Honours,
     host::Host,
-    parse::parse,
     peer_key::PeerKey,
     problem::Problem,
+    rules::check_config_value,
     service::{Rule, Service},
+    shape::Shape,
     state::State,
     upstream::{Kind, Upstream},
 };
--- a/crates/settings/src/problem.rs
+++ b/crates/settings/src/problem.rs
@@ -21,11 +21,23 @@
             message: message.to_owned(),
         }
     }
+
+    /// Returns the problem as one line that begins with the file and the line.
+    #[must_use]
+    pub fn in_file(&self, file: &str) -> String {
+        let separator = if self.path.is_empty() { "" } else { ": " };
+        format!(
+            "{file}:{}: {}{separator}{}",
+            self.line, self.path, self.message
+        )
+    }
 }
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: ", self.line)?;
+        if self.line > 0 {
+            write!(f, "line {}: ", self.line)?;
+        }
         if !self.path.is_empty() {
             write!(f, "{}: ", self.path)?;
         }
--- /dev/null
+++ b/crates/settings/src/rules.rs
@@ -0,0 +1,191 @@
+//! Rules that span several fields of a document.
+//!
+//! They work on the untyped content, so that a document with a fault of form still gets them.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::{Problem, limits, shapes};
+
+/// Returns every fault of an untyped configuration, without lines.
+#[must_use]
+pub fn check_config_value(config: &Value) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    shapes::CONFIG.check(config, "", &mut problems);
+    check_config(config, &mut problems);
+    problems
+}
+
+/// Appends the faults between the parts of a configuration.
+pub(crate) fn check_config(config: &Value, problems: &mut Vec<Problem>) {
+    for list in ["classes", "accounts", "upstreams", "services"] {
+        check_unique(config, list, "name", problems);
+    }
+    check_classes(config, problems);
+    check_accounts(config, problems);
+    check_upstreams(config, problems);
+    check_services(config, problems);
+}
+
+/// Appends the faults between the fields of host settings.
+pub(crate) fn check_host(host: &Value, problems: &mut Vec<Problem>) {
+    check_unique(host, "peer_keys", "id", problems);
+    let mut seen = BTreeMap::new();
+    for field in ["listen", "admin_listen", "peer_listen", "store"] {
+        let address = text(host, field);
+        // The system picks a free port for port 0, so that two such addresses differ.
+        if address.is_empty() || address.ends_with(":0") {
+            continue;
+        }
+        if let Some(first) = seen.insert(address, field) {
+            let message = format!("{address} is already the address of {first}");
+            problems.push(Problem::new(0, field, &message));
+        }
+    }
+}
+
+fn check_classes(config: &Value, problems: &mut Vec<Problem>) {
+    let reserved = items(config, "classes").map(|(_, class)| &class["reserved_percent"]);
+    let sum: u64 = reserved.filter_map(Value::as_u64).sum();
+    let most = *limits::RESERVED_PERCENT.end();
+    if sum > most {
+        let message = format!("reserved_percent of all classes is {sum}, at most {most} allowed");
+        problems.push(Problem::new(0, "classes", &message));
+    }
+}
+
+fn check_accounts(config: &Value, problems: &mut Vec<Problem>) {
+    let mut keys = BTreeMap::new();
+    for (index, account) in items(config, "accounts") {
+        let path = format!("accounts[{index}]");
+        let mut open = Vec::new();
+        for (position, class) in texts(account, "classes") {
+            if !has(config, "classes", class) {
+                let message = format!("class {class:?} does not exist");
+                problems.push(Problem::new(
+                    0,
+                    &format!("{path}.classes[{position}]"),
+                    &message,
+                ));
+            }
+            if open.contains(&class) {
+                let message = format!("class {class:?} is listed twice");
+                problems.push(Problem::new(
+                    0,
+                    &format!("{path}.classes[{position}]"),
+                    &message,
+                ));
+            }
+            open.push(class);
+        }
+        let default = text(account, "default_class");
+        if !default.is_empty() && !open.contains(&default) {
+            let message = format!("class {default:?} is not in \"classes\" of this account");
+            problems.push(Problem::new(0, &format!("{path}.default_class"), &message));
+        }
+        for (position, digest) in texts(account, "key_sha256") {
+            let name = text(account, "name");
+            if let Some(first) = keys.insert(digest.to_ascii_lowercase(), name) {
+                let message = format!("digest is already a key of account {first:?}");
+                let path = format!("{path}.key_sha256[{position}]");
+                problems.push(Problem::new(0, &path, &message));
+            }
+        }
+    }
+}
+
+fn check_upstreams(config: &Value, problems: &mut Vec<Problem>) {
+    check_unique(config, "upstreams", "address", problems);
+    for (index, upstream) in items(config, "upstreams") {
+        let mut fault = |field: &str, message: &str| {
+            let path = format!("upstreams[{index}].{field}");
+            problems.push(Problem::new(0, &path, message));
+        };
+        let models: Vec<&str> = texts(upstream, "models").map(|(_, model)| model).collect();
+        let service = text(upstream, "service");
+        match text(upstream, "kind") {
+            "model" => {
+                if models.is_empty() {
+                    fault(
+                        "models",
+                        "an upstream of kind model serves at least one model",
+                    );
+                }
+                if !models.is_sorted_by(|a, b| a < b) {
+                    fault("models", "models have to be sorted and without repeats");
+                }
+                if !service.is_empty() {
+                    fault("service", "an upstream of kind model names no service");
+                }
+            }
+            "service" => {
+                if service.is_empty() {
+                    fault("service", "an upstream of kind service names its service");
+                } else if !has(config, "services", service) {
+                    fault("service", &format!("service {service:?} does not exist"));
+                }
+                if !models.is_empty() {
+                    fault("models", "an upstream of kind service serves no models");
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn check_services(config: &Value, problems: &mut Vec<Problem>) {
+    for (index, service) in items(config, "services") {
+        let name = text(service, "name");
+        let path = format!("services[{index}]");
+        let mut upstreams = items(config, "upstreams");
+        if !name.is_empty() && !upstreams.any(|(_, upstream)| text(upstream, "service") == name) {
+            let message = format!("no upstream provides service {name:?}");
+            problems.push(Problem::new(0, &path, &message));
+        }
+        for (position, rule) in items(service, "non_idempotent") {
+            if !text(rule, "path_prefix").starts_with('/') {
+                let path = format!("{path}.non_idempotent[{position}].path_prefix");
+                problems.push(Problem::new(
+                    0,
+                    &path,
+                    "expected a path that begins with '/'",
+                ));
+            }
+        }
+    }
+}
+
+fn check_unique(document: &Value, list: &str, field: &str, problems: &mut Vec<Problem>) {
+    let mut seen = BTreeMap::new();
+    for (index, item) in items(document, list) {
+        let value = &item[field];
+        if value.is_null() {
+            continue;
+        }
+        if let Some(first) = seen.insert(value.to_string(), index) {
+            let message = format!("{value} is already the {field} of {list}[{first}]");
+            problems.push(Problem::new(
+                0,
+                &format!("{list}[{index}].{field}"),
+                &message,
+            ));
+        }
+    }
+}
+
+fn has(config: &Value, list: &str, name: &str) -> bool {
+    items(config, list).any(|(_, item)| text(item, "name") == name)
+}
+
+fn items<'a>(value: &'a Value, list: &str) -> impl Iterator<Item = (usize, &'a Value)> {
+    value[list].as_array().into_iter().flatten().enumerate()
+}
+
+fn texts<'a>(value: &'a Value, list: &str) -> impl Iterator<Item = (usize, &'a str)> {
+    items(value, list).filter_map(|(index, text)| Some((index, text.as_str()?)))
+}
+
+fn text<'a>(value: &'a Value, field: &str) -> &'a str {
+    value[field].as_str().unwrap_or_default()
+}
