--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,163 @@
+use gumdrop::Options;
+
+/// Command line of `fireflylever`.
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print help")]
+    pub(crate) help: bool,
+    #[options(command)]
+    pub(crate) command: Option<Command>,
+}
+
+/// Command of an operator.
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "check host settings, configurations and release notes offline")]
+    Check(FilesArgs),
+    #[options(help = "check, apply and show releases")]
+    Release(ReleaseArgs),
+    #[options(help = "list the hosts that the platform reports")]
+    Hosts(StoreArgs),
+    #[options(help = "list the upstreams in force")]
+    Upstreams(StoreArgs),
+    #[options(help = "stop new work on a host")]
+    Drain(DrainArgs),
+    #[options(help = "show why a host decided on a request as it did")]
+    Explain(ExplainArgs),
+    #[options(help = "print a random API key and its digest")]
+    Key(NoArgs),
+}
+
+/// Releases.
+#[derive(Debug, Options)]
+pub(crate) struct ReleaseArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(command)]
+    pub(crate) command: Option<ReleaseCommand>,
+}
+
+/// Command about releases.
+#[derive(Debug, Options)]
+pub(crate) enum ReleaseCommand {
+    #[options(help = "compare a note with the configuration in force")]
+    Check(NoteArgs),
+    #[options(help = "put a note in force")]
+    Apply(NoteArgs),
+    #[options(help = "show the configuration in force, or the record of a version")]
+    Show(ShowArgs),
+    #[options(help = "list all releases")]
+    History(StoreArgs),
+    #[options(help = "print the note that turns what is in force into a configuration file")]
+    Diff(DiffArgs),
+    #[options(help = "compare each host with the release in force")]
+    Status(StatusArgs),
+}
+
+/// No arguments.
+#[derive(Debug, Options)]
+pub(crate) struct NoArgs {
+    #[options(help = "print help")]
+    help: bool,
+}
+
+/// Files to check.
+#[derive(Debug, Options)]
+pub(crate) struct FilesArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "files to check")]
+    pub(crate) files: Vec<String>,
+}
+
+/// Address of the store.
+#[derive(Debug, Options)]
+pub(crate) struct StoreArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Release note.
+#[derive(Debug, Options)]
+pub(crate) struct NoteArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "file of the release note")]
+    pub(crate) note: String,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(
+        help = "continue the attempt with this number, whose outcome is unknown",
+        meta = "NUMBER"
+    )]
+    pub(crate) attempt: Option<String>,
+}
+
+/// Version to show.
+#[derive(Debug, Options)]
+pub(crate) struct ShowArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, help = "version whose record is shown")]
+    pub(crate) version: Option<u64>,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+}
+
+/// Configuration to compare.
+#[derive(Debug, Options)]
+pub(crate) struct DiffArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "file of the configuration")]
+    pub(crate) file: String,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(help = "author of the note", default = "AUTHOR")]
+    pub(crate) author: String,
+    #[options(help = "reason of the note", default = "REASON")]
+    pub(crate) reason: String,
+}
+
+/// Hosts to ask.
+#[derive(Debug, Options)]
+pub(crate) struct StatusArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(help = "admin addresses, separated by commas", meta = "LIST", no_short)]
+    pub(crate) hosts: Option<String>,
+    #[options(
+        help = "file with one admin address on each line",
+        meta = "FILE",
+        no_short
+    )]
+    pub(crate) hosts_file: Option<String>,
+    #[options(help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Host to drain.
+#[derive(Debug, Options)]
+pub(crate) struct DrainArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "admin address of the host")]
+    pub(crate) host: String,
+}
+
+/// Request to explain.
+#[derive(Debug, Options)]
+pub(crate) struct ExplainArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "admin address of the host")]
+    pub(crate) host: String,
+    #[options(free, required, help = "id of the request")]
+    pub(crate) id: String,
+}
--- /dev/null
+++ b/crates/cli/src/failure.rs
@@ -0,0 +1,57 @@
+use std::fmt;
+
+use code::Code;
+use settings::Problem;
+use store::StoreError;
+
+/// Failure of a command, with its numbered result code.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub(crate) code: Code,
+    detail: String,
+    /// One line for each fault.
+    lines: Vec<String>,
+}
+
+impl Failure {
+    pub(crate) fn new<D>(code: Code, detail: D) -> Self
+    where
+        D: fmt::Display,
+    {
+        Self {
+            code,
+            detail: detail.to_string(),
+            lines: Vec::new(),
+        }
+    }
+
+    /// Creates a failure that lists the faults of a file.
+    pub(crate) fn in_file(code: Code, file: &str, problems: &[Problem]) -> Self {
+        let lines = problems.iter().map(|problem| problem.in_file(file));
+        Self::in_lines(code, lines.collect())
+    }
+
+    /// Creates a failure that lists faults of several files.
+    pub(crate) fn in_lines(code: Code, lines: Vec<String>) -> Self {
+        Self {
+            code,
+            detail: format!("{} fault(s)", lines.len()),
+            lines,
+        }
+    }
+
+    /// Creates a failure of a read.
+    pub(crate) fn store(error: &StoreError) -> Self {
+        Self::new(Code::StoreDown, error)
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.lines {
+            writeln!(f, "{line}")?;
+        }
+        let Self { code, detail, .. } = self;
+        write!(f, "error {code}: {} ({detail})", code.message())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/hosts.rs
@@ -0,0 +1,20 @@
+use code::Code;
+
+use crate::{args::StatusArgs, failure::Failure, release_apply::read};
+
+/// Returns the admin addresses that the operator names.
+pub(crate) fn admin_addresses(args: &StatusArgs) -> Result<Vec<String>, Failure> {
+    let text = match (&args.hosts, &args.hosts_file) {
+        (Some(list), None) => list.replace(',', "\n"),
+        (None, Some(file)) => read(file)?,
+        _ => {
+            let detail = "give either --hosts or --hosts-file";
+            return Err(Failure::new(Code::BadRequest, detail));
+        }
+    };
+    let lines = text.lines().map(str::trim);
+    Ok(lines
+        .filter(|line| !line.is_empty() && !line.starts_with('#'))
+        .map(str::to_owned)
+        .collect())
+}
--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -78,6 +78,8 @@
     NoteInvalid,
     /// The platform's store is down.
     StoreDown,
+    /// The store did not confirm the release; the same attempt number tells whether it took effect.
+    NoteUnknown,
 }
 
 impl Code {
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -1,7 +1,7 @@
 use crate::{Code, Entry, Retry, Run};
 
 /// All result codes, sorted by number, in the order of the variants of [`Code`].
-pub const TABLE: [Entry; 35] = [
+pub const TABLE: [Entry; 36] = [
     Entry {
         code: Code::BadRequest,
         number: 1001,
@@ -317,4 +317,13 @@
         retry: Retry::Later,
         message: "The platform's store is down.",
     },
+    Entry {
+        code: Code::NoteUnknown,
+        number: 7005,
+        name: "note_unknown",
+        http_status: 503,
+        run: Run::Unknown,
+        retry: Retry::SameKey,
+        message: "The store did not confirm the release; the same attempt number tells whether it took effect.",
+    },
 ];
