--- /dev/null
+++ b/crates/release/src/holds_config_tests.rs
@@ -0,0 +1,452 @@
+//! Operators and followers over one table with faults, against the history of the table.
+
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use settings::{Class, Config};
+use store::{Expect, MemoryTable, Row, StoreError};
+
+use crate::{
+    Answer, Apply, CURRENT, Call, Change, Complete, Current, List, Note, Outcome, Record, Step,
+    Stored, Taken, Tracker, record_key,
+};
+
+const OPERATORS: usize = 3;
+const FOLLOWERS: usize = 2;
+
+/// What happens to one call.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Down,
+    AnswerLost,
+    RequestLost,
+    /// The answer is lost and the write reaches the table at a later transition.
+    Late,
+    /// A read of `release/current` returns the state of this many writes ago.
+    Stale(usize),
+}
+
+#[derive(Debug, Clone)]
+enum Transition {
+    /// An operator writes a note for the version of this many releases ago.
+    Begin {
+        operator: usize,
+        behind: usize,
+    },
+    /// The next call of an operator.
+    Advance {
+        operator: usize,
+        fault: Fault,
+    },
+    /// An operator's program is killed and started again with the same attempt number.
+    Restart {
+        operator: usize,
+    },
+    /// The oldest delayed write reaches the table.
+    Land,
+    Poll {
+        follower: usize,
+        fault: Fault,
+    },
+    /// A follower passes the last value that it read to the others.
+    Gossip {
+        follower: usize,
+    },
+    /// A reader of the history completes the last record.
+    Complete {
+        fault: Fault,
+    },
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        6 => Just(Fault::None),
+        1 => Just(Fault::Down),
+        1 => Just(Fault::AnswerLost),
+        1 => Just(Fault::RequestLost),
+        1 => Just(Fault::Late),
+        1 => (1_usize..4).prop_map(Fault::Stale),
+    ]
+}
+
+/// The oracle needs no state of its own: it is the history of the table.
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &Self::State) -> BoxedStrategy<Self::Transition> {
+        let operator = 0..OPERATORS;
+        let follower = 0..FOLLOWERS;
+        prop_oneof![
+            4 => (operator.clone(), 0_usize..2)
+                .prop_map(|(operator, behind)| Transition::Begin { operator, behind }),
+            16 => (operator.clone(), fault())
+                .prop_map(|(operator, fault)| Transition::Advance { operator, fault }),
+            1 => operator.prop_map(|operator| Transition::Restart { operator }),
+            2 => Just(Transition::Land),
+            3 => (follower.clone(), fault())
+                .prop_map(|(follower, fault)| Transition::Poll { follower, fault }),
+            1 => follower.prop_map(|follower| Transition::Gossip { follower }),
+            1 => fault().prop_map(|fault| Transition::Complete { fault }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): Self::State, _: &Self::Transition) -> Self::State {}
+}
+
+struct Operator {
+    apply: Apply,
+    note: Note,
+    attempt: String,
+    /// Outcomes that were reported to the operator.
+    known: Option<Outcome>,
+}
+
+#[derive(Default)]
+struct Follower {
+    tracker: Tracker,
+    config: Config,
+    last_read: Option<String>,
+}
+
+#[derive(Default)]
+struct Fleet {
+    table: MemoryTable,
+    /// Every content that `release/current` ever had, oldest first.
+    history: Vec<(Row, Current)>,
+    delayed: Vec<Call>,
+    operators: Vec<Option<Operator>>,
+    /// Attempts that were told that nothing of theirs is in force.
+    refused: Vec<String>,
+    followers: Vec<Follower>,
+    attempts: u32,
+}
+
+impl Fleet {
+    fn truth(&self, version: u64) -> Option<Current> {
+        let index = usize::try_from(version).ok()?.checked_sub(1)?;
+        Some(self.history.get(index)?.1.clone())
+    }
+
+    /// Writes a note that depends on the value which an earlier release left.
+    fn note(&self, base: u64, number: u32) -> Note {
+        let mut note = Note {
+            base,
+            author: "ana".to_owned(),
+            reason: "test".to_owned(),
+            ..Note::default()
+        };
+        let Some(current) = self.truth(base) else {
+            note.added.classes = vec![Class {
+                name: "shared".to_owned(),
+                tier: 0,
+                first_token_ms: 790,
+                token_gap_ms: 33,
+                max_wait_ms: u64::from(number),
+                reserved_percent: 0,
+            }];
+            return note;
+        };
+        note.changed = vec![Change {
+            list: List::Classes,
+            name: "shared".to_owned(),
+            field: "max_wait_ms".to_owned(),
+            before: current.config.classes[0].max_wait_ms.into(),
+            after: number.into(),
+        }];
+        note
+    }
+
+    fn begin(&mut self, index: usize, behind: usize) {
+        // An operator whose last outcome is open finishes that change first.
+        let open = self.operators[index].as_ref();
+        if open.is_some_and(|operator| operator.known.is_none()) {
+            return;
+        }
+        self.attempts += 1;
+        let base = self.history.len().saturating_sub(behind) as u64;
+        let note = self.note(base, self.attempts);
+        let attempt = format!("attempt-{}", self.attempts);
+        let apply = Apply::new(note.clone(), attempt.clone(), 0);
+        let known = None;
+        self.operators[index] = Some(Operator {
+            apply,
+            note,
+            attempt,
+            known,
+        });
+    }
+
+    fn restart(&mut self, index: usize) {
+        if let Some(operator) = &mut self.operators[index] {
+            let (note, attempt) = (operator.note.clone(), operator.attempt.clone());
+            operator.apply = Apply::new(note, attempt, 1).resumed();
+            // A try after "nothing was applied" may succeed; one after a conflict may not.
+            if matches!(operator.known, Some(Outcome::Down | Outcome::Mismatch(_))) {
+                self.refused.retain(|refused| *refused != operator.attempt);
+            }
+            operator.known = None;
+        }
+    }
+
+    fn advance(&mut self, index: usize, fault: Fault) {
+        let Some(operator) = &self.operators[index] else {
+            return;
+        };
+        let Step::Call(call) = operator.apply.step() else {
+            return;
+        };
+        let answer = self.call(&call, fault);
+        let operator = self.operators[index].as_mut().unwrap();
+        operator.apply.answer(answer);
+        if let Step::Done(outcome) = operator.apply.step() {
+            self.judge(index, outcome);
+        }
+    }
+
+    /// Compares what an operator is told with the history.
+    fn judge(&mut self, index: usize, outcome: Outcome) {
+        let operator = self.operators[index].as_ref().unwrap();
+        let (attempt, base) = (operator.attempt.clone(), operator.note.base);
+        match &outcome {
+            Outcome::Applied { version, .. } => {
+                assert_eq!(*version, base + 1);
+                let current = self
+                    .truth(*version)
+                    .expect("an applied version is in the table");
+                assert_eq!(
+                    current.attempt(),
+                    Some(attempt.as_str()),
+                    "not the own change"
+                );
+            }
+            Outcome::Conflict { version } => {
+                let winner = self.truth(base + 1).expect("a conflict has a winner");
+                assert_ne!(
+                    winner.attempt(),
+                    Some(attempt.as_str()),
+                    "own change was the winner"
+                );
+                assert!(*version > base);
+                self.refused.push(attempt);
+            }
+            Outcome::Mismatch(_) | Outcome::Down => self.refused.push(attempt),
+            Outcome::Unreadable(message) => panic!("{message}"),
+            // The operator runs the same attempt again.
+            Outcome::Unknown => return self.restart(index),
+        }
+        self.operators[index].as_mut().unwrap().known = Some(outcome);
+    }
+
+    fn call(&mut self, call: &Call, fault: Fault) -> Answer {
+        match (fault, call) {
+            (Fault::Down, _) => Answer::Down,
+            (Fault::RequestLost, _) => Answer::Unknown,
+            (Fault::Late, Call::Write { .. }) => {
+                self.delayed.push(call.clone());
+                Answer::Unknown
+            }
+            (Fault::AnswerLost | Fault::Late, _) => {
+                self.run(call);
+                Answer::Unknown
+            }
+            (Fault::Stale(writes), Call::Read { key }) if key == CURRENT => {
+                let index = self.history.len().checked_sub(writes + 1);
+                Answer::Row(index.map(|index| stored(self.history[index].0.clone())))
+            }
+            (Fault::None | Fault::Stale(_), _) => self.run(call),
+        }
+    }
+
+    fn run(&mut self, call: &Call) -> Answer {
+        match call {
+            Call::Read { key } => Answer::Row(self.table.read_now(key).unwrap().map(stored)),
+            Call::Write { key, expect, value } => {
+                let expect = expect.map_or(Expect::Absent, Expect::Version);
+                let result = self.table.write_now(key, expect, value);
+                if key == CURRENT && result.is_ok() {
+                    let row = self.table.read_now(CURRENT).unwrap().unwrap();
+                    let current = Current::from_text(&row.value).unwrap();
+                    self.history.push((row, current));
+                }
+                match result {
+                    Ok(_) => Answer::Written,
+                    Err(StoreError::Conflict(row)) => Answer::Conflict(row.map(stored)),
+                    Err(_) => unreachable!("faults are injected by the test"),
+                }
+            }
+        }
+    }
+
+    fn poll(&mut self, index: usize, fault: Fault) {
+        let call = Call::Read {
+            key: CURRENT.to_owned(),
+        };
+        if let Answer::Row(Some(row)) = self.call(&call, fault) {
+            self.followers[index].last_read = Some(row.value.clone());
+            self.offer(index, &row.value);
+        }
+    }
+
+    fn offer(&mut self, index: usize, value: &str) {
+        let follower = &mut self.followers[index];
+        let before = follower.tracker.version();
+        match follower.tracker.offer(0, value) {
+            Taken::Newer(config) => {
+                assert!(
+                    config.version > follower.config.version,
+                    "a follower went back"
+                );
+                follower.config = config;
+            }
+            Taken::Faulty(message) => panic!("{message}"),
+            Taken::Same | Taken::Older => assert_eq!(follower.tracker.version(), before),
+        }
+    }
+
+    fn gossip(&mut self, from: usize) {
+        if let Some(value) = self.followers[from].last_read.clone() {
+            for index in 0..FOLLOWERS {
+                self.offer(index, &value);
+            }
+        }
+    }
+
+    fn complete(&mut self, fault: Fault) {
+        let Some((_, current)) = self.history.last() else {
+            return;
+        };
+        let mut complete = Complete::new(current);
+        while let Some(call) = complete.call() {
+            let answer = self.call(&call, fault);
+            complete.answer(&answer);
+        }
+    }
+
+    /// Checks what holds at every moment.
+    fn check(&self) {
+        let mut attempts = Vec::new();
+        for version in 1..=self.history.len() as u64 {
+            let current = self.truth(version).unwrap();
+            assert_eq!(current.config.version, version, "versions go up by one");
+            let record = current.record.expect("a release has a record");
+            assert!(
+                !attempts.contains(&record.attempt),
+                "a change was applied twice"
+            );
+            assert!(
+                !self.refused.contains(&record.attempt),
+                "a refused change is in force"
+            );
+            attempts.push(record.attempt.clone());
+            let is_last = version == self.history.len() as u64;
+            match self.table.read_now(&record_key(version)).unwrap() {
+                Some(row) => assert_eq!(Record::from_text(&row.value).unwrap(), record),
+                None => assert!(is_last, "the record of version {version} is lost"),
+            }
+        }
+        for follower in &self.followers {
+            let version = follower.tracker.version();
+            assert_eq!(follower.config.version, version);
+            if let Some(current) = self.truth(version) {
+                assert_eq!(follower.config, current.config, "not what was accepted");
+                assert_eq!(follower.tracker.digest(), current.config.digest());
+            }
+        }
+    }
+
+    /// Ends every open change and every delayed write without faults.
+    fn settle(&mut self) {
+        while !self.delayed.is_empty() {
+            self.land();
+        }
+        for index in 0..OPERATORS {
+            for _ in 0..100 {
+                self.advance(index, Fault::None);
+            }
+            let open = self.operators[index].as_ref();
+            assert!(
+                open.is_none_or(|operator| operator.known.is_some()),
+                "a change never ends"
+            );
+        }
+        self.complete(Fault::None);
+        for index in 0..FOLLOWERS {
+            self.poll(index, Fault::None);
+            let version = self.followers[index].tracker.version();
+            assert_eq!(
+                version,
+                self.history.len() as u64,
+                "not in force everywhere"
+            );
+        }
+        for version in 1..=self.history.len() as u64 {
+            assert!(self.table.read_now(&record_key(version)).unwrap().is_some());
+        }
+    }
+
+    fn land(&mut self) {
+        if !self.delayed.is_empty() {
+            let call = self.delayed.remove(0);
+            self.run(&call);
+        }
+    }
+}
+
+fn stored(row: Row) -> Stored {
+    Stored {
+        version: row.version,
+        value: row.value,
+    }
+}
+
+struct Releases;
+
+impl StateMachineTest for Releases {
+    type SystemUnderTest = Fleet;
+    type Reference = Reference;
+
+    fn init_test((): &()) -> Fleet {
+        Fleet {
+            operators: (0..OPERATORS).map(|_| None).collect(),
+            followers: (0..FOLLOWERS).map(|_| Follower::default()).collect(),
+            ..Fleet::default()
+        }
+    }
+
+    fn apply(mut fleet: Fleet, (): &(), transition: Transition) -> Fleet {
+        match transition {
+            Transition::Begin { operator, behind } => fleet.begin(operator, behind),
+            Transition::Advance { operator, fault } => fleet.advance(operator, fault),
+            Transition::Restart { operator } => fleet.restart(operator),
+            Transition::Land => fleet.land(),
+            Transition::Poll { follower, fault } => fleet.poll(follower, fault),
+            Transition::Gossip { follower } => fleet.gossip(follower),
+            Transition::Complete { fault } => fleet.complete(fault),
+        }
+        fleet
+    }
+
+    fn check_invariants(fleet: &Fleet, (): &()) {
+        fleet.check();
+    }
+
+    fn teardown(mut fleet: Fleet, (): ()) {
+        fleet.settle();
+        fleet.check();
+    }
+}
+
+prop_state_machine! {
+    /// Guards against a version that goes back, two winners of one race, a change that is lost or
+    /// applied twice, a wrong answer to an operator, and a lost audit record.
+    #[test]
+    fn holds_config_with_racing_operators_and_faults(sequential 1..120 => Releases);
+}
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -33,6 +33,8 @@
 mod content;
 mod current;
 mod diff;
+#[cfg(test)]
+mod holds_config_tests;
 mod keys;
 mod list;
 mod note;
@@ -41,6 +43,8 @@
 mod record_write;
 mod stored;
 mod taken;
+#[cfg(test)]
+mod tests;
 mod tracker;
 mod withdrawn;
 
@@ -64,5 +68,3 @@
     tracker::Tracker,
     withdrawn::Withdrawn,
 };
-#[cfg(test)]
-mod tests;
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -1,1 +1,495 @@
+use serde_json::{Value, json};
 
+use crate::{Config, Host, Problem, hash_api_key};
+
+fn host() -> Value {
+    json!({
+        "name": "entry-1", "region": "costa", "zone": "costa-norte",
+        "listen": "127.0.0.1:8080", "admin_listen": "127.0.0.1:8081",
+        "peer_listen": "127.0.0.1:8082", "store": "127.0.0.1:9000",
+        "peer_keys": [{"id": 1, "secret_hex": "00112233445566778899aabbccddeeff"}],
+    })
+}
+
+fn config() -> Value {
+    json!({
+        "version": 1,
+        "classes": [
+            {"name": "urgent", "tier": 0, "first_token_ms": 790, "token_gap_ms": 33,
+                "max_wait_ms": 5_000, "reserved_percent": 10},
+            {"name": "bulk", "tier": 2, "first_token_ms": 9_000, "token_gap_ms": 90,
+                "max_wait_ms": 5_000},
+        ],
+        "accounts": [
+            {"name": "a", "key_sha256": [hash_api_key("a")], "default_class": "urgent",
+                "classes": ["urgent"], "requests_per_s": 9, "requests_in_flight": 9,
+                "tokens_in_flight": 9},
+            {"name": "b", "key_sha256": [hash_api_key("b")], "default_class": "bulk",
+                "classes": ["bulk", "urgent"], "requests_per_s": 9, "requests_in_flight": 9,
+                "tokens_in_flight": 9},
+        ],
+        "upstreams": [
+            {"name": "engine-1", "kind": "model", "address": "127.0.0.1:9100", "region": "costa",
+                "zone": "costa-norte", "models": ["m", "n"], "slots": 8},
+            {"name": "parts-1", "kind": "service", "address": "127.0.0.1:9200",
+                "region": "costa", "zone": "costa-norte", "service": "parts", "slots": 8},
+        ],
+        "services": [{"name": "parts", "answer_max_ms": 5_000,
+            "non_idempotent": [{"method": "POST", "path_prefix": "/orders"}]}],
+    })
+}
+
+/// Name, place of the edit, new value, path of the fault, part of its message.
+type Case = (
+    &'static str,
+    &'static str,
+    Value,
+    &'static str,
+    &'static str,
+);
+
+fn run(base: &Value, check: fn(&str) -> Vec<Problem>, cases: &[Case]) {
+    assert_eq!(check(&base.to_string()), [], "unedited");
+    for (name, pointer, value, path, message) in cases {
+        let mut edited = base.clone();
+        let (parent, key) = pointer.rsplit_once('/').unwrap();
+        match edited.pointer_mut(parent).unwrap() {
+            Value::Object(object) if value.is_null() => drop(object.remove(key)),
+            parent => match key.parse::<usize>() {
+                Ok(index) => parent[index] = value.clone(),
+                Err(_) => parent[key] = value.clone(),
+            },
+        }
+        // One part a line, so that the line of the fault can be found by its text.
+        let text = serde_json::to_string_pretty(&edited).unwrap();
+        let problems = check(&text);
+        let found = problems
+            .iter()
+            .find(|problem| problem.path == *path && problem.message.contains(message));
+        let found = found.unwrap_or_else(|| panic!("{name}: {problems:?}"));
+        assert!(found.line >= 1, "{name}");
+        if let Some(key) = path.rsplit('.').next().filter(|_| !value.is_null())
+            && !key.ends_with(']')
+        {
+            let line = text.lines().nth(found.line - 1).unwrap();
+            assert!(line.contains(key), "{name}: line {} is {line}", found.line);
+        }
+    }
+}
+
+/// Guards against host settings that start a daemon with an impossible value.
+#[test]
+fn host_faults() {
+    let cases: Vec<Case> = vec![
+        (
+            "unknown key",
+            "/lisen",
+            json!(1),
+            "lisen",
+            "did you mean \"listen\"",
+        ),
+        ("far key", "/quota", json!(1), "quota", "unknown key"),
+        ("missing", "/zone", Value::Null, "zone", "missing"),
+        (
+            "type",
+            "/workers",
+            json!(true),
+            "workers",
+            "from 1 to 256, found true",
+        ),
+        (
+            "unit",
+            "/drain_max_ms",
+            json!("2s"),
+            "drain_max_ms",
+            "whole number of milliseconds",
+        ),
+        (
+            "fraction",
+            "/receive_max_ms",
+            json!(0.5),
+            "receive_max_ms",
+            "milliseconds",
+        ),
+        (
+            "range",
+            "/store_poll_ms",
+            json!(5_001),
+            "store_poll_ms",
+            "from 1 to 5000",
+        ),
+        (
+            "bytes",
+            "/body_max_bytes",
+            json!(1),
+            "body_max_bytes",
+            "of bytes from 1024",
+        ),
+        (
+            "negative",
+            "/cross_region_bytes_per_s",
+            json!(-1),
+            "cross_region_bytes_per_s",
+            "bytes a second",
+        ),
+        (
+            "address",
+            "/store",
+            json!("localhost:9"),
+            "store",
+            "IP address and port",
+        ),
+        (
+            "no port",
+            "/listen",
+            json!("127.0.0.1"),
+            "listen",
+            "IP address and port",
+        ),
+        (
+            "name",
+            "/name",
+            json!("Entry 1"),
+            "name",
+            "lower-case letters",
+        ),
+        (
+            "long name",
+            "/name",
+            json!("e".repeat(64)),
+            "name",
+            "found 64 characters",
+        ),
+        (
+            "equal",
+            "/peer_listen",
+            json!("127.0.0.1:8081"),
+            "peer_listen",
+            "address of admin_listen",
+        ),
+        (
+            "store",
+            "/store",
+            json!("127.0.0.1:8080"),
+            "store",
+            "address of listen",
+        ),
+        ("no key", "/peer_keys", json!([]), "peer_keys", "at least 1"),
+        (
+            "short key",
+            "/peer_keys/0/secret_hex",
+            json!("00ff"),
+            "peer_keys[0].secret_hex",
+            "32 to 128",
+        ),
+        (
+            "half byte",
+            "/peer_keys/0/secret_hex",
+            json!("0".repeat(33)),
+            "peer_keys[0].secret_hex",
+            "hexadecimal",
+        ),
+        (
+            "no hex",
+            "/peer_keys/0/secret_hex",
+            json!("x".repeat(32)),
+            "peer_keys[0].secret_hex",
+            "hexadecimal",
+        ),
+        (
+            "id",
+            "/peer_keys/0/id",
+            json!(256),
+            "peer_keys[0].id",
+            "from 0 to 255",
+        ),
+        (
+            "repeated id",
+            "/peer_keys",
+            json!([{"id": 1, "secret_hex": "0".repeat(32)}, {"id": 1, "secret_hex": "1".repeat(32)}]),
+            "peer_keys[1].id",
+            "already the id of peer_keys[0]",
+        ),
+    ];
+    run(
+        &host(),
+        |text| Host::parse(text).err().unwrap_or_default(),
+        &cases,
+    );
+}
+
+/// Guards against a configuration in force that the daemons can't serve.
+#[test]
+fn config_faults() {
+    let cases: Vec<Case> = vec![
+        (
+            "tier",
+            "/classes/0/tier",
+            json!(3),
+            "classes[0].tier",
+            "from 0 to 2",
+        ),
+        (
+            "target",
+            "/classes/0/first_token_ms",
+            json!(0),
+            "classes[0].first_token_ms",
+            "from 1",
+        ),
+        (
+            "misspelt",
+            "/classes/0/teir",
+            json!(1),
+            "classes[0].teir",
+            "\"tier\"",
+        ),
+        (
+            "reserved",
+            "/classes/1/reserved_percent",
+            json!(85),
+            "classes",
+            "is 95, at most 90",
+        ),
+        (
+            "repeated class",
+            "/classes/1/name",
+            json!("urgent"),
+            "classes[1].name",
+            "already the name",
+        ),
+        (
+            "digest",
+            "/accounts/0/key_sha256/0",
+            json!("ab"),
+            "accounts[0].key_sha256[0]",
+            "64",
+        ),
+        (
+            "no digest",
+            "/accounts/0/key_sha256",
+            json!([]),
+            "accounts[0].key_sha256",
+            "at least 1",
+        ),
+        (
+            "shared key",
+            "/accounts/1/key_sha256/0",
+            json!(hash_api_key("a").to_uppercase()),
+            "accounts[1].key_sha256[0]",
+            "key of account \"a\"",
+        ),
+        (
+            "unknown class",
+            "/accounts/1/classes/0",
+            json!("fast"),
+            "accounts[1].classes[0]",
+            "does not exist",
+        ),
+        (
+            "class twice",
+            "/accounts/1/classes/0",
+            json!("urgent"),
+            "accounts[1].classes[1]",
+            "listed twice",
+        ),
+        (
+            "closed default",
+            "/accounts/0/default_class",
+            json!("bulk"),
+            "accounts[0].default_class",
+            "not in",
+        ),
+        (
+            "weight",
+            "/accounts/0/weight",
+            json!(0),
+            "accounts[0].weight",
+            "from 1 to 1000",
+        ),
+        (
+            "rate",
+            "/accounts/0/requests_per_s",
+            json!("9/s"),
+            "accounts[0].requests_per_s",
+            "a second",
+        ),
+        (
+            "kind",
+            "/upstreams/0/kind",
+            json!("engine"),
+            "upstreams[0].kind",
+            "model, service",
+        ),
+        (
+            "unsorted",
+            "/upstreams/0/models",
+            json!(["n", "m"]),
+            "upstreams[0].models",
+            "sorted",
+        ),
+        (
+            "no models",
+            "/upstreams/0/models",
+            json!([]),
+            "upstreams[0].models",
+            "at least one model",
+        ),
+        (
+            "alias",
+            "/upstreams/0/models/0",
+            json!("m@urgent"),
+            "upstreams[0].models[0]",
+            "'@'",
+        ),
+        (
+            "both",
+            "/upstreams/0/service",
+            json!("parts"),
+            "upstreams[0].service",
+            "names no service",
+        ),
+        (
+            "unknown service",
+            "/upstreams/1/service",
+            json!("bills"),
+            "upstreams[1].service",
+            "does not exist",
+        ),
+        (
+            "no upstream",
+            "/upstreams/1/service",
+            json!("bills"),
+            "services[0]",
+            "no upstream provides",
+        ),
+        (
+            "no service",
+            "/upstreams/1/service",
+            Value::Null,
+            "upstreams[1].service",
+            "names its service",
+        ),
+        (
+            "models",
+            "/upstreams/1/models",
+            json!(["m"]),
+            "upstreams[1].models",
+            "serves no models",
+        ),
+        (
+            "equal",
+            "/upstreams/1/address",
+            json!("127.0.0.1:9100"),
+            "upstreams[1].address",
+            "address of",
+        ),
+        (
+            "slots",
+            "/upstreams/0/slots",
+            json!(0),
+            "upstreams[0].slots",
+            "from 1 to 65536",
+        ),
+        (
+            "honours",
+            "/upstreams/0/honours",
+            json!({"priorty": true}),
+            "upstreams[0].honours.priorty",
+            "\"priority\"",
+        ),
+        (
+            "state",
+            "/upstreams/0/state",
+            json!("gone"),
+            "upstreams[0].state",
+            "live, leaving",
+        ),
+        (
+            "method",
+            "/services/0/non_idempotent/0/method",
+            json!("post"),
+            "services[0].non_idempotent[0].method",
+            "POST",
+        ),
+        (
+            "path",
+            "/services/0/non_idempotent/0/path_prefix",
+            json!("x"),
+            "services[0].non_idempotent[0].path_prefix",
+            "'/'",
+        ),
+    ];
+    run(
+        &config(),
+        |text| Config::parse(text).err().unwrap_or_default(),
+        &cases,
+    );
+}
+
+/// Guards against a check that stops at the first fault, and against wrong lines.
+#[test]
+fn every_fault_is_listed_with_its_line() {
+    let text = "{\n// comment\n\"name\": \"A\",\n\"region\": 7,\n\n\"lisen\": \"127.0.0.1:1\",\n\
+        \"admin_listen\": \"127.0.0.1:2\", \"peer_listen\":\n\"127.0.0.1:2\",\n\
+        \"peer_keys\": [{\"id\": 1,\n\"secret_hex\": \"00\"}],\n}";
+    let problems = Host::parse(text).unwrap_err();
+    let found: Vec<(usize, &str)> = problems
+        .iter()
+        .map(|problem| (problem.line, problem.path.as_str()))
+        .collect();
+    let expected = [
+        (1, "listen"),
+        (1, "store"),
+        (1, "zone"),
+        (3, "name"),
+        (4, "region"),
+        (6, "lisen"),
+        (7, "peer_listen"),
+        (10, "peer_keys[0].secret_hex"),
+    ];
+    assert_eq!(found, expected);
+    assert!(
+        problems[3]
+            .in_file("h.jsonc")
+            .starts_with("h.jsonc:3: name: expected 1 to 63")
+    );
+}
+
+/// Guards against lax syntax, in which a slip changes the meaning without an error.
+#[test]
+fn syntax_faults() {
+    let cases = [
+        ("empty", "", 1, "empty"),
+        ("no comma", "{\"name\": \"a\"\n\"zone\": \"b\"}", 1, "comma"),
+        ("single quotes", "{\n'name': 1}", 2, "quote"),
+        ("hexadecimal", "{\n\n\"workers\": 0x10}", 3, "exadecimal"),
+        ("open", "{\"name\": [1,\n", 1, "Unterminated"),
+        (
+            "key twice",
+            "{\"name\": \"a\",\n\"name\": \"b\"}",
+            2,
+            "already given on line 1",
+        ),
+        ("no object", "[]", 1, "expected an object"),
+    ];
+    for (name, text, line, message) in cases {
+        let problems = Host::parse(text).unwrap_err();
+        let found = problems
+            .iter()
+            .any(|problem| problem.line == line && problem.message.contains(message));
+        assert!(found, "{name}: {problems:?}");
+    }
+}
+
+/// Guards against a digest that depends on the order in which parts are listed.
+#[test]
+fn digest_follows_the_content() {
+    let config: Config = serde_json::from_value(config()).unwrap();
+    assert_eq!(config.check(), []);
+    let mut sorted = config.clone();
+    sorted.sort();
+    assert_ne!(config, sorted);
+    assert_eq!(config.digest(), sorted.digest());
+    sorted.accounts[0].weight = 2;
+    assert_ne!(config.digest(), sorted.digest());
+}
