--- a/crates/release/src/apply.rs
+++ b/crates/release/src/apply.rs
@@ -267,3 +267,7 @@
 const fn applied(version: u64, recorded: bool) -> State {
     State::Done(Outcome::Applied { version, recorded })
 }
+
+#[cfg(test)]
+#[path = "apply_tests.rs"]
+mod tests;
--- a/crates/release/src/check.rs
+++ b/crates/release/src/check.rs
@@ -233,3 +233,7 @@
 {
     T::deserialize(value).map_err(|error| Problem::new(0, "", &error.to_string()))
 }
+
+#[cfg(test)]
+#[path = "check_tests.rs"]
+mod tests;
--- a/crates/release/src/diff.rs
+++ b/crates/release/src/diff.rs
@@ -74,3 +74,7 @@
 {
     serde_json::to_value(item).unwrap_or_default()
 }
+
+#[cfg(test)]
+#[path = "diff_tests.rs"]
+mod tests;
--- a/crates/release/src/tracker.rs
+++ b/crates/release/src/tracker.rs
@@ -60,3 +60,7 @@
         Taken::Same
     }
 }
+
+#[cfg(test)]
+#[path = "tracker_tests.rs"]
+mod tests;
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -39,18 +39,71 @@
     })
 }
 
-/// Name, place of the edit, new value, path of the fault, part of its message.
-type Case = (
-    &'static str,
-    &'static str,
-    Value,
-    &'static str,
-    &'static str,
-);
+/// Name, place of the edit, new value (null: none), path of the fault, part of its message.
+const HOST_FAULTS: &str = r#"
+unknown key | /lisen | 1 | lisen | did you mean "listen"
+far key | /quota | 1 | quota | unknown key
+missing | /zone | null | zone | missing
+type | /workers | true | workers | from 1 to 256, found true
+unit | /drain_max_ms | "2s" | drain_max_ms | whole number of milliseconds
+fraction | /receive_max_ms | 0.5 | receive_max_ms | milliseconds
+range | /store_poll_ms | 5001 | store_poll_ms | from 1 to 5000
+bytes | /body_max_bytes | 1 | body_max_bytes | of bytes from 1024
+negative | /cross_region_bytes_per_s | -1 | cross_region_bytes_per_s | bytes a second
+address | /store | "localhost:9" | store | IP address and port
+no port | /listen | "127.0.0.1" | listen | IP address and port
+name | /name | "Entry 1" | name | lower-case letters
+long name | /name | "eeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeeee" | name | found 64 characters
+equal | /peer_listen | "127.0.0.1:8081" | peer_listen | address of admin_listen
+store | /store | "127.0.0.1:8080" | store | address of listen
+no key | /peer_keys | [] | peer_keys | at least 1
+short key | /peer_keys/0/secret_hex | "00ff" | peer_keys[0].secret_hex | 32 to 128
+half byte | /peer_keys/0/secret_hex | "000000000000000000000000000000000" | peer_keys[0].secret_hex | hexadecimal
+no hex | /peer_keys/0/secret_hex | "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" | peer_keys[0].secret_hex | hexadecimal
+id | /peer_keys/0/id | 256 | peer_keys[0].id | from 0 to 255
+repeated id | /peer_keys | [{"id": 1, "secret_hex": "00000000000000000000000000000000"}, {"id": 1, "secret_hex": "11111111111111111111111111111111"}] | peer_keys[1].id | already the id of peer_keys[0]
+"#;
 
-fn run(base: &Value, check: fn(&str) -> Vec<Problem>, cases: &[Case]) {
+/// As [`HOST_FAULTS`].
+const CONFIG_FAULTS: &str = r#"
+tier | /classes/0/tier | 3 | classes[0].tier | from 0 to 2
+target | /classes/0/first_token_ms | 0 | classes[0].first_token_ms | from 1
+misspelt | /classes/0/teir | 1 | classes[0].teir | "tier"
+reserved | /classes/1/reserved_percent | 85 | classes | is 95, at most 90
+repeated class | /classes/1/name | "urgent" | classes[1].name | already the name
+digest | /accounts/0/key_sha256/0 | "ab" | accounts[0].key_sha256[0] | 64
+no digest | /accounts/0/key_sha256 | [] | accounts[0].key_sha256 | at least 1
+shared key | /accounts/1/key_sha256/0 | "CA978112CA1BBDCAFAC231B39A23DC4DA786EFF8147C4E72B9807785AFEE48BB" | accounts[1].key_sha256[0] | key of account "a"
+unknown class | /accounts/1/classes/0 | "fast" | accounts[1].classes[0] | does not exist
+class twice | /accounts/1/classes/0 | "urgent" | accounts[1].classes[1] | listed twice
+closed default | /accounts/0/default_class | "bulk" | accounts[0].default_class | not in
+weight | /accounts/0/weight | 0 | accounts[0].weight | from 1 to 1000
+rate | /accounts/0/requests_per_s | "9/s" | accounts[0].requests_per_s | a second
+kind | /upstreams/0/kind | "engine" | upstreams[0].kind | model, service
+unsorted | /upstreams/0/models | ["n", "m"] | upstreams[0].models | sorted
+no models | /upstreams/0/models | [] | upstreams[0].models | at least one model
+alias | /upstreams/0/models/0 | "m@urgent" | upstreams[0].models[0] | '@'
+both | /upstreams/0/service | "parts" | upstreams[0].service | names no service
+unknown service | /upstreams/1/service | "bills" | upstreams[1].service | does not exist
+no upstream | /upstreams/1/service | "bills" | services[0] | no upstream provides
+no service | /upstreams/1/service | null | upstreams[1].service | names its service
+models | /upstreams/1/models | ["m"] | upstreams[1].models | serves no models
+equal | /upstreams/1/address | "127.0.0.1:9100" | upstreams[1].address | address of
+slots | /upstreams/0/slots | 0 | upstreams[0].slots | from 1 to 65536
+honours | /upstreams/0/honours | {"priorty": true} | upstreams[0].honours.priorty | "priority"
+state | /upstreams/0/state | "gone" | upstreams[0].state | live, leaving
+method | /services/0/non_idempotent/0/method | "post" | services[0].non_idempotent[0].method | POST
+path | /services/0/non_idempotent/0/path_prefix | "x" | services[0].non_idempotent[0].path_prefix | '/'
+"#;
+
+fn run(base: &Value, check: fn(&str) -> Vec<Problem>, cases: &str) {
     assert_eq!(check(&base.to_string()), [], "unedited");
-    for (name, pointer, value, path, message) in cases {
+    for line in cases.trim().lines() {
+        let cells: Vec<&str> = line.split(" | ").collect();
+        let [name, pointer, value, path, message] = cells[..] else {
+            panic!("{line}");
+        };
+        let value: Value = serde_json::from_str(value).unwrap();
         let mut edited = base.clone();
         let (parent, key) = pointer.rsplit_once('/').unwrap();
         match edited.pointer_mut(parent).unwrap() {
@@ -65,7 +118,7 @@
         let problems = check(&text);
         let found = problems
             .iter()
-            .find(|problem| problem.path == *path && problem.message.contains(message));
+            .find(|problem| problem.path == path && problem.message.contains(message));
         let found = found.unwrap_or_else(|| panic!("{name}: {problems:?}"));
         assert!(found.line >= 1, "{name}");
         if let Some(key) = path.rsplit('.').next().filter(|_| !value.is_null())
@@ -80,350 +133,15 @@
 /// Guards against host settings that start a daemon with an impossible value.
 #[test]
 fn host_faults() {
-    let cases: Vec<Case> = vec![
-        (
-            "unknown key",
-            "/lisen",
-            json!(1),
-            "lisen",
-            "did you mean \"listen\"",
-        ),
-        ("far key", "/quota", json!(1), "quota", "unknown key"),
-        ("missing", "/zone", Value::Null, "zone", "missing"),
-        (
-            "type",
-            "/workers",
-            json!(true),
-            "workers",
-            "from 1 to 256, found true",
-        ),
-        (
-            "unit",
-            "/drain_max_ms",
-            json!("2s"),
-            "drain_max_ms",
-            "whole number of milliseconds",
-        ),
-        (
-            "fraction",
-            "/receive_max_ms",
-            json!(0.5),
-            "receive_max_ms",
-            "milliseconds",
-        ),
-        (
-            "range",
-            "/store_poll_ms",
-            json!(5_001),
-            "store_poll_ms",
-            "from 1 to 5000",
-        ),
-        (
-            "bytes",
-            "/body_max_bytes",
-            json!(1),
-            "body_max_bytes",
-            "of bytes from 1024",
-        ),
-        (
-            "negative",
-            "/cross_region_bytes_per_s",
-            json!(-1),
-            "cross_region_bytes_per_s",
-            "bytes a second",
-        ),
-        (
-            "address",
-            "/store",
-            json!("localhost:9"),
-            "store",
-            "IP address and port",
-        ),
-        (
-            "no port",
-            "/listen",
-            json!("127.0.0.1"),
-            "listen",
-            "IP address and port",
-        ),
-        (
-            "name",
-            "/name",
-            json!("Entry 1"),
-            "name",
-            "lower-case letters",
-        ),
-        (
-            "long name",
-            "/name",
-            json!("e".repeat(64)),
-            "name",
-            "found 64 characters",
-        ),
-        (
-            "equal",
-            "/peer_listen",
-            json!("127.0.0.1:8081"),
-            "peer_listen",
-            "address of admin_listen",
-        ),
-        (
-            "store",
-            "/store",
-            json!("127.0.0.1:8080"),
-            "store",
-            "address of listen",
-        ),
-        ("no key", "/peer_keys", json!([]), "peer_keys", "at least 1"),
-        (
-            "short key",
-            "/peer_keys/0/secret_hex",
-            json!("00ff"),
-            "peer_keys[0].secret_hex",
-            "32 to 128",
-        ),
-        (
-            "half byte",
-            "/peer_keys/0/secret_hex",
-            json!("0".repeat(33)),
-            "peer_keys[0].secret_hex",
-            "hexadecimal",
-        ),
-        (
-            "no hex",
-            "/peer_keys/0/secret_hex",
-            json!("x".repeat(32)),
-            "peer_keys[0].secret_hex",
-            "hexadecimal",
-        ),
-        (
-            "id",
-            "/peer_keys/0/id",
-            json!(256),
-            "peer_keys[0].id",
-            "from 0 to 255",
-        ),
-        (
-            "repeated id",
-            "/peer_keys",
-            json!([{"id": 1, "secret_hex": "0".repeat(32)}, {"id": 1, "secret_hex": "1".repeat(32)}]),
-            "peer_keys[1].id",
-            "already the id of peer_keys[0]",
-        ),
-    ];
-    run(
-        &host(),
-        |text| Host::parse(text).err().unwrap_or_default(),
-        &cases,
-    );
+    let check = |text: &str| Host::parse(text).err().unwrap_or_default();
+    run(&host(), check, HOST_FAULTS);
 }
 
 /// Guards against a configuration in force that the daemons can't serve.
 #[test]
 fn config_faults() {
-    let cases: Vec<Case> = vec![
-        (
-            "tier",
-            "/classes/0/tier",
-            json!(3),
-            "classes[0].tier",
-            "from 0 to 2",
-        ),
-        (
-            "target",
-            "/classes/0/first_token_ms",
-            json!(0),
-            "classes[0].first_token_ms",
-            "from 1",
-        ),
-        (
-            "misspelt",
-            "/classes/0/teir",
-            json!(1),
-            "classes[0].teir",
-            "\"tier\"",
-        ),
-        (
-            "reserved",
-            "/classes/1/reserved_percent",
-            json!(85),
-            "classes",
-            "is 95, at most 90",
-        ),
-        (
-            "repeated class",
-            "/classes/1/name",
-            json!("urgent"),
-            "classes[1].name",
-            "already the name",
-        ),
-        (
-            "digest",
-            "/accounts/0/key_sha256/0",
-            json!("ab"),
-            "accounts[0].key_sha256[0]",
-            "64",
-        ),
-        (
-            "no digest",
-            "/accounts/0/key_sha256",
-            json!([]),
-            "accounts[0].key_sha256",
-            "at least 1",
-        ),
-        (
-            "shared key",
-            "/accounts/1/key_sha256/0",
-            json!(hash_api_key("a").to_uppercase()),
-            "accounts[1].key_sha256[0]",
-            "key of account \"a\"",
-        ),
-        (
-            "unknown class",
-            "/accounts/1/classes/0",
-            json!("fast"),
-            "accounts[1].classes[0]",
-            "does not exist",
-        ),
-        (
-            "class twice",
-            "/accounts/1/classes/0",
-            json!("urgent"),
-            "accounts[1].classes[1]",
-            "listed twice",
-        ),
-        (
-            "closed default",
-            "/accounts/0/default_class",
-            json!("bulk"),
-            "accounts[0].default_class",
-            "not in",
-        ),
-        (
-            "weight",
-            "/accounts/0/weight",
-            json!(0),
-            "accounts[0].weight",
-            "from 1 to 1000",
-        ),
-        (
-            "rate",
-            "/accounts/0/requests_per_s",
-            json!("9/s"),
-            "accounts[0].requests_per_s",
-            "a second",
-        ),
-        (
-            "kind",
-            "/upstreams/0/kind",
-            json!("engine"),
-            "upstreams[0].kind",
-            "model, service",
-        ),
-        (
-            "unsorted",
-            "/upstreams/0/models",
-            json!(["n", "m"]),
-            "upstreams[0].models",
-            "sorted",
-        ),
-        (
-            "no models",
-            "/upstreams/0/models",
-            json!([]),
-            "upstreams[0].models",
-            "at least one model",
-        ),
-        (
-            "alias",
-            "/upstreams/0/models/0",
-            json!("m@urgent"),
-            "upstreams[0].models[0]",
-            "'@'",
-        ),
-        (
-            "both",
-            "/upstreams/0/service",
-            json!("parts"),
-            "upstreams[0].service",
-            "names no service",
-        ),
-        (
-            "unknown service",
-            "/upstreams/1/service",
-            json!("bills"),
-            "upstreams[1].service",
-            "does not exist",
-        ),
-        (
-            "no upstream",
-            "/upstreams/1/service",
-            json!("bills"),
-            "services[0]",
-            "no upstream provides",
-        ),
-        (
-            "no service",
-            "/upstreams/1/service",
-            Value::Null,
-            "upstreams[1].service",
-            "names its service",
-        ),
-        (
-            "models",
-            "/upstreams/1/models",
-            json!(["m"]),
-            "upstreams[1].models",
-            "serves no models",
-        ),
-        (
-            "equal",
-            "/upstreams/1/address",
-            json!("127.0.0.1:9100"),
-            "upstreams[1].address",
-            "address of",
-        ),
-        (
-            "slots",
-            "/upstreams/0/slots",
-            json!(0),
-            "upstreams[0].slots",
-            "from 1 to 65536",
-        ),
-        (
-            "honours",
-            "/upstreams/0/honours",
-            json!({"priorty": true}),
-            "upstreams[0].honours.priorty",
-            "\"priority\"",
-        ),
-        (
-            "state",
-            "/upstreams/0/state",
-            json!("gone"),
-            "upstreams[0].state",
-            "live, leaving",
-        ),
-        (
-            "method",
-            "/services/0/non_idempotent/0/method",
-            json!("post"),
-            "services[0].non_idempotent[0].method",
-            "POST",
-        ),
-        (
-            "path",
-            "/services/0/non_idempotent/0/path_prefix",
-            json!("x"),
-            "services[0].non_idempotent[0].path_prefix",
-            "'/'",
-        ),
-    ];
-    run(
-        &config(),
-        |text| Config::parse(text).err().unwrap_or_default(),
-        &cases,
-    );
+    let check = |text: &str| Config::parse(text).err().unwrap_or_default();
+    run(&config(), check, CONFIG_FAULTS);
 }
 
 /// Guards against a check that stops at the first fault, and against wrong lines.
