--- a/crates/cli/src/release_status.rs
+++ b/crates/cli/src/release_status.rs
@@ -8,30 +8,46 @@
 };
 
 /// Compares each host with the release in force.
+///
+/// While the store is down, the hosts are listed all the same and not compared.
 pub(crate) async fn status(args: &StatusArgs) -> Result<(), Failure> {
     let addresses = admin_addresses(args)?;
     let table = drive::open(&args.store).await?;
-    let current = drive::read_current(&table).await?.unwrap_or_default();
-    let (version, digest) = (current.config.version, current.config.digest());
+    let (in_force, failure) = match drive::read_current(&table).await {
+        Ok(current) => (Some(current.unwrap_or_default().config), None),
+        Err(failure) => (None, Some(failure)),
+    };
+    let in_force = in_force.map(|config| (config.version, config.digest()));
     let admin = Admin::new().await?;
     let asked = addresses
         .iter()
         .map(async |address| match admin.status(address).await {
-            Ok(status) => compare(address, &status, version, &digest),
+            Ok(status) => compare(address, &status, in_force.as_ref()),
             Err(failure) => json!({
                 "address": address, "equals_note": false, "state": failure.to_string(),
             }),
         });
     let hosts = join_all(asked).await;
+    let (version, digest) = in_force.unzip();
     if args.json {
-        let answer = json!({"version": version, "digest": digest, "hosts": hosts});
-        println!("{answer:#}");
+        println!(
+            "{:#}",
+            json!({"version": version, "digest": digest, "hosts": hosts})
+        );
     } else {
-        println!("in force: version {version}, digest {}", short(&digest));
+        match (version, &digest) {
+            (Some(version), Some(digest)) => {
+                println!("in force: version {version}, digest {}", short(digest));
+            }
+            _ => println!("in force: not known, the store does not answer"),
+        }
         let head = ["address", "host", "version", "digest", "confirmed", "state"];
         let rows: Vec<Vec<String>> = hosts.iter().map(row).collect();
         print_table(&head, &rows);
     }
+    if let Some(failure) = failure {
+        return Err(failure);
+    }
     let differ = hosts.iter().filter(|host| host["equals_note"] != true);
     match differ.count() {
         0 => Ok(()),
@@ -42,8 +58,9 @@
     }
 }
 
-fn compare(address: &str, status: &Value, version: u64, digest: &str) -> Value {
-    let equals = status["version"] == version && status["digest"] == digest;
+fn compare(address: &str, status: &Value, in_force: Option<&(u64, String)>) -> Value {
+    let equals = in_force
+        .map(|(version, digest)| status["version"] == *version && status["digest"] == **digest);
     json!({
         "address": address,
         "host": status["host"],
@@ -51,7 +68,11 @@
         "digest": status["digest"],
         "confirmed_ms_ago": status["confirmed_ms_ago"],
         "equals_note": equals,
-        "state": if equals { "equals the note" } else { "differs" },
+        "state": match equals {
+            Some(true) => "equals the note",
+            Some(false) => "differs",
+            None => "not compared",
+        },
     })
 }
 
