feat(daemon): follow releases by their records

Cause: a poll read the whole configuration; at 2,300 upstreams that is about 1 MiB every 2 s for each daemon, against a bound of 4 KB/s of control traffic. Change: a daemon reads release/N of the next version, applies its note and compares the digest; it looks at release/current on every third poll, and only if it was written since. Ruled out: propagation by peers alone, which leaves a cut-off host without a source. Conclusion: over 19 changes of 12 polls each, a daemon reads the bytes of the new record and nothing else.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -46,8 +46,8 @@
     Apply(NoteArgs),
     #[options(help = "show the configuration in force, or the record of a version")]
     Show(ShowArgs),
-    #[options(help = "list all releases")]
-    History(StoreArgs),
+    #[options(help = "list the last releases")]
+    History(HistoryArgs),
     #[options(help = "print the note that turns what is in force into a configuration file")]
     Diff(DiffArgs),
     #[options(help = "compare each host with the release in force")]
@@ -81,6 +81,19 @@
     pub(crate) json: bool,
 }
 
+/// Releases to list.
+#[derive(Debug, Options)]
+pub(crate) struct HistoryArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(help = "number of releases", meta = "COUNT", default = "20")]
+    pub(crate) last: u64,
+    #[options(help = "print JSON")]
+    pub(crate) json: bool,
+}
+
 /// Release note.
 #[derive(Debug, Options)]
 pub(crate) struct NoteArgs {
--- a/crates/cli/src/release_read.rs
+++ b/crates/cli/src/release_read.rs
@@ -1,10 +1,10 @@
 use code::Code;
-use release::{PREFIX, Record, diff, record_key, version_of_key};
+use release::{Record, diff, record_key};
 use settings::Config;
 use store::Table as _;
 
 use crate::{
-    args::{DiffArgs, ShowArgs, StoreArgs},
+    args::{DiffArgs, HistoryArgs, ShowArgs},
     drive,
     failure::Failure,
     print::{format_time, print_table},
@@ -27,19 +27,23 @@
     print_json(&parse(&row.value)?)
 }
 
-/// Lists all releases.
-pub(crate) async fn history(args: &StoreArgs) -> Result<(), Failure> {
+/// Lists the last releases.
+///
+/// Rows are read one by one: at 1,800 releases a day, a scan of all of them soon is too large.
+pub(crate) async fn history(args: &HistoryArgs) -> Result<(), Failure> {
     let table = drive::open(&args.store).await?;
-    if let Some(current) = drive::read_current(&table).await? {
-        drive::complete(&table, &current).await;
-    }
-    let rows = table.scan(PREFIX, 0).await;
-    let rows = rows.map_err(|error| Failure::store(&error))?;
+    let current = drive::read_current(&table).await?.unwrap_or_default();
+    drive::complete(&table, &current).await;
+    let last = current.config.version;
+    let first = last.saturating_sub(args.last) + 1;
     let mut records = Vec::new();
-    for row in rows.iter().filter(|row| version_of_key(&row.key).is_some()) {
-        records.push(parse(&row.value)?);
+    for version in first..=last {
+        let row = table.read(&record_key(version)).await;
+        match row.map_err(|error| Failure::store(&error))? {
+            Some(row) => records.push(parse(&row.value)?),
+            None => eprintln!("version {version} has no record"),
+        }
     }
-    records.sort_by_key(|record| record.version);
     if args.json {
         return print_json(&records);
     }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -206,3 +206,96 @@
         .await;
     store.stop().await;
 }
+
+/// Guards against two winners of one race between processes, and against a lost record.
+#[ntex::test]
+async fn holds_config_one_of_several_operators_wins() {
+    let store = Store::default()
+        .start("127.0.0.1:0".parse().unwrap())
+        .unwrap();
+    let case = Case::new("race", &store);
+    let first = case.file("1.jsonc", &first_note());
+    case.expect(&["release", "apply", &first], true, "version 1 is accepted")
+        .await;
+    let notes: Vec<String> = (0..6)
+        .map(|index| {
+            case.file(
+                &format!("{index}.jsonc"),
+                &second_note(&format!("op-{index}"), 30 + index),
+            )
+        })
+        .collect();
+    let runs = notes
+        .iter()
+        .map(async |note| case.run(&["release", "apply", note]).await);
+    let ended = futures::future::join_all(runs).await;
+    let winners: Vec<_> = ended.iter().filter(|(success, _)| *success).collect();
+    assert_eq!(winners.len(), 1, "{ended:?}");
+    let refused = ended
+        .iter()
+        .filter(|(_, text)| text.contains("error 7002 note_conflict"));
+    assert_eq!(refused.count(), 5, "{ended:?}");
+    let winner = ended.iter().position(|(success, _)| *success).unwrap();
+    let author = format!("\"author\": \"op-{winner}\"");
+    case.expect(&["release", "show", "2"], true, &author).await;
+    store.stop().await;
+}
+
+/// Guards against a daemon that does not take up what an operator applied, and against a status
+/// that hides it.
+#[ntex::test]
+async fn holds_config_from_the_operator_to_the_daemon() {
+    let control = Store::default();
+    let store = control.start("127.0.0.1:0".parse().unwrap()).unwrap();
+    let case = Case::new("daemon", &store);
+    let host = format!(
+        r#"{{"name": "entry-1", "region": "costa", "zone": "costa-norte",
+        "listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0",
+        "store": "{}", "store_poll_ms": 10,
+        "peer_keys": [{{"id": 1, "secret_hex": "00112233445566778899aabbccddeeff"}}]}}"#,
+        store.address()
+    );
+    let daemon = daemon::Daemon::new(settings::Host::parse(&host).unwrap())
+        .start()
+        .await
+        .unwrap();
+    let admin = daemon.admin_listen().to_string();
+    let status = ["release", "status", "--hosts", &admin];
+    for (name, note, version) in [("1", first_note(), 1), ("2", second_note("ana", 32), 2)] {
+        let file = case.file(name, &note);
+        case.expect(&["release", "apply", &file], true, "is accepted")
+            .await;
+        // Bounded: the daemon polls every 10 ms, each round takes longer than that.
+        let mut last = (false, String::new());
+        for _ in 0..200 {
+            last = case.run(&status).await;
+            if last.0 {
+                break;
+            }
+        }
+        assert!(last.0, "{}", last.1);
+        assert!(
+            last.1.contains(&format!("in force: version {version}")),
+            "{}",
+            last.1
+        );
+        assert!(last.1.contains("equals the note"), "{}", last.1);
+    }
+    control.control(StoreControl {
+        down: true,
+        ..StoreControl::default()
+    });
+    let text = case.expect(&status, false, "error 7004 store_down").await;
+    assert!(
+        text.contains("entry-1  2") && text.contains("not compared"),
+        "{text}"
+    );
+    case.expect(
+        &["release", "status", "--hosts", "127.0.0.1:1"],
+        false,
+        "error 4002",
+    )
+    .await;
+    daemon.stop().await;
+    store.stop().await;
+}
--- a/crates/daemon/src/follow_tests.rs
+++ b/crates/daemon/src/follow_tests.rs
@@ -1,5 +1,7 @@
+use futures::future::{LocalBoxFuture, ready};
+use release::{Current, Note, Record, diff};
 use settings::{Class, Config, Host};
-use store::{Expect, Fault, MemoryTable};
+use store::{Expect, Fault, MemoryTable, Row};
 
 use super::*;
 
@@ -13,7 +15,7 @@
     Shared::new(Host::parse(host).unwrap())
 }
 
-fn value(version: u64, tier: u8) -> String {
+fn config(version: u64, tier: u8) -> Config {
     let class = Class {
         name: "urgent".to_owned(),
         tier,
@@ -22,42 +24,123 @@
         max_wait_ms: 1_000,
         reserved_percent: 0,
     };
-    let config = Config {
+    Config {
         version,
         classes: vec![class],
         ..Config::default()
+    }
+}
+
+fn current(version: u64, tier: u8) -> String {
+    let config = config(version, tier);
+    let record = Some(Record::new(Note::default(), &config, "x", 0));
+    Current { config, record }.to_text()
+}
+
+/// Record of the change from one tier to another.
+fn record(version: u64, before: u8, after: u8) -> String {
+    let next = config(version, after);
+    let note = diff(&config(version - 1, before), &next, "ana", "test");
+    Record::new(note, &next, "x", 0).to_text()
+}
+
+fn put(table: &MemoryTable, key: &str, value: &str) {
+    let expect = match table.read_now(key).unwrap() {
+        Some(row) => Expect::Version(row.version),
+        None => Expect::Absent,
     };
-    let current = release::Current {
-        config,
-        record: None,
-    };
-    current.to_text()
+    table.write_now(key, expect, value).unwrap();
 }
 
-/// Guards against a poll that drops or reverts the last good configuration on a fault.
+/// Name, value of `release/current`, value of `release/3`, faults of the calls, expected version.
+type Case = (
+    &'static str,
+    Option<String>,
+    Option<String>,
+    Vec<Option<Fault>>,
+    u64,
+);
+
+/// Guards against a poll that drops or reverts the last good configuration on a fault, and against
+/// a change that is not taken up because one of its two rows is missing or damaged.
 #[tokio::test]
 async fn holds_config_through_every_fault_of_a_poll() {
-    let two = value(2, 0);
-    let cases: [(&str, Option<String>, Option<Fault>, u64); 7] = [
-        ("store down", None, Some(Fault::Down), 2),
-        ("answer lost", None, Some(Fault::AnswerLost), 2),
-        ("truncated", Some(two[..two.len() / 2].to_owned()), None, 2),
-        ("empty object", Some("{}".to_owned()), None, 2),
-        ("older", Some(value(1, 0)), None, 2),
-        ("other content", Some(value(2, 1)), None, 2),
-        ("newer", Some(value(3, 1)), None, 3),
+    let two = current(2, 0);
+    let cases: [Case; 13] = [
+        ("down", None, None, vec![Some(Fault::Down)], 2),
+        ("answer lost", None, None, vec![Some(Fault::AnswerLost)], 2),
+        (
+            "scan lost",
+            None,
+            None,
+            vec![None, Some(Fault::RequestLost)],
+            2,
+        ),
+        (
+            "cut off",
+            Some(two[..two.len() / 2].to_owned()),
+            None,
+            vec![],
+            2,
+        ),
+        ("empty object", Some("{}".to_owned()), None, vec![], 2),
+        ("older", Some(current(1, 0)), None, vec![], 2),
+        ("other content", Some(current(2, 1)), None, vec![], 2),
+        (
+            "newer without its record",
+            Some(current(3, 1)),
+            None,
+            vec![],
+            3,
+        ),
+        ("two newer", Some(current(4, 1)), None, vec![], 4),
+        (
+            "record",
+            Some("{}".to_owned()),
+            Some(record(3, 0, 1)),
+            vec![],
+            3,
+        ),
+        (
+            "record of another change",
+            Some(current(3, 2)),
+            Some(record(3, 1, 2)),
+            vec![],
+            3,
+        ),
+        (
+            "damaged record",
+            Some(current(3, 1)),
+            Some("{".to_owned()),
+            vec![],
+            3,
+        ),
+        (
+            "both damaged",
+            Some("{".to_owned()),
+            Some("{".to_owned()),
+            vec![],
+            2,
+        ),
     ];
-    for (name, row, fault, expected) in cases {
-        let shared = shared();
-        let table = MemoryTable::default();
-        let version = table.write_now(CURRENT, Expect::Absent, &two).unwrap();
-        poll(&shared, &table).await.unwrap();
-        if let Some(row) = row {
-            let expect = Expect::Version(version);
-            table.write_now(CURRENT, expect, &row).unwrap();
+    for (name, current, record, faults, expected) in cases {
+        let (shared, table) = (shared(), MemoryTable::default());
+        let mut follower = Follower::default();
+        put(&table, CURRENT, &two);
+        put(&table, &record_key(2), "{}");
+        follower.poll(&shared, &table).await.unwrap();
+        if let Some(value) = current {
+            put(&table, CURRENT, &value);
+        }
+        if let Some(value) = record {
+            put(&table, &record_key(3), &value);
+        }
+        for fault in faults {
+            table.push_fault(fault);
+        }
+        for _ in 0..POLLS_PER_SCAN {
+            let _ = follower.poll(&shared, &table).await;
         }
-        table.push_fault(fault);
-        let _ = poll(&shared, &table).await;
         let (version, digest, confirmed) = shared.releases.status();
         let view = shared.view.load();
         assert_eq!(version, expected, "{name}");
@@ -66,3 +149,67 @@
         assert!(confirmed.is_some(), "{name}");
     }
 }
+
+/// Table that counts the bytes of the rows that it returns.
+#[derive(Default)]
+struct Counting {
+    table: MemoryTable,
+    bytes: std::cell::Cell<usize>,
+}
+
+impl Table for Counting {
+    fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<Row>, StoreError>> {
+        let row = self.table.read_now(key);
+        let bytes = row.iter().flatten().map(|row| row.value.len());
+        self.bytes.set(self.bytes.get() + bytes.sum::<usize>());
+        Box::pin(ready(row))
+    }
+
+    fn write<'a>(
+        &'a self,
+        key: &'a str,
+        expect: Expect,
+        value: &'a str,
+    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+        Box::pin(ready(self.table.write_now(key, expect, value)))
+    }
+
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        since_version: u64,
+    ) -> LocalBoxFuture<'a, Result<Vec<Row>, StoreError>> {
+        let rows = self.table.scan_now(prefix, since_version);
+        let bytes = rows.iter().flatten().map(|row| row.value.len());
+        self.bytes.set(self.bytes.get() + bytes.sum::<usize>());
+        Box::pin(ready(rows))
+    }
+}
+
+/// Guards against polls that read the whole configuration again: at the target size that is 1 MiB
+/// for each poll or change, against 4 KB/s of control traffic.
+#[tokio::test]
+async fn an_idle_poll_and_a_change_read_no_whole_configuration() {
+    let (shared, store) = (shared(), Counting::default());
+    let mut follower = Follower::default();
+    put(&store.table, CURRENT, &current(1, 0));
+    follower.poll(&shared, &store).await.unwrap();
+    for version in 2..=20 {
+        let tier = |version: u64| u8::from(version.is_multiple_of(2));
+        put(&store.table, CURRENT, &current(version, tier(version)));
+        let record = record(version, tier(version - 1), tier(version));
+        put(&store.table, &record_key(version), &record);
+        // A third of the versions come from a peer first.
+        if version.is_multiple_of(3) {
+            shared
+                .releases
+                .offer(&shared, &current(version, tier(version)));
+        }
+        store.bytes.set(0);
+        for _ in 0..4 * POLLS_PER_SCAN {
+            follower.poll(&shared, &store).await.unwrap();
+        }
+        assert_eq!(shared.releases.status().0, version);
+        assert_eq!(store.bytes.get(), record.len(), "version {version}");
+    }
+}
--- a/crates/release/src/holds_config_tests.rs
+++ b/crates/release/src/holds_config_tests.rs
@@ -48,6 +48,11 @@
         follower: usize,
         fault: Fault,
     },
+    /// A follower reads the record of the next version.
+    Delta {
+        follower: usize,
+        fault: Fault,
+    },
     /// A follower passes the last value that it read to the others.
     Gossip {
         follower: usize,
@@ -92,6 +97,8 @@
             2 => Just(Transition::Land),
             3 => (follower.clone(), fault())
                 .prop_map(|(follower, fault)| Transition::Poll { follower, fault }),
+            3 => (follower.clone(), fault())
+                .prop_map(|(follower, fault)| Transition::Delta { follower, fault }),
             1 => follower.prop_map(|follower| Transition::Gossip { follower }),
             1 => fault().prop_map(|fault| Transition::Complete { fault }),
         ]
@@ -295,10 +302,25 @@
         }
     }
 
+    fn read_record(&mut self, index: usize, fault: Fault) {
+        let key = record_key(self.followers[index].tracker.version() + 1);
+        if let Answer::Row(Some(row)) = self.call(&Call::Read { key }, fault) {
+            let Follower {
+                tracker, config, ..
+            } = &mut self.followers[index];
+            let taken = tracker.offer_record(0, config, &row.value);
+            self.take_up(index, taken);
+        }
+    }
+
     fn offer(&mut self, index: usize, value: &str) {
+        let taken = self.followers[index].tracker.offer(0, value);
+        self.take_up(index, taken);
+    }
+
+    fn take_up(&mut self, index: usize, taken: Taken) {
         let follower = &mut self.followers[index];
-        let before = follower.tracker.version();
-        match follower.tracker.offer(0, value) {
+        match taken {
             Taken::Newer(config) => {
                 assert!(
                     config.version > follower.config.version,
@@ -307,7 +329,9 @@
                 follower.config = config;
             }
             Taken::Faulty(message) => panic!("{message}"),
-            Taken::Same | Taken::Older => assert_eq!(follower.tracker.version(), before),
+            Taken::Same | Taken::Older => {
+                assert_eq!(follower.tracker.version(), follower.config.version);
+            }
         }
     }
 
@@ -428,6 +452,7 @@
             Transition::Restart { operator } => fleet.restart(operator),
             Transition::Land => fleet.land(),
             Transition::Poll { follower, fault } => fleet.poll(follower, fault),
+            Transition::Delta { follower, fault } => fleet.read_record(follower, fault),
             Transition::Gossip { follower } => fleet.gossip(follower),
             Transition::Complete { fault } => fleet.complete(fault),
         }
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -58,7 +58,7 @@
     content::Content,
     current::Current,
     diff::diff,
-    keys::{CURRENT, PREFIX, record_key, version_of_key},
+    keys::{CURRENT, record_key},
     list::List,
     note::Note,
     outcome::Outcome,
--- a/crates/release/src/tracker.rs
+++ b/crates/release/src/tracker.rs
@@ -1,4 +1,6 @@
-use crate::{Current, Taken};
+use settings::Config;
+
+use crate::{Current, Record, Taken, check};
 
 /// Decides whether a row that was read from the store or came from a peer is taken up.
 ///
@@ -30,6 +32,42 @@
         self.confirmed_us
     }
 
+    /// Notes that the store holds nothing newer than the version in force.
+    pub const fn confirm(&mut self, now_us: u64) {
+        self.confirmed_us = Some(now_us);
+    }
+
+    /// Decides on the value of the row `release/N` of the next version: its note, applied to the
+    /// configuration in force, has to give the recorded digest.
+    ///
+    /// The row is a few hundred bytes, where `release/current` is about 1 MiB at 2,300 upstreams.
+    pub fn offer_record(&mut self, now_us: u64, in_force: &Config, value: &str) -> Taken {
+        let record = match Record::from_text(value) {
+            Ok(record) => record,
+            Err(error) => return Taken::Faulty(error.to_string()),
+        };
+        if record.version <= self.version {
+            return Taken::Older;
+        }
+        if in_force.version != self.version || record.version != self.version + 1 {
+            let (next, version) = (record.version, self.version);
+            return Taken::Faulty(format!("record of version {next} on version {version}"));
+        }
+        match check(&record.note, in_force) {
+            Ok(config) if config.digest() == record.digest => {
+                self.version = config.version;
+                self.digest = record.digest;
+                self.confirmed_us = Some(now_us);
+                Taken::Newer(config)
+            }
+            Ok(_) => Taken::Faulty("the note gives another digest".to_owned()),
+            Err(problems) => {
+                let first = problems.first().map(ToString::to_string);
+                Taken::Faulty(first.unwrap_or_default())
+            }
+        }
+    }
+
     /// Decides on the value of the row `release/current`.
     ///
     /// The value is checked for form only. The ranges were checked before it was written, and a
