--- a/crates/release/src/tracker.rs
+++ b/crates/release/src/tracker.rs
@@ -49,18 +49,14 @@
         if record.version <= self.version {
             return Taken::Older;
         }
-        if in_force.version != self.version || record.version != self.version + 1 {
-            let (next, version) = (record.version, self.version);
-            return Taken::Faulty(format!("record of version {next} on version {version}"));
-        }
         match check(&record.note, in_force) {
-            Ok(config) if config.digest() == record.digest => {
+            Ok(config) if config.version == record.version && config.digest() == record.digest => {
                 self.version = config.version;
                 self.digest = record.digest;
                 self.confirmed_us = Some(now_us);
                 Taken::Newer(config)
             }
-            Ok(_) => Taken::Faulty("the note gives another digest".to_owned()),
+            Ok(_) => Taken::Faulty("the note does not give the recorded version".to_owned()),
             Err(problems) => {
                 let first = problems.first().map(ToString::to_string);
                 Taken::Faulty(first.unwrap_or_default())
--- a/crates/release/src/tracker_tests.rs
+++ b/crates/release/src/tracker_tests.rs
@@ -1,4 +1,6 @@
-use crate::{Current, Note, Record, Taken, Tracker, tests::config};
+use settings::Config;
+
+use crate::{Current, Note, Record, Taken, Tracker, diff, tests::config};
 
 type Check = fn(&Taken) -> bool;
 
@@ -60,3 +62,81 @@
         assert_eq!(tracker.confirmed_us(), confirmed_us, "{name}");
     }
 }
+
+fn weighted(version: u64, weight: u32) -> Config {
+    let mut config = config(version);
+    config.accounts[0].weight = weight;
+    config
+}
+
+/// Guards against a record that leads to another configuration than the accepted one.
+#[test]
+fn holds_config_in_the_tracker_with_records() {
+    let record = |base: u64, version: u64| {
+        let (before, after) = (weighted(base, 1), weighted(version, 5));
+        let note = diff(&before, &after, "ana", "test");
+        Record::new(note, &after, "x", 0)
+    };
+    let digest = |mut record: Record| {
+        record.digest = weighted(9, 6).digest();
+        record
+    };
+    let note = |mut record: Record| {
+        record.note.changed[0].after = 6.into();
+        record
+    };
+    let version = |mut record: Record| {
+        record.version = 10;
+        record
+    };
+    // Name, configuration in force, record, accepted.
+    let cases = [
+        ("next", weighted(8, 1), record(8, 9), true),
+        ("older", weighted(8, 1), record(7, 8), false),
+        ("skipped version", weighted(8, 1), record(9, 10), false),
+        (
+            "version of another",
+            weighted(8, 1),
+            version(record(8, 9)),
+            false,
+        ),
+        ("other digest", weighted(8, 1), digest(record(8, 9)), false),
+        ("other note", weighted(8, 1), note(record(8, 9)), false),
+        (
+            "other content in force",
+            weighted(8, 2),
+            record(8, 9),
+            false,
+        ),
+        (
+            "other version in force",
+            weighted(7, 1),
+            record(8, 9),
+            false,
+        ),
+        (
+            "older in force and noted",
+            weighted(7, 1),
+            version(record(7, 8)),
+            false,
+        ),
+    ];
+    for (name, in_force, record, accepted) in cases {
+        let mut tracker = Tracker::default();
+        let current = Current {
+            config: weighted(8, 1),
+            record: None,
+        };
+        tracker.offer(1, &current.to_text());
+        let taken = tracker.offer_record(2, &in_force, &record.to_text());
+        assert_eq!(
+            matches!(taken, Taken::Newer(_)),
+            accepted,
+            "{name}: {taken:?}"
+        );
+        assert_eq!(tracker.version(), if accepted { 9 } else { 8 }, "{name}");
+        let cut_off = &record.to_text()[..40];
+        let taken = tracker.offer_record(3, &in_force, cut_off);
+        assert!(matches!(taken, Taken::Faulty(_)), "{name}");
+    }
+}
