--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    input::{authenticate, check_ready, class_of, read_body, request_id},
+    input::{authenticate, check_ready, class_of, discard_body, read_body, request_id},
     progress::Progress,
     refusal::{Refusal, note_refusal},
     relay::Relay,
@@ -45,15 +45,16 @@
 async fn serve(
     form: Form,
     request: HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
     shared: &Arc<Shared>,
     client: &Client,
 ) -> HttpResponse {
     let id = shared.next_id();
     let request_id = request_id(shared, id);
-    match answer(form, &request, payload, shared, client, id).await {
+    match answer(form, &request, &mut payload, shared, client, id).await {
         Ok(response) => response,
         Err(refusal) => {
+            discard_body(shared, &mut payload).await;
             note_refusal(shared, &request_id, &refusal);
             refusal.response(&request_id)
         }
@@ -63,7 +64,7 @@
 async fn answer(
     form: Form,
     request: &HttpRequest,
-    payload: Payload,
+    payload: &mut Payload,
     shared: &Arc<Shared>,
     client: &Client,
     id: JobId,
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -12,41 +12,31 @@
 
 use crate::{refusal::Refusal, shared::Shared, view::View};
 
-/// Bytes of a body over the limit that are read and dropped, as a multiple of the limit.
+/// Bytes of a refused body that are read and dropped, as a multiple of the limit.
 const DISCARD_FACTOR: usize = 8;
 
 /// Reads a body within the limits of the host.
 pub(crate) async fn read_body(
     shared: &Shared,
     request: &HttpRequest,
-    mut payload: Payload,
+    payload: &mut Payload,
 ) -> Result<Bytes, Refusal> {
     let max_bytes = shared.host.body_max_bytes;
     let length = request.headers().get(header::CONTENT_LENGTH);
     let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    let mut too_large = length.is_some_and(|length| length > max_bytes);
+    if length.is_some_and(|length| length > max_bytes) {
+        return Err(Code::BodyTooLarge.into());
+    }
     let read = async {
         let mut body = BytesMut::new();
-        let mut discarded_bytes = 0;
         while let Some(chunk) = payload.recv().await {
             let chunk = chunk.map_err(|_| Refusal::new(Code::BadRequest))?;
-            too_large |= body.len() + chunk.len() > max_bytes;
-            if too_large {
-                // A client that is still sending would see a reset instead of the answer, so the
-                // rest is read and dropped, up to a bound.
-                discarded_bytes += chunk.len();
-                if discarded_bytes > DISCARD_FACTOR * max_bytes {
-                    break;
-                }
-            } else {
-                body.extend_from_slice(&chunk);
+            if body.len() + chunk.len() > max_bytes {
+                return Err(Code::BodyTooLarge.into());
             }
+            body.extend_from_slice(&chunk);
         }
-        if too_large {
-            Err(Code::BodyTooLarge.into())
-        } else {
-            Ok(body.freeze())
-        }
+        Ok(body.freeze())
     };
     let limit = Duration::from_millis(shared.host.receive_max_ms);
     tokio::time::timeout(limit, read)
@@ -54,6 +44,24 @@
         .unwrap_or_else(|_| Err(Code::SlowSender.into()))
 }
 
+/// Reads and drops what is left of a refused request's body, up to a bound.
+///
+/// A client that is still sending when the connection closes sees a reset instead of the answer.
+pub(crate) async fn discard_body(shared: &Shared, payload: &mut Payload) {
+    let max_bytes = DISCARD_FACTOR * shared.host.body_max_bytes;
+    let read = async {
+        let mut discarded_bytes = 0;
+        while let Some(Ok(chunk)) = payload.recv().await {
+            discarded_bytes += chunk.len();
+            if discarded_bytes > max_bytes {
+                break;
+            }
+        }
+    };
+    let limit = Duration::from_millis(shared.host.receive_max_ms);
+    let _ = tokio::time::timeout(limit, read).await;
+}
+
 /// Returns the client account of the request's bearer key.
 pub(crate) fn authenticate<'a>(
     view: &'a View,
--- a/crates/daemon/src/models.rs
+++ b/crates/daemon/src/models.rs
@@ -1,11 +1,14 @@
 use std::sync::Arc;
 
 use code::Code;
-use ntex::web::{HttpRequest, HttpResponse, types::State};
+use ntex::web::{
+    HttpRequest, HttpResponse,
+    types::{Payload, State},
+};
 use serde_json::{Value, json};
 
 use crate::{
-    input::authenticate,
+    input::{authenticate, discard_body},
     refusal::{Refusal, note_refusal},
     shared::Shared,
 };
@@ -23,7 +26,8 @@
 }
 
 /// Serves every path that no interface has.
-pub(crate) async fn unknown_path(shared: State<Arc<Shared>>) -> HttpResponse {
+pub(crate) async fn unknown_path(mut payload: Payload, shared: State<Arc<Shared>>) -> HttpResponse {
+    discard_body(&shared, &mut payload).await;
     let refusal = Refusal::new(Code::UnknownPath);
     note_refusal(&shared, "", &refusal);
     refusal.response("")
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -40,20 +40,12 @@
         error_body(self.code, &self.detail, request_id)
     }
 
-    /// Returns whether the answer may leave before the request's body was read. The server closes
-    /// such a connection; without the header a client would reuse it and lose its next request.
+    /// Returns whether the connection is closed: a part of the body may be unread, or the host stops.
+    /// Without the header a client would reuse the connection and lose its next request.
     const fn closes_connection(&self) -> bool {
         matches!(
             self.code,
-            Code::BodyTooLarge
-                | Code::Draining
-                | Code::NoConfig
-                | Code::SlowSender
-                | Code::StaleView
-                | Code::UnknownClass
-                | Code::UnknownKey
-                | Code::UnknownPath
-                | Code::UnknownService
+            Code::BodyTooLarge | Code::Draining | Code::SlowSender
         )
     }
 
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -19,7 +19,7 @@
     attempt::outcome_of,
     claimed::run_claimed,
     core::Decision,
-    input::{authenticate, check_ready, class_of, read_body, request_id},
+    input::{authenticate, check_ready, class_of, discard_body, read_body, request_id},
     refusal::{Refusal, note_refusal},
     shared::Shared,
 };
@@ -59,22 +59,25 @@
 /// Serves `/services/NAME/...`.
 pub(crate) async fn service(
     request: HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
     shared: State<Arc<Shared>>,
     links: State<ServiceLinks>,
 ) -> HttpResponse {
     let id = shared.next_id();
     let request_id = request_id(&shared, id);
-    let result = answer(&request, payload, &shared, &links, id).await;
-    result.unwrap_or_else(|refusal| {
-        note_refusal(&shared, &request_id, &refusal);
-        refusal.response(&request_id)
-    })
+    match answer(&request, &mut payload, &shared, &links, id).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            discard_body(&shared, &mut payload).await;
+            note_refusal(&shared, &request_id, &refusal);
+            refusal.response(&request_id)
+        }
+    }
 }
 
 async fn answer(
     request: &HttpRequest,
-    payload: Payload,
+    payload: &mut Payload,
     shared: &Arc<Shared>,
     links: &ServiceLinks,
     id: sched::JobId,
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -122,7 +122,12 @@
             .map(|prompt| platform.chat(listen, prompt, true)),
     );
     let stop = async {
-        wait(async || platform.engines[0].stats().generated_tokens > 0).await;
+        // A request that arrives after the signal may be refused; these have all arrived before.
+        wait(async || {
+            let status = platform.admin(&daemon, "/admin/status").await;
+            status.contains("\"in_flight\":40") && platform.engines[0].stats().generated_tokens > 0
+        })
+        .await;
         daemon.stop().await;
     };
     let (answers, ()) = join(answers, stop).await;
--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -6,7 +6,7 @@
 use ntex::client::{Client, Connector};
 use serde_json::json;
 use standin::answer_text;
-use support::{Process, chat, config, host_settings, put_config, wait_ok};
+use support::{Process, chat, config, get_json, host_settings, put_config, wait_ok};
 
 /// Guards against a SIGTERM that cuts off streams or queued requests, or that ends the process
 /// with an error.
@@ -45,16 +45,16 @@
         async move { chat(client, address, &body).await }
     });
     let terminate = async {
-        let url = format!("http://{}/stats", engine.address);
+        // A request that arrives after the signal may be refused; these have all arrived before.
+        let stats_url = format!("http://{}/stats", engine.address);
+        let status_url = format!(
+            "http://{}/admin/status",
+            settings["admin_listen"].as_str().unwrap()
+        );
         loop {
-            let stats = client
-                .get(&url)
-                .send()
-                .await
-                .unwrap()
-                .json::<serde_json::Value>()
-                .await;
-            if stats.unwrap()["generated_tokens"].as_u64().unwrap() > 8 {
+            let stats = get_json(&client, &stats_url).await;
+            let status = get_json(&client, &status_url).await;
+            if status["in_flight"] == 24 && stats["generated_tokens"].as_u64().unwrap() > 8 {
                 break;
             }
         }
--- a/crates/e2e/tests/support/mod.rs
+++ b/crates/e2e/tests/support/mod.rs
@@ -181,3 +181,9 @@
     let bytes = answer.body().limit(1 << 20).await.expect("body");
     (status, String::from_utf8_lossy(&bytes).into_owned())
 }
+
+/// Reads a path as JSON.
+pub async fn get_json(client: &Client, url: &str) -> Value {
+    let answer = client.get(url).send().await.expect("answer");
+    answer.json().await.expect("JSON")
+}
--- /dev/null
+++ b/crates/release/src/keys.rs
@@ -0,0 +1,8 @@
+/// Row that holds the configuration in force and the record of the last change.
+pub const CURRENT: &str = "release/current";
+
+/// Returns the key of the record of a version.
+#[must_use]
+pub fn record_key(version: u64) -> String {
+    format!("release/{version}")
+}
--- /dev/null
+++ b/crates/release/src/tracker.rs
@@ -0,0 +1,100 @@
+use settings::Config;
+
+use crate::{Current, Record, Taken, check};
+
+/// Decides whether a row that was read from the store or came from a peer is taken up.
+///
+/// The version never goes back: a stale read, an outage or a damaged row leaves the last good
+/// configuration in force.
+#[derive(Debug, Clone, Default)]
+pub struct Tracker {
+    version: u64,
+    digest: String,
+    confirmed_us: Option<u64>,
+}
+
+impl Tracker {
+    /// Returns the version in force, 0 before the first.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the SHA-256 of the configuration in force, empty before the first.
+    #[must_use]
+    pub fn digest(&self) -> &str {
+        &self.digest
+    }
+
+    /// Returns the last time at which a row showed the version in force.
+    #[must_use]
+    pub const fn confirmed_us(&self) -> Option<u64> {
+        self.confirmed_us
+    }
+
+    /// Notes that the store holds nothing newer than the version in force.
+    pub const fn confirm(&mut self, now_us: u64) {
+        self.confirmed_us = Some(now_us);
+    }
+
+    /// Decides on the value of the row `release/N` of the next version: its note, applied to the
+    /// configuration in force, has to give the recorded digest.
+    ///
+    /// The row is a few hundred bytes, where `release/current` is about 1 MiB at 2,300 upstreams.
+    pub fn offer_record(&mut self, now_us: u64, in_force: &Config, value: &str) -> Taken {
+        let record = match Record::from_text(value) {
+            Ok(record) => record,
+            Err(error) => return Taken::Faulty(error.to_string()),
+        };
+        if record.version <= self.version {
+            return Taken::Older;
+        }
+        match check(&record.note, in_force) {
+            Ok(config) if config.version == record.version && config.digest() == record.digest => {
+                self.version = config.version;
+                self.digest = record.digest;
+                self.confirmed_us = Some(now_us);
+                Taken::Newer(config)
+            }
+            Ok(_) => Taken::Faulty("the note does not give the recorded version".to_owned()),
+            Err(problems) => {
+                let first = problems.first().map(ToString::to_string);
+                Taken::Faulty(first.unwrap_or_default())
+            }
+        }
+    }
+
+    /// Decides on the value of the row `release/current`.
+    ///
+    /// The value is checked for form only. The ranges were checked before it was written, and a
+    /// daemon whose ranges are narrower than those of a newer operator program must not keep an
+    /// old configuration for that.
+    pub fn offer(&mut self, now_us: u64, value: &str) -> Taken {
+        let config = match Current::from_text(value) {
+            Ok(current) => current.config,
+            Err(message) => return Taken::Faulty(message),
+        };
+        if config.version < self.version {
+            return Taken::Older;
+        }
+        if config.version == 0 {
+            return Taken::Faulty("version 0 is no release".to_owned());
+        }
+        let digest = config.digest();
+        if config.version > self.version {
+            self.version = config.version;
+            self.digest = digest;
+            self.confirmed_us = Some(now_us);
+            return Taken::Newer(config);
+        }
+        if digest != self.digest {
+            return Taken::Faulty(format!("another content for version {}", self.version));
+        }
+        self.confirmed_us = Some(now_us);
+        Taken::Same
+    }
+}
+
+#[cfg(test)]
+#[path = "tracker_tests.rs"]
+mod tests;
