--- a/crates/peer/examples/slopes.rs
+++ b/crates/peer/examples/slopes.rs
@@ -37,6 +37,16 @@
         });
         network.run_us(60 * SECOND_US);
 
+        let mut join = |seeds: &[peer::Seed]| {
+            let incarnation = network.nodes[0].incarnation + 1_000;
+            network.restart(0, incarnation, seeds);
+            let joined = network.run_until(120 * SECOND_US, Network::converged);
+            network.run_us(60 * SECOND_US);
+            joined
+        };
+        let join_listed = join(&sim::seeds(count));
+        let join_unlisted = join(&[]);
+
         let version = network.now_us;
         network.nodes[0].membership.set_config_version(version);
         let config = network.run_until(60 * SECOND_US, |network| {
@@ -62,6 +72,8 @@
         });
         let times = [
             ("start", start),
+            ("join", join_listed),
+            ("join_without_host_list", join_unlisted),
             ("config", config),
             ("upstream_leaving", upstream),
             ("host_leaving", leaving),
--- a/crates/peer/src/membership_tests.rs
+++ b/crates/peer/src/membership_tests.rs
@@ -98,7 +98,7 @@
     let mut rng = StdRng::seed_from_u64(1);
     let mut a = membership("a", &[1]);
     let mut b = membership("b", &[1]);
-    b.merge(0, &member("a", State::Live, 9), true, &mut Vec::new());
+    b.merge(0, &member("a", State::Live, 9), false, &mut Vec::new());
     let mut out = Vec::new();
     b.tick(1, &mut rng, &mut out);
     let Some(Output::Send { bytes, to }) = out.iter().find(|o| matches!(o, Output::Send { .. }))
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -131,11 +131,10 @@
                 self.send(now_us, &from, Kind::Ack { nonce }, fill, out);
             }
             Kind::Ack { nonce } => {
-                self.fill_after = datagram
-                    .fill
-                    .last()
-                    .map(|record| record.name.clone())
-                    .unwrap_or_default();
+                // Without filling, for want of budget, the next request starts at the same name.
+                if let Some(last) = datagram.fill.last() {
+                    self.fill_after.clone_from(&last.name);
+                }
                 self.differs = datagram.digest != self.digest();
                 self.acknowledged(now_us, nonce, datagram.sender.config_version, out);
             }
--- a/crates/peer/tests/network.rs
+++ b/crates/peer/tests/network.rs
@@ -118,30 +118,33 @@
     }
 }
 
-/// Guards against news that reaches some members late or never, also with loss.
+/// Guards against news that reaches some members late or never, also with loss: a configuration
+/// within the 11 s of the target, a leaving upstream within a few seconds.
 #[test]
 fn holds_config_and_leaving_spread_in_time() {
-    for (count, loss_percent) in [(6, 0), (60, 0), (60, 20)] {
+    for (count, loss_percent) in [(6, 0), (60, 0), (60, 20), (330, 0)] {
         let mut network = Network::new(count, 10);
-        network.run_us(60 * SECOND_US);
+        network.run_us(20 * SECOND_US);
         network.loss_percent = loss_percent;
         network.nodes[0].membership.set_config_version(2);
         let now_us = network.now_us;
         network.nodes[0].membership.add_leaving(now_us, "engine-1");
-        let spread = network.run_until(11 * SECOND_US, |network| {
-            network
-                .nodes
-                .iter()
-                .all(|node| node.membership.me().config_version == 2)
+        let leaving = network.run_until(5 * SECOND_US, |network| {
+            let mut others = network.nodes[1..].iter();
+            others.all(|node| node.upstreams_leaving == ["engine-1"])
         });
-        assert!(spread.is_some(), "{count} members, {loss_percent}% loss");
-        for node in &network.nodes[1..] {
-            assert_eq!(
-                node.upstreams_leaving,
-                ["engine-1"],
-                "{count}, {loss_percent}%"
-            );
-        }
+        assert!(
+            leaving.is_some(),
+            "leaving: {count} members, {loss_percent}% loss"
+        );
+        let in_force = network.run_until(6 * SECOND_US, |network| {
+            let mut nodes = network.nodes.iter();
+            nodes.all(|node| node.membership.me().config_version == 2)
+        });
+        assert!(
+            in_force.is_some(),
+            "config: {count} members, {loss_percent}% loss"
+        );
     }
 }
 
@@ -169,7 +172,7 @@
 /// the application queues.
 #[test]
 fn peer_stays_within_its_bytes_per_second() {
-    const WINDOW_S: u64 = 20;
+    const WINDOW_S: u64 = 10;
     for count in [6, 60, 330] {
         let mut network = Network::new(count, 12);
         let bound = SENT_BYTES_PER_S * WINDOW_S + Options::default().send_burst_bytes;
@@ -255,8 +258,6 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::default())]
-
     /// Guards against combinations of faults after which a live member stays unseen, a dead one
     /// stays seen, or a leaving one comes back under the same incarnation.
     #[test]
--- a/crates/peer/tests/sim/mod.rs
+++ b/crates/peer/tests/sim/mod.rs
@@ -170,7 +170,8 @@
         node.membership.set_hosts(seeds);
         // The view is lost with the process: a new one may hear from a member that does not know
         // yet, as one that was paused, before it hears from one that does.
-        self.seen_leaving.retain(|(observer, ..)| *observer != index);
+        self.seen_leaving
+            .retain(|(observer, ..)| *observer != index);
         self.nodes[index] = node;
     }
 
