--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -27,9 +27,10 @@
             dispatcher.in_flight(),
         )
     });
-    let (incarnation, members) = shared.peers.with(|membership| {
+    let (incarnation, members, upstreams_leaving) = shared.peers.with(|membership| {
         let members: Vec<_> = membership.members().cloned().collect();
-        (membership.me().incarnation, members)
+        let leaving: Vec<_> = membership.upstreams_leaving().map(str::to_owned).collect();
+        (membership.me().incarnation, members, leaving)
     });
     HttpResponse::Ok().json(&json!({
         "host": shared.host.name,
@@ -42,6 +43,7 @@
         "in_flight": in_flight,
         "incarnation": incarnation,
         "members": members,
+        "upstreams_leaving": upstreams_leaving,
     }))
 }
 
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -6,11 +6,12 @@
     time::Duration,
 };
 
+use batch::Profile;
 use daemon::{Daemon, Running};
-use ntex::client::Client;
+use ntex::{client::Client, time::Millis};
 use serde_json::{Value, json};
-use settings::Host;
-use standin::{Store, StoreControl};
+use settings::{Host, hash_api_key};
+use standin::{Engine, Store, StoreControl};
 use store::{HostEntry, HostState};
 
 /// Bound on the wait for a state that is reached within seconds on an idle machine.
@@ -31,22 +32,37 @@
     Daemon::new(host).start().await.unwrap()
 }
 
-fn config(version: u64) -> String {
+fn config(version: u64, engine: SocketAddr) -> String {
     json!({
-        "version": version, "classes": [], "accounts": [], "services": [],
-        "upstreams": [{"name": "engine-1", "kind": "model", "address": "127.0.0.1:9",
+        "version": version, "services": [],
+        "classes": [{"name": "urgent", "tier": 0, "first_token_ms": 790, "token_gap_ms": 33,
+            "max_wait_ms": 300}],
+        "accounts": [{"name": "member-a", "key_sha256": [hash_api_key("test-key")],
+            "default_class": "urgent", "classes": [], "requests_per_s": 1_000,
+            "requests_in_flight": 1_000, "tokens_in_flight": 1_000_000}],
+        "upstreams": [{"name": "engine-1", "kind": "model", "address": engine,
             "region": "costa", "zone": "costa-norte", "models": ["faucet-vision"], "slots": 1}],
     })
     .to_string()
 }
 
 async fn put_config(client: &Client, store: SocketAddr, row: Option<u64>, version: u64) {
+    put(
+        client,
+        store,
+        row,
+        &config(version, "127.0.0.1:9".parse().unwrap()),
+    )
+    .await;
+}
+
+async fn put(client: &Client, store: SocketAddr, row: Option<u64>, config: &str) {
     let request = client.put(format!("http://{store}/rows/release/current"));
     let request = match row {
         None => request.header("if-none-match", "*"),
         Some(row) => request.header("if-match", row.to_string()),
     };
-    let answer = request.send_body(config(version)).await.unwrap();
+    let answer = request.send_body(config.to_owned()).await.unwrap();
     assert!(answer.status().is_success(), "{}", answer.status());
 }
 
@@ -202,3 +218,78 @@
     b.stop().await;
     platform.stop().await;
 }
+
+/// Returns status and result code of a chat request.
+async fn chat(client: &Client, daemon: &Running) -> (u16, String) {
+    let url = format!("http://{}/v1/chat/completions", daemon.listen());
+    let body = json!({"model": "faucet-vision", "max_tokens": 2,
+        "messages": [{"role": "user", "content": "the left tap drips len=2"}]});
+    let request = client.post(url).header("authorization", "Bearer test-key");
+    let answer = request
+        .timeout(Millis(60_000))
+        .send_json(&body)
+        .await
+        .unwrap();
+    let code = answer.header("x-result-code");
+    let code = code.map_or(String::new(), |code| code.to_str().unwrap().to_owned());
+    (answer.status().as_u16(), code)
+}
+
+/// Guards against new work for an upstream that only a peer saw leaving, also after a newer
+/// configuration that still lists it.
+#[ntex::test]
+async fn holds_leaving_on_hearsay_while_the_store_is_down() {
+    let (store, outage) = (Store::default(), Store::default());
+    outage.control(StoreControl {
+        down: true,
+        ..StoreControl::default()
+    });
+    let platform = store.start(local()).unwrap();
+    let unreachable = outage.start(local()).unwrap();
+    let engine = Engine::new(Profile::default(), &["faucet-vision"]);
+    let served = engine.start(local()).unwrap();
+    let client = Client::new().await;
+    put(
+        &client,
+        platform.address(),
+        None,
+        &config(3, served.address()),
+    )
+    .await;
+    let a = start("entry-1", platform.address(), local()).await;
+    let b = start("entry-2", unreachable.address(), local()).await;
+    let mut list = hosts(&[("entry-1", &a), ("entry-2", &b)]);
+    list.push(HostEntry {
+        name: "machine-7".to_owned(),
+        address: served.address(),
+        state: HostState::Live,
+    });
+    store.set_hosts(list.clone());
+    wait_for(&client, &b, "configured", |status| status["version"] == 3).await;
+    assert_eq!(chat(&client, &b).await, (200, String::new()));
+
+    list[2].state = HostState::Leaving;
+    store.set_hosts(list);
+    wait_for(&client, &b, "hearsay", |status| {
+        status["upstreams_leaving"] == json!(["engine-1"])
+    })
+    .await;
+    let before = engine.stats().requests;
+    let refused = (504, "3003".to_owned());
+    assert_eq!(chat(&client, &b).await, refused);
+    put(
+        &client,
+        platform.address(),
+        Some(1),
+        &config(4, served.address()),
+    )
+    .await;
+    wait_for(&client, &b, "reconfigured", |status| status["version"] == 4).await;
+    assert_eq!(chat(&client, &b).await, refused);
+    assert_eq!(engine.stats().requests, before);
+    a.stop().await;
+    b.stop().await;
+    served.stop().await;
+    platform.stop().await;
+    unreachable.stop().await;
+}
