--- /dev/null
+++ b/crates/e2e/tests/pause.rs
@@ -0,0 +1,64 @@
+//! A daemon that is suspended and resumed.
+
+mod support;
+
+use std::time::Duration;
+
+use ntex::client::Client;
+use serde_json::json;
+use support::{Process, chat, config, host_settings, put_config, wait_ok};
+
+/// Longer than the gap that counts as a pause.
+const PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Bound on the wait for the confirmation.
+const WAIT_ROUNDS: usize = 1_000;
+
+/// Guards against work that a resumed daemon sends before it has refreshed its view.
+#[ntex::test]
+async fn holds_config_of_a_resumed_daemon() {
+    let engine = Process::standin("standin-engine", &[]);
+    let service = Process::standin("standin-service", &[]);
+    let store = Process::standin("standin-store", &[]);
+    let settings = host_settings("entry-paused", store.address);
+    let daemon = Process::daemon(&settings);
+    let client = Client::new().await;
+    let first = config(1, engine.address, service.address);
+    put_config(&client, store.address, &first).await;
+    wait_ok(
+        &client,
+        settings["admin_listen"].as_str().unwrap(),
+        "/readyz",
+    )
+    .await;
+    let body = json!({"model": "faucet-vision",
+        "messages": [{"role": "user", "content": "the left tap drips len=2"}]});
+    assert_eq!(chat(&client, daemon.address, &body).await.0, 200);
+
+    let control = format!("http://{}/control", store.address);
+    let set_down = async |down: bool| {
+        let body = json!({ "down": down });
+        let answer = client.post(&control).send_json(&body).await.unwrap();
+        assert!(answer.status().is_success());
+    };
+    set_down(true).await;
+    daemon.signal("STOP");
+    tokio::time::sleep(PAUSE).await;
+    daemon.signal("CONT");
+    let (status, answer) = chat(&client, daemon.address, &body).await;
+    assert_eq!(status, 503, "{answer}");
+    assert!(answer.contains("3006"), "{answer}");
+
+    set_down(false).await;
+    let mut last = (0, String::new());
+    for _ in 0..WAIT_ROUNDS {
+        last = chat(&client, daemon.address, &body).await;
+        if last.0 == 200 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(last.0, 200, "{}", last.1);
+    daemon.signal("TERM");
+    assert!(daemon.wait().success());
+}
