--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -9,8 +9,9 @@
 use batch::Profile;
 use daemon::{Daemon, Running};
 use ntex::{client::Client, time::Millis};
+use peer::{Frame, Keys};
 use serde_json::{Value, json};
-use settings::{Host, hash_api_key};
+use settings::{Host, PeerKey, hash_api_key};
 use standin::{Engine, Store, StoreControl};
 use store::{HostEntry, HostState};
 
@@ -219,6 +220,62 @@
     platform.stop().await;
 }
 
+/// Reads a frame from a connection, or nothing if it ends before.
+fn read_frame(stream: &mut TcpStream, keys: &Keys) -> Option<Frame> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).ok()?;
+    let mut bytes = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut bytes).ok()?;
+    Frame::open(keys, &bytes).ok()
+}
+
+/// Guards against a recorded request that gets the configuration on another connection.
+#[ntex::test]
+async fn peer_serves_no_recorded_request() {
+    let platform = Store::default().start(local()).unwrap();
+    let client = Client::new().await;
+    put_config(&client, platform.address(), None, 3).await;
+    let a = start("entry-1", platform.address(), local()).await;
+    wait_for(&client, &a, "configured", |status| status["version"] == 3).await;
+    let cases = [
+        ("genuine", 0, "entry-1", true),
+        ("other connection", 1, "entry-1", false),
+        ("other receiver", 0, "entry-3", false),
+    ];
+    for (case, off, to, served) in cases {
+        let address = a.peer_listen();
+        let answer = std::thread::spawn(move || {
+            let keys = Keys::new(&[PeerKey {
+                id: 1,
+                secret_hex: "00112233445566778899aabbccddeeff".to_owned(),
+            }]);
+            let keys = keys.unwrap();
+            let mut stream = TcpStream::connect(address).unwrap();
+            let challenge = read_frame(&mut stream, &keys).unwrap();
+            let request = Frame {
+                from: "entry-2".to_owned(),
+                to: to.to_owned(),
+                answers: challenge.nonce.wrapping_add(off),
+                nonce: 7,
+                body: vec![0],
+            };
+            let bytes = request.seal(&keys);
+            let length = u32::try_from(bytes.len()).unwrap();
+            stream.write_all(&length.to_be_bytes()).unwrap();
+            stream.write_all(&bytes).unwrap();
+            read_frame(&mut stream, &keys)
+        });
+        while !answer.is_finished() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let answer = answer.join().unwrap();
+        let whole = answer.is_some_and(|frame| frame.answers == 7 && !frame.body.is_empty());
+        assert_eq!(whole, served, "{case}");
+    }
+    a.stop().await;
+    platform.stop().await;
+}
+
 /// Returns status and result code of a chat request.
 async fn chat(client: &Client, daemon: &Running) -> (u16, String) {
     let url = format!("http://{}/v1/chat/completions", daemon.listen());
