feat(daemon): hold decisions from before a pause until the view is confirmed

Cause: only new requests were refused after a pause; a decision that the dispatcher had taken before it was still carried out. The status did not tell traffic with peers.

Ruled out: refusing the waiting jobs (they were admitted and may still be in time).

Change: an attempt waits for the confirmation, at most 5 s; counters of traffic and of dropped datagrams by reason in `/admin/status`.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -27,10 +27,11 @@
             dispatcher.in_flight(),
         )
     });
-    let (incarnation, members, upstreams_leaving) = shared.peers.with(|membership| {
+    let (incarnation, members, upstreams_leaving, traffic) = shared.peers.with(|membership| {
         let members: Vec<_> = membership.members().cloned().collect();
         let leaving: Vec<_> = membership.upstreams_leaving().map(str::to_owned).collect();
-        (membership.me().incarnation, members, leaving)
+        let incarnation = membership.me().incarnation;
+        (incarnation, members, leaving, membership.counters())
     });
     HttpResponse::Ok().json(&json!({
         "host": shared.host.name,
@@ -44,6 +45,7 @@
         "incarnation": incarnation,
         "members": members,
         "upstreams_leaving": upstreams_leaving,
+        "peer_traffic": traffic,
     }))
 }
 
--- a/crates/daemon/src/peers/freshness.rs
+++ b/crates/daemon/src/peers/freshness.rs
@@ -1,4 +1,9 @@
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use crate::clock::Clock;
 
 /// Longest gap between two ticks of the exchange with peers; longer ones mean that this process
 /// was suspended. The same bound as in the membership.
@@ -8,6 +13,9 @@
 /// continues with what this daemon knows.
 const REFUSE_US: u64 = 5_000_000;
 
+/// Pause between two looks whether work may be sent.
+const WAIT_POLL: Duration = Duration::from_millis(20);
+
 /// Whether the view of this daemon may be out of date because the process was suspended.
 #[derive(Debug, Default)]
 #[expect(clippy::struct_field_names, reason = "fields carry their unit")]
@@ -38,6 +46,13 @@
         }
     }
 
+    /// Waits until work may be sent: at once, but for the time after a pause.
+    pub(crate) async fn wait(&self, clock: Clock) {
+        while self.is_stale(clock.now_us()) {
+            tokio::time::sleep(WAIT_POLL).await;
+        }
+    }
+
     /// Returns whether new work has to be refused.
     ///
     /// The gap since the last tick counts too: a request may be read before the tick that would
--- a/crates/daemon/src/peers/freshness_tests.rs
+++ b/crates/daemon/src/peers/freshness_tests.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use super::freshness::Freshness;
+use crate::clock::Clock;
 
 /// Guards against work that is sent on a view from before a pause, and against a host that
 /// refuses work for ever.
@@ -33,3 +36,28 @@
         assert_eq!(freshness.is_stale(now_s * second_us), stale, "{name}");
     }
 }
+
+/// Guards against a decision from before a pause that is carried out on an unconfirmed view, and
+/// against one that is never carried out.
+#[tokio::test(start_paused = true)]
+async fn holds_config_by_holding_decisions_after_a_pause() {
+    for (name, confirm, held_s) in [("confirmed", true, 0), ("nobody in reach", false, 5)] {
+        let clock = Clock::new();
+        let freshness = Freshness::default();
+        freshness.resume(clock.now_us());
+        if confirm {
+            freshness.confirm(clock.now_us());
+        }
+        let ticks = async {
+            loop {
+                freshness.tick(clock.now_us());
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        };
+        tokio::select! {
+            () = freshness.wait(clock) => {}
+            () = ticks => {}
+        }
+        assert_eq!(clock.elapsed().as_secs(), held_s, "{name}");
+    }
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -120,6 +120,8 @@
     }
 
     async fn open(&mut self, name: &str, priority: i32) {
+        // The decision may be from before a pause of this process.
+        self.shared.peers.freshness.wait(self.shared.clock).await;
         let view = self.shared.view.load_full();
         let Some(upstream) = view.config.upstream(name) else {
             self.handle.finish(Outcome::NotSent);
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -130,6 +130,8 @@
     upstream: &str,
     call: &Call<'_>,
 ) -> Result<HttpResponse, Outcome> {
+    // The decision may be from before a pause of this process.
+    shared.peers.freshness.wait(shared.clock).await;
     let view = shared.view.load_full();
     let upstream = view.config.upstream(upstream).ok_or(Outcome::NotSent)?;
     let url = format!("http://{}{}", upstream.address, call.path);
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     time::Duration,
 };
 
@@ -174,51 +174,8 @@
     platform.stop().await;
 }
 
-/// Guards against strangers that get the configuration or stop it from being served.
-#[ntex::test]
-async fn peer_serves_no_stranger() {
-    let store = Store::default();
-    let platform = store.start(local()).unwrap();
-    let client = Client::new().await;
-    put_config(&client, platform.address(), None, 3).await;
-    let a = start("entry-1", platform.address(), local()).await;
-    wait_for(&client, &a, "configured", |status| status["version"] == 3).await;
-    let cases: [(&str, &[u8]); 4] = [
-        ("huge length", &[0xff; 4]),
-        ("empty frame", &[0; 4]),
-        (
-            "unsigned frame",
-            &[
-                0, 0, 0, 40, 2, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
-                0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
-            ],
-        ),
-        ("half a frame", &[0, 0, 0, 40, 2, 1]),
-    ];
-    for (case, bytes) in cases {
-        let (address, bytes) = (a.peer_listen(), bytes.to_vec());
-        let answer = std::thread::spawn(move || {
-            let mut stream = TcpStream::connect(address).unwrap();
-            stream.write_all(&bytes).unwrap();
-            stream.shutdown(std::net::Shutdown::Write).unwrap();
-            let mut answer = Vec::new();
-            // A reset is as good as an end.
-            let _ = stream.read_to_end(&mut answer);
-            answer
-        });
-        while !answer.is_finished() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        let answer = answer.join().unwrap();
-        // Nothing but the challenge.
-        assert!(answer.len() < 100, "{case}: {} bytes", answer.len());
-    }
-    let b = start("entry-2", platform.address(), local()).await;
-    wait_for(&client, &b, "configured", |status| status["version"] == 3).await;
-    a.stop().await;
-    b.stop().await;
-    platform.stop().await;
-}
+/// Makes length and bytes of a request from the nonce of the challenge.
+type Make = fn(&Keys, u64) -> (u32, Vec<u8>);
 
 /// Reads a frame from a connection, or nothing if it ends before.
 fn read_frame(stream: &mut TcpStream, keys: &Keys) -> Option<Frame> {
@@ -229,42 +186,64 @@
     Frame::open(keys, &bytes).ok()
 }
 
-/// Guards against a recorded request that gets the configuration on another connection.
+/// Sends what is made from the challenge, with its length, and returns the answer.
+fn ask(address: SocketAddr, make: Make) -> Option<Frame> {
+    let secret_hex = "00112233445566778899aabbccddeeff".to_owned();
+    let keys = Keys::new(&[PeerKey { id: 1, secret_hex }]).unwrap();
+    let mut stream = TcpStream::connect(address).unwrap();
+    let challenge = read_frame(&mut stream, &keys).unwrap();
+    let (length, bytes) = make(&keys, challenge.nonce);
+    stream.write_all(&length.to_be_bytes()).unwrap();
+    stream.write_all(&bytes).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    read_frame(&mut stream, &keys)
+}
+
+fn request(keys: &Keys, to: &str, answers: u64) -> (u32, Vec<u8>) {
+    let frame = Frame {
+        from: "entry-2".to_owned(),
+        to: to.to_owned(),
+        answers,
+        nonce: 7,
+        body: vec![0],
+    };
+    let bytes = frame.seal(keys);
+    (u32::try_from(bytes.len()).unwrap(), bytes)
+}
+
+/// Guards against strangers and recorded requests that get the configuration or keep others from
+/// getting it.
 #[ntex::test]
-async fn peer_serves_no_recorded_request() {
+async fn peer_serves_only_genuine_requests() {
     let platform = Store::default().start(local()).unwrap();
     let client = Client::new().await;
     put_config(&client, platform.address(), None, 3).await;
     let a = start("entry-1", platform.address(), local()).await;
     wait_for(&client, &a, "configured", |status| status["version"] == 3).await;
-    let cases = [
-        ("genuine", 0, "entry-1", true),
-        ("other connection", 1, "entry-1", false),
-        ("other receiver", 0, "entry-3", false),
+    let cases: [(&str, Make, bool); 7] = [
+        ("huge length", |_, _| (u32::MAX, vec![]), false),
+        ("empty frame", |_, _| (0, vec![]), false),
+        ("unsigned frame", |_, _| (40, vec![2; 40]), false),
+        ("half a frame", |_, _| (40, vec![2, 1]), false),
+        (
+            "other connection",
+            |keys, nonce| request(keys, "entry-1", nonce ^ 1),
+            false,
+        ),
+        (
+            "other receiver",
+            |keys, nonce| request(keys, "entry-3", nonce),
+            false,
+        ),
+        (
+            "genuine",
+            |keys, nonce| request(keys, "entry-1", nonce),
+            true,
+        ),
     ];
-    for (case, off, to, served) in cases {
+    for (case, make, served) in cases {
         let address = a.peer_listen();
-        let answer = std::thread::spawn(move || {
-            let keys = Keys::new(&[PeerKey {
-                id: 1,
-                secret_hex: "00112233445566778899aabbccddeeff".to_owned(),
-            }]);
-            let keys = keys.unwrap();
-            let mut stream = TcpStream::connect(address).unwrap();
-            let challenge = read_frame(&mut stream, &keys).unwrap();
-            let request = Frame {
-                from: "entry-2".to_owned(),
-                to: to.to_owned(),
-                answers: challenge.nonce.wrapping_add(off),
-                nonce: 7,
-                body: vec![0],
-            };
-            let bytes = request.seal(&keys);
-            let length = u32::try_from(bytes.len()).unwrap();
-            stream.write_all(&length.to_be_bytes()).unwrap();
-            stream.write_all(&bytes).unwrap();
-            read_frame(&mut stream, &keys)
-        });
+        let answer = std::thread::spawn(move || ask(address, make));
         while !answer.is_finished() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
--- a/crates/e2e/tests/pause.rs
+++ b/crates/e2e/tests/pause.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use ntex::client::Client;
 use serde_json::json;
@@ -14,6 +14,12 @@
 /// Bound on the wait for the confirmation.
 const WAIT_ROUNDS: usize = 1_000;
 
+async fn set_down(client: &Client, store: SocketAddr, down: bool) {
+    let url = format!("http://{store}/control");
+    let answer = client.post(url).send_json(&json!({ "down": down })).await;
+    assert!(answer.unwrap().status().is_success());
+}
+
 /// Guards against work that a resumed daemon sends before it has refreshed its view.
 #[ntex::test]
 async fn holds_config_of_a_resumed_daemon() {
@@ -35,21 +41,17 @@
         "messages": [{"role": "user", "content": "the left tap drips len=2"}]});
     assert_eq!(chat(&client, daemon.address, &body).await.0, 200);
 
-    let control = format!("http://{}/control", store.address);
-    let set_down = async |down: bool| {
-        let body = json!({ "down": down });
-        let answer = client.post(&control).send_json(&body).await.unwrap();
-        assert!(answer.status().is_success());
-    };
-    set_down(true).await;
+    set_down(&client, store.address, true).await;
     daemon.signal("STOP");
     tokio::time::sleep(PAUSE).await;
     daemon.signal("CONT");
+    // HTTP lets a server close idle connections; after a pause it may do so before it reads.
+    let client = Client::new().await;
     let (status, answer) = chat(&client, daemon.address, &body).await;
     assert_eq!(status, 503, "{answer}");
     assert!(answer.contains("3006"), "{answer}");
 
-    set_down(false).await;
+    set_down(&client, store.address, false).await;
     let mut last = (0, String::new());
     for _ in 0..WAIT_ROUNDS {
         last = chat(&client, daemon.address, &body).await;
--- a/crates/peer/examples/slopes.rs
+++ b/crates/peer/examples/slopes.rs
@@ -5,7 +5,10 @@
 #[path = "../tests/sim/mod.rs"]
 mod sim;
 
-use sim::{Network, Usage};
+use std::time::Duration;
+
+use peer::Counters;
+use sim::Network;
 
 const SECOND_US: u64 = 1_000_000;
 
@@ -101,19 +104,26 @@
 {
     network.run_us(30 * SECOND_US);
     let count = network.nodes.len() as u64;
-    let mut total = Usage::default();
+    let mut total = Counters::default();
+    let mut busy = Duration::ZERO;
     let mut most = 0;
     for _ in 0..WINDOW_S / 10 {
-        network.reset_usage();
         fault(network);
+        network.reset_sent();
+        let before: Vec<Counters> = counters(network);
+        network
+            .nodes
+            .iter_mut()
+            .for_each(|node| node.busy = Duration::ZERO);
         network.run_us(10 * SECOND_US);
-        for node in &network.nodes {
-            total.sent_bytes += node.usage.sent_bytes;
-            total.received_bytes += node.usage.received_bytes;
-            total.sent += node.usage.sent;
-            total.received += node.usage.received;
-            total.busy += node.usage.busy;
-            most = most.max(node.usage.sent_bytes / 10);
+        for (node, before) in network.nodes.iter().zip(before) {
+            let after = node.membership.counters();
+            total.sent += after.sent - before.sent;
+            total.sent_bytes += after.sent_bytes - before.sent_bytes;
+            total.received += after.received - before.received;
+            total.received_bytes += after.received_bytes - before.received_bytes;
+            busy += node.busy;
+            most = most.max(node.sent_bytes / 10);
         }
     }
     let each = |sum: u64| sum / count / WINDOW_S;
@@ -132,6 +142,11 @@
         tenths(total.sent) % 10,
         tenths(total.received) / 10,
         tenths(total.received) % 10,
-        each(u64::try_from(total.busy.as_micros()).unwrap_or(u64::MAX)),
+        each(u64::try_from(busy.as_micros()).unwrap_or(u64::MAX)),
     );
 }
+
+fn counters(network: &Network) -> Vec<Counters> {
+    let nodes = network.nodes.iter();
+    nodes.map(|node| node.membership.counters()).collect()
+}
--- a/crates/peer/src/budget.rs
+++ b/crates/peer/src/budget.rs
@@ -1,5 +1,5 @@
 /// Bytes of IP and UDP headers of one datagram.
-const HEADER_BYTES: u64 = 28;
+pub(crate) const HEADER_BYTES: u64 = 28;
 
 /// Token bucket over all bytes that a daemon sends.
 ///
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod budget;
+mod counters;
 mod datagram;
 mod entry;
 mod fetch_rank;
@@ -57,6 +58,7 @@
 mod membership_tests;
 
 pub use self::{
-    frame::Frame, key_error::KeyError, keys::Keys, member::Member, membership::Membership,
-    options::Options, output::Output, reject::Reject, seed::Seed, state::State,
+    counters::Counters, frame::Frame, key_error::KeyError, keys::Keys, member::Member,
+    membership::Membership, options::Options, output::Output, reject::Reject, seed::Seed,
+    state::State,
 };
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -1,7 +1,7 @@
 use rand::Rng;
 
 use crate::{
-    Keys, Member, Options, Output, Seed, State, budget::Budget, entry::Entry,
+    Counters, Keys, Member, Options, Output, Seed, State, budget::Budget, entry::Entry,
     leaving_list::LeavingList, options::log2, payload_queue::PayloadQueue, probe::Probe,
     relay::Relay, rumors::Rumors,
 };
@@ -22,6 +22,7 @@
     pub(crate) leaving: LeavingList,
     pub(crate) payloads: PayloadQueue,
     pub(crate) budget: Budget,
+    pub(crate) counters: Counters,
     pub(crate) sequence: u64,
     pub(crate) last_us: Option<u64>,
     pub(crate) probe: Option<Probe>,
@@ -61,6 +62,7 @@
             leaving: LeavingList::default(),
             payloads: PayloadQueue::default(),
             budget: Budget::new(options.send_bytes_per_s, options.send_burst_bytes),
+            counters: Counters::default(),
             options,
             sequence: 0,
             last_us: None,
@@ -163,6 +165,12 @@
         self.entry(name).map(|entry| &entry.member)
     }
 
+    /// Returns the traffic since the start.
+    #[must_use]
+    pub const fn counters(&self) -> Counters {
+        self.counters
+    }
+
     /// Returns the upstreams that this daemon or a peer has seen leaving within the last minute.
     pub fn upstreams_leaving(&self) -> impl Iterator<Item = &str> {
         self.leaving.names()
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -3,8 +3,8 @@
 use rand::{Rng, RngExt as _};
 
 use crate::{
-    Member, Membership, Output, Reject, State, datagram::Datagram, entry::Entry, kind::Kind,
-    relay::Relay,
+    Member, Membership, Output, Reject, State, budget::HEADER_BYTES, datagram::Datagram,
+    entry::Entry, kind::Kind, relay::Relay,
 };
 
 /// Pings sent on behalf of others at a time; more requests are ignored.
@@ -21,7 +21,7 @@
     ///
     /// # Errors
     ///
-    /// Returns why the datagram was dropped; it has changed nothing then.
+    /// Returns why the datagram was dropped; it has changed nothing but a counter then.
     pub fn receive<R>(
         &mut self,
         now_us: u64,
@@ -30,6 +30,28 @@
         rng: &mut R,
         out: &mut Vec<Output>,
     ) -> Result<(), Reject>
+    where
+        R: Rng + ?Sized,
+    {
+        let result = self.take_in(now_us, from, bytes, rng, out);
+        match result {
+            Ok(()) => {
+                self.counters.received += 1;
+                self.counters.received_bytes += bytes.len() as u64 + HEADER_BYTES;
+            }
+            Err(reject) => self.counters.count_reject(reject),
+        }
+        result
+    }
+
+    fn take_in<R>(
+        &mut self,
+        now_us: u64,
+        from: SocketAddr,
+        bytes: &[u8],
+        rng: &mut R,
+        out: &mut Vec<Output>,
+    ) -> Result<(), Reject>
     where
         R: Rng + ?Sized,
     {
--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Member, Membership, Output, State,
+    budget::HEADER_BYTES,
     datagram::{Datagram, encoded_bytes},
     keys::{HEAD_BYTES, TAG_BYTES},
     kind::Kind,
@@ -69,6 +70,8 @@
         };
         let bytes = datagram.seal(&self.keys);
         self.budget.debit(bytes.len());
+        self.counters.sent += 1;
+        self.counters.sent_bytes += bytes.len() as u64 + HEADER_BYTES;
         out.push(Output::Send { to, bytes });
     }
 
--- a/crates/peer/tests/network.rs
+++ b/crates/peer/tests/network.rs
@@ -191,7 +191,7 @@
         let mut network = Network::new(count, 12);
         let bound = SENT_BYTES_PER_S * WINDOW_S + Options::default().send_burst_bytes;
         for phase in 0..4 {
-            network.reset_usage();
+            network.reset_sent();
             match phase {
                 1 => {
                     let left: Vec<usize> = (0..count).step_by(2).collect();
@@ -210,7 +210,7 @@
             }
             network.run_us(WINDOW_S * SECOND_US);
             for (index, node) in network.nodes.iter().enumerate() {
-                let sent = node.usage.sent_bytes;
+                let sent = node.sent_bytes;
                 assert!(
                     sent <= bound,
                     "{count}, phase {phase}, {index}: {sent} bytes"
--- a/crates/peer/tests/sim/mod.rs
+++ b/crates/peer/tests/sim/mod.rs
@@ -37,23 +37,15 @@
     },
 }
 
-/// Traffic and processor time of a node since the last reset.
-#[derive(Debug, Clone, Default)]
-pub struct Usage {
-    pub sent_bytes: u64,
-    pub received_bytes: u64,
-    pub sent: u64,
-    pub received: u64,
-    pub busy: Duration,
-}
-
 /// Daemon of the network.
 pub struct Node {
     pub membership: Membership,
     pub up: bool,
     pub paused: bool,
     pub leaving: bool,
-    pub usage: Usage,
+    /// Bytes put on the network, with headers, since the last reset.
+    pub sent_bytes: u64,
+    pub busy: Duration,
     pub upstreams_leaving: Vec<String>,
     pub payloads: Vec<(String, Vec<u8>)>,
     pub resumed: u32,
@@ -151,7 +143,8 @@
             up: true,
             paused: false,
             leaving: false,
-            usage: Usage::default(),
+            sent_bytes: 0,
+            busy: Duration::ZERO,
             upstreams_leaving: Vec::new(),
             payloads: Vec::new(),
             resumed: 0,
@@ -208,9 +201,9 @@
         }
     }
 
-    pub fn reset_usage(&mut self) {
+    pub fn reset_sent(&mut self) {
         for node in &mut self.nodes {
-            node.usage = Usage::default();
+            node.sent_bytes = 0;
         }
     }
 
@@ -296,7 +289,7 @@
                 let mut out = Vec::new();
                 let start = Instant::now();
                 node.membership.tick(now_us, &mut self.rng, &mut out);
-                node.usage.busy += start.elapsed();
+                node.busy += start.elapsed();
                 self.carry_out(index, out);
             }
             Event::Deliver { from, to, bytes } => {
@@ -320,15 +313,13 @@
 
     fn deliver(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let (now_us, node) = (self.now_us, &mut self.nodes[to]);
-        node.usage.received += 1;
-        node.usage.received_bytes += bytes.len() as u64 + HEADER_BYTES;
         let mut out = Vec::new();
         let start = Instant::now();
         // What a node refuses has no effect, which the tests of datagrams check.
         let _ = node
             .membership
             .receive(now_us, address(from), bytes, &mut self.rng, &mut out);
-        node.usage.busy += start.elapsed();
+        node.busy += start.elapsed();
         self.carry_out(to, out);
     }
 
@@ -363,9 +354,7 @@
     }
 
     fn transmit(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
-        let usage = &mut self.nodes[from].usage;
-        usage.sent += 1;
-        usage.sent_bytes += bytes.len() as u64 + HEADER_BYTES;
+        self.nodes[from].sent_bytes += bytes.len() as u64 + HEADER_BYTES;
         let lost = self.rng.random_range(0..100) < self.loss_percent;
         if lost || self.cuts.contains(&(from, to)) {
             return;
