--- a/crates/peer/examples/slopes.rs
+++ b/crates/peer/examples/slopes.rs
@@ -75,6 +75,13 @@
                 member.is_some_and(|member| member.state == peer::State::Dead)
             })
         });
+        network.restart(2, network.nodes[2].incarnation + 1_000, &sim::seeds(count));
+        network.run_us(60 * SECOND_US);
+        let (left, right): (Vec<usize>, Vec<usize>) = (0..count).partition(|index| index % 2 == 0);
+        network.partition(&left, &right);
+        network.run_us(120 * SECOND_US);
+        network.cuts.clear();
+        let heal = network.run_until(600 * SECOND_US, Network::converged);
         let times = [
             ("start", start),
             ("join", join_listed),
@@ -84,6 +91,7 @@
             ("host_leaving", leaving),
             ("suspicion", suspected),
             ("death_after_suspicion", dead),
+            ("heal_after_partition", heal),
         ];
         print!("{count} until all know, s:");
         for (what, time_us) in times {
--- a/crates/peer/src/counters.rs
+++ b/crates/peer/src/counters.rs
@@ -4,6 +4,12 @@
 
 /// Traffic of a daemon with its peers since its start, for operators.
 ///
+/// The same figures are in the status of a daemon:
+///
+/// ```text
+/// curl -s http://HOST:ADMIN_PORT/admin/status | jq .peer_traffic
+/// ```
+///
 /// `unknown_key` and `forged` grow while the keys of hosts differ, as during a rotation in the
 /// wrong order: the new key has to be accepted everywhere before the first host signs with it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -6,6 +6,27 @@
 ///
 /// The server opens with a challenge. The request carries it back, and the answer carries the
 /// nonce of the request: a recorded frame is of no use on another connection.
+///
+/// # Examples
+///
+/// ```
+/// use peer::{Frame, Keys, Reject};
+/// use settings::PeerKey;
+///
+/// let key = PeerKey { id: 1, secret_hex: "00112233445566778899aabbccddeeff".to_owned() };
+/// let keys = Keys::new(&[key]).unwrap();
+/// let challenge = Frame {
+///     from: "entry-1".to_owned(),
+///     to: String::new(),
+///     answers: 0,
+///     nonce: 42,
+///     body: Vec::new(),
+/// };
+/// let mut bytes = challenge.seal(&keys);
+/// assert_eq!(Frame::open(&keys, &bytes), Ok(challenge));
+/// bytes[5] ^= 1;
+/// assert_eq!(Frame::open(&keys, &bytes), Err(Reject::Forged));
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Frame {
     /// Name of the sender.
--- a/crates/peer/src/keys.rs
+++ b/crates/peer/src/keys.rs
@@ -22,6 +22,22 @@
 const SECRET_MIN_BYTES: usize = 16;
 
 /// Accepted keys between daemons; the first one signs.
+///
+/// To rotate, the new key is first listed second on every host, then first, and only then the old
+/// one is withdrawn.
+///
+/// # Examples
+///
+/// ```
+/// use peer::{KeyError, Keys};
+/// use settings::PeerKey;
+///
+/// let key = |id, secret: &str| PeerKey { id, secret_hex: secret.to_owned() };
+/// let old = key(1, "00112233445566778899aabbccddeeff");
+/// let new = key(2, "ffeeddccbbaa99887766554433221100");
+/// assert!(Keys::new(&[new, old.clone()]).is_ok());
+/// assert_eq!(Keys::new(&[old, key(1, "00")]).unwrap_err(), KeyError::Duplicate { id: 1 });
+/// ```
 #[derive(Clone)]
 pub struct Keys {
     keys: Vec<(u8, Hmac<Sha256>)>,
--- a/crates/peer/src/member.rs
+++ b/crates/peer/src/member.rs
@@ -8,6 +8,17 @@
 const NAME_MAX_BYTES: usize = 64;
 
 /// What a daemon knows about a member.
+///
+/// # Examples
+///
+/// ```
+/// use peer::{Member, State};
+///
+/// let member = Member::new("entry-1", "10.0.0.1:7000".parse().unwrap(), 3)
+///     .with_place("costa", "costa-norte")
+///     .with_config_version(12);
+/// assert_eq!(member.state, State::Live);
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Unique name of the host.
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -135,6 +135,46 @@
     /// It travels with the next datagram to that member, or in one of its own at the next tick
     /// that the byte budget allows. Delivery is not guaranteed: payloads above 800 bytes and the
     /// oldest of more than four for one member are dropped.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use peer::{Keys, Member, Membership, Options, Output, Seed};
+    /// use rand::{SeedableRng, rngs::StdRng};
+    /// use settings::PeerKey;
+    ///
+    /// let key = PeerKey { id: 1, secret_hex: "00112233445566778899aabbccddeeff".to_owned() };
+    /// let keys = Keys::new(&[key]).unwrap();
+    /// let mut rng = StdRng::seed_from_u64(1);
+    /// let [a, b] = ["127.0.0.1:7001", "127.0.0.1:7002"].map(|text| text.parse().unwrap());
+    /// let new = |name, address| {
+    ///     Membership::new(Member::new(name, address, 1), keys.clone(), Options::default())
+    /// };
+    /// let (mut first, mut second) = (new("first", a), new("second", b));
+    /// first.set_hosts(&[Seed::new("second", b)]);
+    ///
+    /// // A payload for a daemon whose incarnation is not known yet is not delivered.
+    /// let mut delivered = Vec::new();
+    /// for turn in 1..=3 {
+    ///     first.queue_payload("second", vec![7]);
+    ///     let (mut out, mut answers) = (Vec::new(), Vec::new());
+    ///     first.tick(turn * 1_000_000, &mut rng, &mut out);
+    ///     for output in out {
+    ///         let Output::Send { bytes, .. } = output else { continue };
+    ///         second.receive(turn * 1_000_000, a, &bytes, &mut rng, &mut answers).unwrap();
+    ///     }
+    ///     for output in answers {
+    ///         match output {
+    ///             Output::Send { bytes, .. } => {
+    ///                 first.receive(turn * 1_000_000, b, &bytes, &mut rng, &mut Vec::new()).unwrap();
+    ///             }
+    ///             Output::Payload { from, .. } => delivered.push(from),
+    ///             _ => {}
+    ///         }
+    ///     }
+    /// }
+    /// assert!(delivered.iter().all(|from| from == "first") && !delivered.is_empty());
+    /// ```
     pub fn queue_payload(&mut self, to: &str, bytes: Vec<u8>) {
         self.payloads.push(to, bytes);
     }
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -1,4 +1,14 @@
 /// Periods and bounds of the protocol.
+///
+/// # Examples
+///
+/// ```
+/// use peer::Options;
+///
+/// let options = Options::default();
+/// assert_eq!(options.suspicion_us(6), 6_000_000);
+/// assert_eq!(options.suspicion_us(330), 12_000_000);
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
     /// Pause between two probes.
--- a/crates/peer/src/seed.rs
+++ b/crates/peer/src/seed.rs
@@ -1,6 +1,15 @@
 use std::net::SocketAddr;
 
 /// Entry of the platform's host list for a host of ours.
+///
+/// # Examples
+///
+/// ```
+/// use peer::Seed;
+///
+/// let seed = Seed::new("entry-1", "10.0.0.1:7000".parse().unwrap()).with_leaving(true);
+/// assert!(seed.leaving);
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Seed {
     /// Name of the host.
