--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -33,6 +33,12 @@
     });
     let (version, digest, confirmed_us) = shared.releases.status();
     let now_us = shared.clock.now_us();
+    let (incarnation, members, upstreams_leaving, traffic) = shared.peers.with(|membership| {
+        let members: Vec<_> = membership.members().cloned().collect();
+        let leaving: Vec<_> = membership.upstreams_leaving().map(str::to_owned).collect();
+        let incarnation = membership.me().incarnation;
+        (incarnation, members, leaving, membership.counters())
+    });
     HttpResponse::Ok().json(&json!({
         "host": shared.host.name,
         "region": shared.host.region,
@@ -44,6 +50,10 @@
         "uptime_ms": u64::try_from(shared.clock.elapsed().as_millis()).unwrap_or(u64::MAX),
         "queued": queued,
         "in_flight": in_flight,
+        "incarnation": incarnation,
+        "members": members,
+        "upstreams_leaving": upstreams_leaving,
+        "peer_traffic": traffic,
     }))
 }
 
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -82,8 +82,12 @@
     let mut follower = Follower::default();
     let mut reachable = true;
     loop {
+        let began_us = shared.clock.now_us();
         match follower.poll(&shared, table.as_ref()).await {
-            Ok(()) => reachable = true,
+            Ok(()) => {
+                shared.peers.freshness.confirm(began_us);
+                reachable = true;
+            }
             Err(error) => {
                 if reachable {
                     warn!("release: poll failed: {error}");
@@ -91,7 +95,8 @@
                 reachable = false;
             }
         }
-        tokio::time::sleep(pause).await;
+        // Polls at once after a pause of this process.
+        let _ = tokio::time::timeout(pause, shared.peers.refresh.notified()).await;
     }
 }
 
--- a/crates/daemon/src/follow_tests.rs
+++ b/crates/daemon/src/follow_tests.rs
@@ -1,9 +1,12 @@
+use std::sync::Weak;
+
 use futures::future::{LocalBoxFuture, ready};
 use release::{Current, Note, Record, diff};
 use settings::{Class, Config, Host};
 use store::{Expect, Fault, MemoryTable, Row};
 
 use super::*;
+use crate::peers::Peers;
 
 fn shared() -> Shared {
     let host = r#"{
@@ -12,7 +15,9 @@
         "store": "127.0.0.1:1",
         "peer_keys": [{"id": 1, "secret_hex": "00112233445566778899aabbccddeeff"}]
     }"#;
-    Shared::new(Host::parse(host).unwrap())
+    let host = Host::parse(host).unwrap();
+    let peers = Peers::new(&host, Weak::new(), host.peer_listen).unwrap();
+    Shared::new(host, peers)
 }
 
 fn config(version: u64, tier: u8) -> Config {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod handle;
 mod input;
 mod models;
+mod peers;
 mod progress;
 mod refusal;
 mod relay;
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -14,6 +14,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) listen: SocketAddr,
     pub(crate) admin_listen: SocketAddr,
+    peer_listen: SocketAddr,
     callers: Server,
     admin: Server,
     tasks: Vec<(AbortHandle, JoinHandle<()>)>,
@@ -24,6 +25,7 @@
         shared: Arc<Shared>,
         listen: SocketAddr,
         admin_listen: SocketAddr,
+        peer_listen: SocketAddr,
         callers: Server,
         admin: Server,
     ) -> Self {
@@ -31,6 +33,7 @@
             shared,
             listen,
             admin_listen,
+            peer_listen,
             callers,
             admin,
             tasks: Vec::new(),
@@ -55,6 +58,12 @@
         self.shared.is_ready()
     }
 
+    /// Returns the address for other daemons.
+    #[must_use]
+    pub const fn peer_listen(&self) -> SocketAddr {
+        self.peer_listen
+    }
+
     /// Stops gracefully: takes no new work, finishes what is queued or running, then ends.
     ///
     /// Work that is still there after the host's `drain_max_ms` is cut off.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,7 +11,8 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    calls::Calls, clock::Clock, core::Core, follow::Releases, handle::JobHandle, view::View,
+    calls::Calls, clock::Clock, core::Core, follow::Releases, handle::JobHandle, peers::Peers,
+    view::View,
 };
 
 /// State that all threads of a daemon share.
@@ -20,6 +21,7 @@
     pub(crate) clock: Clock,
     pub(crate) view: ArcSwap<View>,
     pub(crate) releases: Releases,
+    pub(crate) peers: Peers,
     draining: AtomicBool,
     next_id: AtomicU64,
     pub(crate) metrics: Metrics,
@@ -30,13 +32,14 @@
 }
 
 impl Shared {
-    pub(crate) fn new(host: Host) -> Self {
+    pub(crate) fn new(host: Host, peers: Peers) -> Self {
         let place = Place::new(&host.region, &host.zone);
         Self {
             host,
             clock: Clock::new(),
             view: ArcSwap::from_pointee(View::default()),
             releases: Releases::default(),
+            peers,
             draining: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
             metrics: Metrics::default(),
@@ -55,8 +58,10 @@
         !self.is_draining() && self.view.load().config.version > 0
     }
 
+    /// Takes no new work from now on and announces it to the peers.
     pub(crate) fn set_draining(&self) {
         self.draining.store(true, Ordering::Release);
+        self.peers.leave(self.clock.now_us());
     }
 
     pub(crate) fn next_id(&self) -> JobId {
@@ -113,6 +118,13 @@
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.configure(now_us, &view.config, actions);
             });
+            self.peers.with(|membership| {
+                // A configuration does not tell what was seen of its upstreams meanwhile.
+                for upstream in membership.upstreams_leaving() {
+                    core.dispatcher.set_leaving(upstream);
+                }
+                membership.set_config_version(view.config.version);
+            });
             self.view.store(view);
             true
         })
