fix(wire): send the result code as a string, as client libraries read it

Cause: a published client library could not parse our errors; it reads `error.code` as a string and got an integer.

Ruled out: a second field for the number, which callers would have to know of.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -46,7 +46,14 @@
     pub fn code(&self) -> (u64, String) {
         let error = &self.json()["error"];
         let run = error["run"].as_str().unwrap_or_default().to_owned();
-        (error["code"].as_u64().unwrap_or_default(), run)
+        (
+            error["code"]
+                .as_str()
+                .unwrap_or_default()
+                .parse()
+                .unwrap_or_default(),
+            run,
+        )
     }
 }
 
--- a/crates/wire/src/error_body.rs
+++ b/crates/wire/src/error_body.rs
@@ -21,7 +21,8 @@
             "message": message,
             "type": kind,
             "param": null,
-            "code": code.number(),
+            // Client libraries read this field as a string.
+            "code": code.number().to_string(),
             "name": code.name(),
             "run": code.run().as_str(),
             "request_id": request_id,
