feat(code,cli): own result codes for hosts and arguments

Cause: an unreachable admin address and a wrong argument were told with codes about upstreams and request bodies, whose sentences mislead an operator. Change: 7006 host_unreachable and 7007 bad_argument; the daemon names file and line of each fault of its settings.

--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -29,7 +29,7 @@
             .response_timeout(ADMIN_TIMEOUT)
             .build(SharedCfg::new("ADMIN"))
             .await
-            .map_err(|error| Failure::new(Code::ConnectFailed, error))?;
+            .map_err(|error| Failure::new(Code::HostUnreachable, error))?;
         Ok(Self { client })
     }
 
@@ -38,7 +38,7 @@
         let answer = self.client.get(url(host, "/admin/status")).send().await;
         let text = text_of(host, answer).await?;
         serde_json::from_str(&text)
-            .map_err(|error| Failure::new(Code::UpstreamError, format!("{host}: {error}")))
+            .map_err(|error| Failure::new(Code::HostUnreachable, format!("{host}: {error}")))
     }
 }
 
@@ -69,12 +69,12 @@
 {
     let fail =
         |code, detail: &dyn std::fmt::Display| Failure::new(code, format!("{host}: {detail}"));
-    let answer = answer.map_err(|error| fail(Code::ConnectFailed, &error))?;
+    let answer = answer.map_err(|error| fail(Code::HostUnreachable, &error))?;
     let status = answer.status();
     let body = answer.body().limit(ANSWER_MAX_BYTES).await;
-    let body = body.map_err(|error| fail(Code::UpstreamLost, &error))?;
+    let body = body.map_err(|error| fail(Code::HostUnreachable, &error))?;
     if !status.is_success() {
-        return Err(fail(Code::UpstreamError, &status));
+        return Err(fail(Code::HostUnreachable, &status));
     }
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/crates/cli/src/drive.rs
+++ b/crates/cli/src/drive.rs
@@ -13,7 +13,7 @@
 pub(crate) async fn open(address: &str) -> Result<HttpTable, Failure> {
     let parsed: SocketAddr = address
         .parse()
-        .map_err(|error| Failure::new(Code::BadRequest, format!("--store {address}: {error}")))?;
+        .map_err(|error| Failure::new(Code::BadArgument, format!("--store {address}: {error}")))?;
     HttpTable::new(parsed, STORE_TIMEOUT)
         .await
         .map_err(|error| Failure::new(Code::StoreDown, error))
--- a/crates/cli/src/hosts.rs
+++ b/crates/cli/src/hosts.rs
@@ -9,7 +9,7 @@
         (None, Some(file)) => read(file)?,
         _ => {
             let detail = "give either --hosts or --hosts-file";
-            return Err(Failure::new(Code::BadRequest, detail));
+            return Err(Failure::new(Code::BadArgument, detail));
         }
     };
     let lines = text.lines().map(str::trim);
--- a/crates/cli/src/release_apply.rs
+++ b/crates/cli/src/release_apply.rs
@@ -67,7 +67,7 @@
 /// Reads a file of an operator.
 pub(crate) fn read(file: &str) -> Result<String, Failure> {
     fs::read_to_string(file)
-        .map_err(|error| Failure::new(Code::BadRequest, format!("{file}: {error}")))
+        .map_err(|error| Failure::new(Code::BadArgument, format!("{file}: {error}")))
 }
 
 fn parse<'a>(file: &str, text: &'a str) -> Result<Document<'a>, Failure> {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -116,6 +116,8 @@
         ok | release apply 1.jsonc | version 1 is accepted
         ok | release apply 2.jsonc | version 2 is accepted
         error | release apply 3.jsonc | error 7002 note_conflict
+        error | release apply 9.jsonc | error 7007 bad_argument
+        error | release status | error 7007 bad_argument
         error | release check 3.jsonc | 3.jsonc:5: changed[0].before: the value in force is 32
         ok | release show 2 | \"author\": \"ana\"
         error | release show 3 | has no record
@@ -238,7 +240,7 @@
     let text = case.script(&status).await;
     assert!(text.contains("entry-1  2"), "{text}");
     assert!(text.contains("not compared"), "{text}");
-    case.script("error | release status --hosts 127.0.0.1:1 | error 4002")
+    case.script("error | release status --hosts 127.0.0.1:1 | error 7006")
         .await;
     daemon.stop().await;
     store.stop().await;
--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -80,6 +80,10 @@
     StoreDown,
     /// The store did not confirm the release; the same attempt number tells whether it took effect.
     NoteUnknown,
+    /// The admin address of the host did not answer as expected.
+    HostUnreachable,
+    /// An argument is wrong or a file can't be read.
+    BadArgument,
 }
 
 impl Code {
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -1,7 +1,7 @@
 use crate::{Code, Entry, Retry, Run};
 
 /// All result codes, sorted by number, in the order of the variants of [`Code`].
-pub const TABLE: [Entry; 36] = [
+pub const TABLE: [Entry; 38] = [
     Entry {
         code: Code::BadRequest,
         number: 1001,
@@ -326,4 +326,22 @@
         retry: Retry::SameKey,
         message: "The store did not confirm the release; the same attempt number tells whether it took effect.",
     },
+    Entry {
+        code: Code::HostUnreachable,
+        number: 7006,
+        name: "host_unreachable",
+        http_status: 502,
+        run: Run::Unknown,
+        retry: Retry::Later,
+        message: "The admin address of the host did not answer as expected.",
+    },
+    Entry {
+        code: Code::BadArgument,
+        number: 7007,
+        name: "bad_argument",
+        http_status: 400,
+        run: Run::No,
+        retry: Retry::Never,
+        message: "An argument is wrong or a file can't be read.",
+    },
 ];
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -31,7 +31,7 @@
     let host = Host::parse(&text).map_err(|problems| {
         let lines: Vec<String> = problems
             .iter()
-            .map(|problem| format!("{path}: {problem}"))
+            .map(|problem| problem.in_file(&path))
             .collect();
         eyre!(lines.join("\n"))
     })?;
--- a/crates/release/src/call.rs
+++ b/crates/release/src/call.rs
@@ -1,5 +1,3 @@
-use crate::Outcome;
-
 /// Call of the table service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Call {
@@ -18,12 +16,3 @@
         value: String,
     },
 }
-
-/// What a change does next.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Step {
-    /// Make this call and report its answer.
-    Call(Call),
-    /// The change has ended.
-    Done(Outcome),
-}
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -41,6 +41,7 @@
 mod outcome;
 mod record;
 mod record_write;
+mod step;
 mod stored;
 mod taken;
 #[cfg(test)]
@@ -51,7 +52,7 @@
 pub use self::{
     answer::Answer,
     apply::Apply,
-    call::{Call, Step},
+    call::Call,
     change::Change,
     check::check,
     complete::Complete,
@@ -63,6 +64,7 @@
     note::Note,
     outcome::Outcome,
     record::Record,
+    step::Step,
     stored::Stored,
     taken::Taken,
     tracker::Tracker,
