--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -67,14 +67,15 @@
 where
     E: std::fmt::Display,
 {
-    let fail =
-        |code, detail: &dyn std::fmt::Display| Failure::new(code, format!("{host}: {detail}"));
-    let answer = answer.map_err(|error| fail(Code::HostUnreachable, &error))?;
+    let fail = |detail: &dyn std::fmt::Display| {
+        Failure::new(Code::HostUnreachable, format!("{host}: {detail}"))
+    };
+    let answer = answer.map_err(|error| fail(&error))?;
     let status = answer.status();
     let body = answer.body().limit(ANSWER_MAX_BYTES).await;
-    let body = body.map_err(|error| fail(Code::HostUnreachable, &error))?;
+    let body = body.map_err(|error| fail(&error))?;
     if !status.is_success() {
-        return Err(fail(Code::HostUnreachable, &status));
+        return Err(fail(&status));
     }
     Ok(String::from_utf8_lossy(&body).into_owned())
 }
