perf(queue,sched): order active accounts, estimate once, skip vain choices

An admission with an end and a choice took 19 to 21 us at 12 upstreams and 1,000 queued jobs, and 84 to 89 us at 2,300: each choice scanned all 440 accounts, each arrival computed the service ahead twice, and each end asked the pool again for every lane.

Accounts with waiting items are now kept in the order of their virtual time, backlogs lie apart from the items, the estimate is computed once, and a slot that is taken at once restores what was full before.

--- a/crates/queue/src/fair_queue.rs
+++ b/crates/queue/src/fair_queue.rs
@@ -1,12 +1,17 @@
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
-use crate::{Head, Item, account_queue::AccountQueue};
+use crate::{Head, Item, account_queue::AccountQueue, backlog::Backlog};
 
 /// One tier of a lane, fair between client accounts; start-time fair queueing.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
-    /// Sorted by name.
+    /// Positions in `accounts`, sorted by name.
+    by_name: Vec<usize>,
     accounts: Vec<AccountQueue>,
+    /// In the order of `accounts`.
+    backlogs: Vec<Backlog>,
+    /// Virtual time and position of each account with waiting items.
+    active: BTreeSet<(u64, usize)>,
     /// Virtual time of the account that was served last; an account that was idle starts here, so
     /// that it gains no claim on service from the time when it asked for none.
     virtual_time: u64,
@@ -15,12 +20,29 @@
 }
 
 impl FairQueue {
+    /// Takes up weights; an idle account without one is forgotten.
     pub(crate) fn set_weights(&mut self, weight_of: impl Fn(&str) -> Option<u32>) {
-        self.accounts.retain_mut(|account| {
+        let accounts = std::mem::take(&mut self.accounts);
+        let backlogs = std::mem::take(&mut self.backlogs);
+        self.by_name.clear();
+        self.active.clear();
+        for (account, mut backlog) in accounts.into_iter().zip(backlogs) {
             let weight = weight_of(&account.name);
-            account.weight = weight.unwrap_or(1).max(1);
-            weight.is_some() || !account.is_empty()
-        });
+            if weight.is_none() && account.is_empty() {
+                continue;
+            }
+            backlog.weight = weight.unwrap_or(1).max(1);
+            let position = self.accounts.len();
+            if !account.is_empty() {
+                self.active.insert((account.virtual_time, position));
+            }
+            self.accounts.push(account);
+            self.backlogs.push(backlog);
+            self.by_name.push(position);
+        }
+        let accounts = &self.accounts;
+        self.by_name
+            .sort_by(|&a, &b| accounts[a].name.cmp(&accounts[b].name));
     }
 
     pub(crate) const fn len(&self) -> usize {
@@ -33,86 +55,104 @@
 
     /// Returns the next item among the variants in the mask.
     pub(crate) fn head(&self, mask: u8) -> Option<Head> {
-        if self.len == 0 {
-            return None;
-        }
-        let waiting = self.accounts.iter().filter(|account| account.has(mask));
-        waiting
-            .min_by_key(|account| account.virtual_time)?
-            .head(mask)
+        let mut active = self.active.iter();
+        active.find_map(|&(_, position)| self.accounts[position].head(mask))
     }
 
     /// Returns the expected service that fair order puts before the newest item of an account.
     pub(crate) fn cost_ahead(&self, name: &str, own_cost: u64) -> u64 {
-        let Ok(own) = self.index(name) else {
+        let Ok(own) = self.find(name) else {
             return self.cost;
         };
-        let own = &self.accounts[own];
-        let others = self
-            .accounts
-            .iter()
-            .filter(|account| *account.name != *name);
-        let share = |account: &AccountQueue| {
-            let fair = own.cost.saturating_mul(u64::from(account.weight)) / u64::from(own.weight);
-            account.cost.min(fair)
+        let backlog = self.backlogs[self.by_name[own]];
+        let for_each_weight = backlog.cost.div_ceil(u64::from(backlog.weight));
+        let fair = |other: &Backlog| {
+            let share = for_each_weight.saturating_mul(u64::from(other.weight));
+            other.cost.min(share)
         };
-        own.cost.saturating_sub(own_cost) + others.map(share).sum::<u64>()
+        // The sum counts the account itself, with all of its items.
+        let all: u64 = self.backlogs.iter().map(fair).sum();
+        all.saturating_sub(own_cost)
     }
 
     pub(crate) fn push(&mut self, item: &Item, weight: impl FnOnce() -> u32) {
-        let index = self.index(&item.account).unwrap_or_else(|index| {
-            let account = AccountQueue::new(item.account.clone(), weight(), self.virtual_time);
-            self.accounts.insert(index, account);
-            index
-        });
-        let account = &mut self.accounts[index];
+        let position = match self.find(&item.account) {
+            Ok(index) => self.by_name[index],
+            Err(index) => {
+                let position = self.accounts.len();
+                let account = AccountQueue::new(item.account.clone(), self.virtual_time);
+                self.accounts.push(account);
+                self.backlogs.push(Backlog::new(weight()));
+                self.by_name.insert(index, position);
+                position
+            }
+        };
+        let account = &mut self.accounts[position];
         if account.is_empty() {
             account.virtual_time = account.virtual_time.max(self.virtual_time);
+            self.active.insert((account.virtual_time, position));
         }
         account.push(item);
+        self.backlogs[position].cost += item.cost;
         self.len += 1;
         self.cost += item.cost;
     }
 
     pub(crate) fn remove(&mut self, item: &Item) -> bool {
-        let Ok(index) = self.index(&item.account) else {
+        let Ok(index) = self.find(&item.account) else {
             return false;
         };
-        let removed = self.accounts[index].remove(item);
-        if removed {
-            self.len -= 1;
-            self.cost = self.cost.saturating_sub(item.cost);
+        let position = self.by_name[index];
+        let account = &mut self.accounts[position];
+        if !account.remove(item) {
+            return false;
         }
-        removed
+        if account.is_empty() {
+            self.active.remove(&(account.virtual_time, position));
+        }
+        let backlog = &mut self.backlogs[position];
+        backlog.cost = backlog.cost.saturating_sub(item.cost);
+        self.len -= 1;
+        self.cost = self.cost.saturating_sub(item.cost);
+        true
     }
 
     /// Removes an item and charges its expected service to its account.
     pub(crate) fn start(&mut self, item: &Item) -> bool {
-        if !self.remove(item) {
-            return false;
-        }
-        if let Ok(index) = self.index(&item.account) {
-            let account = &mut self.accounts[index];
-            self.virtual_time = self.virtual_time.max(account.virtual_time);
-            account.charge(item.cost);
+        let removed = self.remove(item);
+        if removed && let Ok(index) = self.find(&item.account) {
+            let position = self.by_name[index];
+            let virtual_time = self.accounts[position].virtual_time;
+            self.virtual_time = self.virtual_time.max(virtual_time);
+            let step = self.backlogs[position].virtual_time(item.cost);
+            self.set_virtual_time(position, virtual_time.saturating_add(step));
         }
-        true
+        removed
     }
 
     /// Replaces the expected by the actual service.
     pub(crate) fn settle(&mut self, name: &Arc<str>, expected: u64, actual: u64) {
-        if let Ok(index) = self.index(name) {
-            let account = &mut self.accounts[index];
-            if actual > expected {
-                account.charge(actual - expected);
-            } else {
-                account.refund(expected - actual);
-            }
+        if let Ok(index) = self.find(name) {
+            let position = self.by_name[index];
+            let backlog = self.backlogs[position];
+            let virtual_time = self.accounts[position].virtual_time;
+            let virtual_time = virtual_time
+                .saturating_add(backlog.virtual_time(actual))
+                .saturating_sub(backlog.virtual_time(expected));
+            self.set_virtual_time(position, virtual_time);
+        }
+    }
+
+    fn set_virtual_time(&mut self, position: usize, virtual_time: u64) {
+        let account = &mut self.accounts[position];
+        if self.active.remove(&(account.virtual_time, position)) {
+            self.active.insert((virtual_time, position));
         }
+        account.virtual_time = virtual_time;
     }
 
-    fn index(&self, name: &str) -> Result<usize, usize> {
-        self.accounts
-            .binary_search_by(|account| account.name.as_ref().cmp(name))
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.by_name
+            .binary_search_by(|&position| (*self.accounts[position].name).cmp(name))
     }
 }
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -27,6 +27,7 @@
 //! ```
 
 mod account_queue;
+mod backlog;
 mod fair_queue;
 mod head;
 mod item;
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -7,8 +7,9 @@
 
 /// Waiting jobs of one daemon in lanes and tiers.
 ///
-/// Choice and removal are logarithmic in the number of items and linear in the number of client
-/// accounts with a history in the lane.
+/// Choice and removal are logarithmic in the number of items and of client accounts, except that a
+/// choice skips the accounts that have no item of the wanted variant. An estimate of the service
+/// ahead is linear in the number of client accounts.
 #[derive(Debug, Default)]
 pub struct Queue {
     lanes: Vec<[FairQueue; TIERS]>,
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -89,18 +89,19 @@
         self.start_in_place(now_us, turn, actions)
     }
 
-    /// Refuses a queued job that would not start before its deadline.
+    /// Refuses a queued job that would not start before its deadline, given the service ahead.
     pub(crate) fn refuse_unreachable(
         &mut self,
         now_us: u64,
         id: JobId,
+        ahead: u64,
         actions: &mut Vec<Action>,
     ) -> bool {
         let Some(entry) = self.jobs.get(&id) else {
             return true;
         };
         let item = entry.item.clone();
-        let Some(wait_us) = self.estimate_wait_us(&item) else {
+        let Some(wait_us) = self.wait_us_behind(&item, ahead) else {
             return false;
         };
         if now_us.saturating_add(wait_us) <= item.deadline_us {
@@ -137,6 +138,10 @@
     /// of the recent starts. A share reserved for lower tiers is not deducted, since it gives way
     /// before a higher tier is refused.
     fn estimate_wait_us(&self, item: &Item) -> Option<u64> {
+        self.wait_us_behind(item, self.queue.cost_ahead(item))
+    }
+
+    fn wait_us_behind(&self, item: &Item, ahead: u64) -> Option<u64> {
         let lane = &self.topology.lanes[item.lane];
         if lane.running == 0 || lane.token_time.samples() < SAMPLES_MIN {
             return None;
@@ -147,11 +152,7 @@
         let left_permille = 1_000_u32.saturating_sub(lane.higher_permille[tier]);
         let rate_permille =
             u64::from(lane.running) * u64::from(left_permille.max(reserved_permille).max(1));
-        let ahead_us = self
-            .queue
-            .cost_ahead(item)
-            .saturating_mul(lane.token_time.get())
-            / 16;
+        let ahead_us = ahead.saturating_mul(lane.token_time.get()) / 16;
         let work_us = ahead_us.saturating_add(lane.hold_us.get());
         Some(work_us.saturating_mul(1_000) / rate_permille)
     }
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -11,6 +11,12 @@
 impl Dispatcher {
     /// Starts what fits in a group.
     pub(crate) fn dispatch(&mut self, now_us: u64, group: usize, actions: &mut Vec<Action>) {
+        self.fill(now_us, group, actions);
+        // What was full before the event is of no use to the next one.
+        self.topology.groups[group].freed = None;
+    }
+
+    fn fill(&mut self, now_us: u64, group: usize, actions: &mut Vec<Action>) {
         while let Some(turn) = self.next_turn(group) {
             if self.refuse_expired(now_us, turn.id, actions) {
                 continue;
@@ -77,6 +83,7 @@
             priority: entry.priority(),
             reason,
         });
+        let upstream = pick.upstream.clone();
         entry.running = Some(Running {
             upstream: pick.upstream,
             started_us: now_us,
@@ -89,6 +96,8 @@
         }
         self.topology.lanes[turn.lane].note_start(turn.tier);
         let group = self.topology.lanes[turn.lane].group;
+        let outstanding = self.pool.outstanding(&upstream);
+        self.topology.close_taken(group, &upstream, outstanding);
         let waiting = self.waiting_by_tier(group);
         let reserve = &mut self.topology.groups[group].reserve;
         reserve.started(turn.tier, turn.reserved, waiting);
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -18,6 +18,10 @@
 /// ticks of the daemon, so that the slot is there in time.
 const YIELD_BEFORE_US: u64 = 20_000;
 
+/// Time between two attempts to find room without an event, as when the pool reinstates an upstream;
+/// each costs up to one choice for each lane and tier.
+const REOPEN_US: u64 = 100_000;
+
 /// Decides when and where each job runs.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -30,6 +34,8 @@
     pub(crate) pool: Pool,
     pub(crate) topology: Topology,
     arrivals: u64,
+    /// Next time at which every upstream is tried again.
+    reopen_us: u64,
 }
 
 impl Dispatcher {
@@ -127,11 +133,11 @@
             self.topology.lanes[lane].full[tier] = 0;
         }
         self.dispatch(now_us, self.topology.lanes[lane].group, actions);
-        if self.is_queued(id)
-            && !self.enforce_bound(now_us, id, actions)
-            && !self.refuse_unreachable(now_us, id, actions)
-        {
-            let ahead_tokens = self.queue.cost_ahead(&self.jobs[&id].item);
+        if !self.is_queued(id) || self.enforce_bound(now_us, id, actions) {
+            return;
+        }
+        let ahead_tokens = self.queue.cost_ahead(&self.jobs[&id].item);
+        if !self.refuse_unreachable(now_us, id, ahead_tokens, actions) {
             let reason = Reason::NoFreeSlot { ahead_tokens };
             actions.push(Action::Queued { id, reason });
         }
@@ -230,7 +236,10 @@
 
     /// Refuses jobs whose deadline has passed and starts what fits.
     pub fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        self.topology.reopen_all();
+        if now_us >= self.reopen_us {
+            self.reopen_us = now_us + REOPEN_US;
+            self.topology.reopen_all();
+        }
         self.dispatch_all(now_us, actions);
         let due = self.queue.due(now_us.saturating_add(YIELD_BEFORE_US));
         let due: Vec<JobId> = due.map(|(_, id)| JobId(id)).collect();
@@ -285,7 +294,7 @@
         let entry = self.jobs.get_mut(&id)?;
         let running = entry.running.take()?;
         self.pool.end(now_us, &running.upstream, ending);
-        self.topology.reopen(&running.upstream);
+        self.topology.reopen_freed(&running.upstream);
         let cost = entry.cost_of(running.tokens);
         self.queue.settle(&entry.item, cost);
         let lane = &mut self.topology.lanes[entry.item.lane];
@@ -367,6 +376,7 @@
             pool: Pool::default(),
             topology: Topology::default(),
             arrivals: 0,
+            reopen_us: 0,
         }
     }
 }
--- a/crates/sched/src/group.rs
+++ b/crates/sched/src/group.rs
@@ -1,6 +1,6 @@
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::{cmp::Reverse, collections::BTreeSet, sync::Arc};
 
-use queue::Reserve;
+use queue::{Reserve, TIERS};
 
 /// Part of the slots that long jobs may hold while short work of their tier waits.
 pub(crate) const LONG_PERCENT: u32 = 50;
@@ -23,6 +23,8 @@
     pub(crate) long_held: u32,
     /// No preemption until then, after one that made no room.
     pub(crate) vain_until_us: u64,
+    /// Upstream where one slot became free, and what was full before, by lane of the group.
+    pub(crate) freed: Option<(Arc<str>, Vec<[u8; TIERS]>)>,
 }
 
 impl Group {
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -1,6 +1,7 @@
-use settings::{Config, Honours, Kind, State, Upstream};
+use code::Code;
+use settings::{Account, Config, Honours, Kind, State, Upstream};
 
-use crate::{Action, Dispatcher, Job, JobId, Outcome, Target};
+use crate::{Action, Dispatcher, Job, JobId, Outcome, Reason, Target};
 
 fn config(slots: u32) -> Config {
     let upstream = |name: &str| Upstream {
@@ -88,3 +89,297 @@
         "{actions:?}"
     );
 }
+
+/// Configuration of one engine for one model and one plain service.
+fn one_engine(slots: u32) -> Config {
+    let mut config = config(slots);
+    config.upstreams.truncate(1);
+    config.upstreams[0].honours.resume = true;
+    config
+}
+
+/// Starts with full upstreams and returns the dispatcher; job `n` runs at tier `tiers[n - 1]`.
+fn busy(config: &Config, tiers: &[u8]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::default();
+    let mut actions = Vec::new();
+    dispatcher.configure(0, config, &mut actions);
+    for (id, &tier) in (1..).zip(tiers) {
+        dispatcher.submit(0, job(id, tier), &mut actions);
+    }
+    assert_eq!(actions.len(), tiers.len(), "{actions:?}");
+    dispatcher
+}
+
+/// Returns the actions of one event.
+fn act<F>(dispatcher: &mut Dispatcher, event: F) -> Vec<Action>
+where
+    F: FnOnce(&mut Dispatcher, &mut Vec<Action>),
+{
+    let mut actions = Vec::new();
+    event(dispatcher, &mut actions);
+    actions
+}
+
+/// Guards against a preemption that wastes more than it has to, or that favours a lower tier.
+#[test]
+fn preemption_takes_the_cheapest_of_the_lowest_tier() {
+    for (name, tiers, tokens, arrival, expected) in [
+        ("lowest tier", [1, 2, 1], [0, 900, 0], 0, Some(2)),
+        ("before the first token", [2, 2, 2], [3, 0, 9], 0, Some(2)),
+        ("fewest tokens", [2, 2, 2], [30, 300, 9], 1, Some(3)),
+        ("same tier", [1, 1, 1], [0, 0, 0], 1, None),
+        ("higher tier", [0, 0, 0], [0, 0, 0], 1, None),
+    ] {
+        let mut dispatcher = busy(&one_engine(3), &tiers);
+        for (id, tokens) in (1..).zip(tokens) {
+            dispatcher.tokens(1, JobId(id), tokens, &mut Vec::new());
+        }
+        let actions = act(&mut dispatcher, |d, a| d.submit(1, job(9, arrival), a));
+        let cancelled = actions.iter().find_map(|action| match action {
+            Action::Cancel { id, .. } => Some(id.0),
+            _ => None,
+        });
+        assert_eq!(cancelled, expected, "{name}: {actions:?}");
+        assert_eq!(dispatcher.is_queued(JobId(9)), expected.is_none(), "{name}");
+    }
+}
+
+/// Guards against short work that waits behind long answers of its own tier, and against a long
+/// answer that never continues.
+#[test]
+fn long_answers_hold_a_bounded_part() {
+    for (name, tokens, expected) in [
+        ("all long", [300, 5_000, 300, 300], Some(2)),
+        ("half of them long", [300, 5_000, 1, 1], None),
+        ("none long", [100, 100, 100, 100], None),
+    ] {
+        let mut dispatcher = busy(&one_engine(4), &[1; 4]);
+        for (id, tokens) in (1..).zip(tokens) {
+            dispatcher.tokens(1, JobId(id), tokens, &mut Vec::new());
+        }
+        let actions = act(&mut dispatcher, |d, a| d.submit(1, job(9, 1), a));
+        let cancelled = actions.iter().find_map(|action| match action {
+            Action::Cancel { id, reason, .. } => Some((id.0, *reason)),
+            _ => None,
+        });
+        let reason = Reason::LongAnswer { by: JobId(9) };
+        assert_eq!(cancelled, expected.map(|id| (id, reason)), "{name}");
+        let Some(id) = expected else { continue };
+        let actions = act(&mut dispatcher, |d, a| {
+            d.finish(2, JobId(9), Outcome::Complete, a);
+        });
+        let resumed = matches!(actions[..], [Action::Start { id: other, attempt: 2, priority, .. }]
+            if other.0 == id && priority > 10);
+        assert!(resumed, "{name}: {actions:?}");
+    }
+}
+
+/// Guards against a retry of what may have run, against one on the same upstream, and against a
+/// refusal whose code contradicts what was sent.
+#[test]
+fn retries_repeat_only_what_may_be_repeated() {
+    for (name, idempotent, tokens, outcome, expected) in [
+        ("not sent", false, 0, Outcome::NotSent, None),
+        ("rejected", false, 0, Outcome::Rejected, None),
+        ("lost, idempotent", true, 0, Outcome::LostBeforeAnswer, None),
+        (
+            "lost",
+            false,
+            0,
+            Outcome::LostBeforeAnswer,
+            Some(Code::UpstreamLost),
+        ),
+        (
+            "stream",
+            true,
+            5,
+            Outcome::LostMidStream { resumable: true },
+            None,
+        ),
+        (
+            "cut stream",
+            true,
+            5,
+            Outcome::LostMidStream { resumable: false },
+            Some(Code::StreamBroken),
+        ),
+        ("error", true, 0, Outcome::Failed, Some(Code::UpstreamError)),
+    ] {
+        let mut config = config(1);
+        for upstream in &mut config.upstreams {
+            upstream.honours.resume = true;
+        }
+        let mut dispatcher = busy(&config, &[]);
+        let mut job = job(1, 1);
+        job.idempotent = idempotent;
+        let first = act(&mut dispatcher, |d, a| d.submit(0, job, a));
+        if tokens > 0 {
+            dispatcher.tokens(1, JobId(1), tokens, &mut Vec::new());
+        }
+        let second = act(&mut dispatcher, |d, a| d.finish(1, JobId(1), outcome, a));
+        match (&first[..], &second[..], expected) {
+            ([Action::Start { upstream: a, .. }], [Action::Start { upstream: b, .. }], None) => {
+                assert_ne!(a, b, "{name}");
+            }
+            (_, [Action::Refuse { code, .. }], Some(expected)) => {
+                assert_eq!(*code, expected, "{name}");
+            }
+            _ => panic!("{name}: {second:?}"),
+        }
+    }
+}
+
+/// Guards against retries that go on without bound when every attempt fails.
+#[test]
+fn retries_end() {
+    let mut dispatcher = busy(&config(100), &[0; 150]);
+    let mut retries = 0;
+    for id in 1..=150 {
+        let mut actions = Vec::new();
+        for _ in 0..9 {
+            dispatcher.finish(1, JobId(id), Outcome::NotSent, &mut actions);
+        }
+        let starts = actions
+            .iter()
+            .filter(|action| matches!(action, Action::Start { .. }));
+        retries += starts.count();
+    }
+    assert_eq!(retries, 18, "a tenth of 150 starts and the floor of 3");
+    assert_eq!(dispatcher.in_flight(), 0);
+}
+
+/// Guards against a full model that blocks jobs for another model.
+#[test]
+fn full_target_blocks_no_other() {
+    let mut config = config(1);
+    config.upstreams[1].models = vec!["manual".to_owned()];
+    let mut dispatcher = busy(&config, &[1]);
+    let actions = act(&mut dispatcher, |d, a| {
+        d.submit(0, job(2, 1), a);
+        let mut other = job(3, 1);
+        other.target = Target::Model("manual".into());
+        d.submit(0, other, a);
+    });
+    assert!(dispatcher.is_queued(JobId(2)));
+    assert!(!dispatcher.is_queued(JobId(3)), "{actions:?}");
+}
+
+/// Guards against a job that is queued although it can't start in time, and against one that is
+/// refused although it can.
+#[test]
+fn estimate_decides_on_the_deadline() {
+    for (name, queued, wait_ms, expected) in [
+        ("in time", 3, 1_000, None),
+        (
+            "too long a queue",
+            9,
+            1_000,
+            Some(Code::DeadlineUnreachable),
+        ),
+        ("more patience", 9, 3_000, None),
+    ] {
+        let mut dispatcher = busy(&one_engine(1), &[]);
+        let mut now_us = 0;
+        // Every answer holds the only slot for 200 ms.
+        for id in 1..=20 {
+            let mut job = job(id, 1);
+            job.deadline_us = u64::MAX / 2;
+            dispatcher.submit(now_us, job, &mut Vec::new());
+            dispatcher.tokens(now_us, JobId(id), 10, &mut Vec::new());
+            now_us += 200_000;
+            dispatcher.finish(now_us, JobId(id), Outcome::Complete, &mut Vec::new());
+        }
+        for id in 21..=21 + queued {
+            let mut job = job(id, 1);
+            job.deadline_us = u64::MAX / 2;
+            dispatcher.submit(now_us, job, &mut Vec::new());
+        }
+        let mut last = job(99, 1);
+        last.deadline_us = now_us + wait_ms * 1_000;
+        let actions = act(&mut dispatcher, |d, a| d.submit(now_us, last, a));
+        match (&actions[..], expected) {
+            (
+                [
+                    Action::Queued {
+                        reason: Reason::NoFreeSlot { .. },
+                        ..
+                    },
+                ],
+                None,
+            ) => {}
+            (
+                [
+                    Action::Refuse {
+                        code,
+                        retry_after_ms,
+                        ..
+                    },
+                ],
+                Some(expected),
+            ) => {
+                assert_eq!(*code, expected, "{name}");
+                let late_ms = (queued + 1) * 200 - wait_ms;
+                assert!(
+                    retry_after_ms.abs_diff(late_ms) < 200,
+                    "{name}: {retry_after_ms}"
+                );
+            }
+            _ => panic!("{name}: {actions:?}"),
+        }
+    }
+}
+
+/// Guards against an arrival that is refused while the full queue holds work of a lower tier, and
+/// against shedding in the wrong order.
+#[test]
+fn full_queue_sheds_the_newest_of_the_lowest_tier() {
+    for (name, queued, arrival, expected) in [
+        ("lowest tier", [2, 2, 1], 0, (3, Code::QueueFull)),
+        ("middle tier", [1, 1, 1], 0, (4, Code::QueueFull)),
+        ("nothing lower", [1, 1, 1], 1, (9, Code::QueueFull)),
+    ] {
+        let mut dispatcher = Dispatcher::default().with_queue_max(3);
+        dispatcher.configure(0, &one_engine(1), &mut Vec::new());
+        for (id, tier) in (1..).zip([0].into_iter().chain(queued)) {
+            dispatcher.submit(0, job(id, tier), &mut Vec::new());
+        }
+        let actions = act(&mut dispatcher, |d, a| d.submit(0, job(9, arrival), a));
+        let refused = actions.iter().find_map(|action| match action {
+            Action::Refuse { id, code, .. } => Some((id.0, *code)),
+            _ => None,
+        });
+        assert_eq!(refused, Some(expected), "{name}");
+    }
+}
+
+/// Guards against a limit of a client account that is not enforced, or never released.
+#[test]
+fn account_limits_refuse_with_their_code() {
+    for (name, limits, expected) in [
+        ("rate", (2, 9, 9_999), Code::RateLimited),
+        ("requests", (9, 2, 9_999), Code::RequestsInFlight),
+        ("tokens", (9, 9, 40), Code::TokensInFlight),
+    ] {
+        let mut config = one_engine(9);
+        config.accounts = vec![Account {
+            name: "one".to_owned(),
+            key_sha256: Vec::new(),
+            default_class: "any".to_owned(),
+            classes: Vec::new(),
+            requests_per_s: limits.0,
+            requests_in_flight: limits.1,
+            tokens_in_flight: limits.2,
+            weight: 1,
+        }];
+        let mut dispatcher = busy(&config, &[1, 1]);
+        let actions = act(&mut dispatcher, |d, a| d.submit(0, job(3, 1), a));
+        let refused = matches!(actions[..], [Action::Refuse { code, .. }] if code == expected);
+        assert!(refused, "{name}: {actions:?}");
+        dispatcher.cancel(1, JobId(1), &mut Vec::new());
+        let actions = act(&mut dispatcher, |d, a| d.submit(1_000_000, job(4, 1), a));
+        assert!(
+            matches!(actions[..], [Action::Start { .. }]),
+            "{name}: {actions:?}"
+        );
+    }
+}
--- a/crates/sched/src/topology.rs
+++ b/crates/sched/src/topology.rs
@@ -87,6 +87,42 @@
         Some(self.members[index].group)
     }
 
+    /// Notes that one slot of an upstream became free.
+    ///
+    /// If the next start takes it, [`Self::close_taken`] restores what was full, which saves one
+    /// vain choice for each lane. A second slot before that start makes this impossible.
+    pub(crate) fn reopen_freed(&mut self, name: &str) {
+        let Some(index) = self.index(name) else {
+            return;
+        };
+        let member = &self.members[index];
+        let group = &mut self.groups[member.group];
+        let lanes = &self.lanes;
+        let full = group.lanes.iter().map(|&lane| lanes[lane].full);
+        let full = full.collect();
+        group.freed = match group.freed {
+            Some(_) => None,
+            None => Some((member.name.clone(), full)),
+        };
+        self.reopen(name);
+    }
+
+    /// Notes a start, after which an upstream has `outstanding` jobs.
+    pub(crate) fn close_taken(&mut self, group: usize, name: &str, outstanding: u32) {
+        let Some((freed, full)) = self.groups[group].freed.take() else {
+            return;
+        };
+        let room = self.member(name).map_or(0, Member::room);
+        if *freed != *name || outstanding < room {
+            return;
+        }
+        for (&lane, full) in self.groups[group].lanes.iter().zip(full) {
+            for (now, before) in self.lanes[lane].full.iter_mut().zip(full) {
+                *now |= before;
+            }
+        }
+    }
+
     /// Notes that any upstream may have room again.
     pub(crate) fn reopen_all(&mut self) {
         for lane in &mut self.lanes {
