refactor(sched,daemon): decide "not run" in the dispatcher alone

Cause: two places decided whether a refused request had run: the dispatcher and the daemon's job handle, with slightly different codes.

Change: the daemon's copy is gone; its table of outcome pairs now drives the dispatcher, and also asserts that an unsent request is reported as not run. The daemon shares account limits by live peers, and drops a cancelled service call.

Conclusion: one place, tested where it is.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -64,6 +64,7 @@
         in_flight: core.dispatcher.in_flight() as u64,
         ..Gauges::default()
     });
+    gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.view.load().config.version;
     gauges.ready = shared.is_ready();
     HttpResponse::Ok()
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -4,14 +4,13 @@
 use sched::{JobId, Outcome};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::{core::Decision, exposure::Exposure, shared::Shared};
+use crate::{core::Decision, shared::Shared};
 
 /// Owner of a submitted job; dropping it cancels the job.
 pub(crate) struct JobHandle {
     shared: Arc<Shared>,
     id: JobId,
     decisions: UnboundedReceiver<Decision>,
-    exposure: Exposure,
     ended: bool,
 }
 
@@ -25,7 +24,6 @@
             shared,
             id,
             decisions,
-            exposure: Exposure::NotRun,
             ended: false,
         }
     }
@@ -38,29 +36,15 @@
     /// Waits for the next decision.
     pub(crate) async fn decision(&mut self) -> Decision {
         let decision = self.decisions.recv().await;
+        // The channel closes without a decision only if this daemon is at fault; whether the request
+        // ran is unknown then.
         let closed = Decision::Refuse {
-            code: Code::Draining,
+            code: Code::UpstreamLost,
             retry_after_ms: 1_000,
         };
-        match decision.unwrap_or(closed) {
-            Decision::Refuse {
-                code,
-                retry_after_ms,
-            } => {
-                self.ended = true;
-                let code = self.exposure.truthful(code);
-                Decision::Refuse {
-                    code,
-                    retry_after_ms,
-                }
-            }
-            decision => decision,
-        }
-    }
-
-    /// Notes that the current attempt was dropped on a decision to cancel it.
-    pub(crate) fn cancelled(&mut self, answered: bool) {
-        self.exposure.add_cancelled(answered);
+        let decision = decision.unwrap_or(closed);
+        self.ended |= matches!(decision, Decision::Refuse { .. });
+        decision
     }
 
     /// Notes the first token.
@@ -87,7 +71,6 @@
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         let id = self.id;
         let complete = outcome == Outcome::Complete;
-        self.exposure.add(outcome);
         self.ended |= complete;
         self.shared.with_core(|now_us, core| {
             core.act(now_us, |dispatcher, actions| {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,9 +11,6 @@
 mod clock;
 mod completions;
 mod core;
-mod exposure;
-#[cfg(test)]
-mod exposure_tests;
 mod follow;
 mod handle;
 mod input;
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -77,7 +77,10 @@
 
 fn carry_out(shared: &Shared, output: Output, announcements: &Sender<Announcement>) {
     match output {
-        Output::Changed { name, state } => info!("peer: {name} is {state:?}"),
+        Output::Changed { name, state } => {
+            info!("peer: {name} is {state:?}");
+            share_limits(shared);
+        }
         Output::NewerConfig {
             peer,
             address,
@@ -102,3 +105,12 @@
         Output::Send { .. } | Output::Resumed { .. } => {}
     }
 }
+
+/// Divides the limits of client accounts by the daemons that are live now.
+fn share_limits(shared: &Shared) {
+    let live_peers = shared.peers.with(|membership| membership.live().count());
+    // With no peer in reach the last share is kept: this daemon may be cut off, not alone.
+    let live_daemons = if live_peers == 0 { 0 } else { live_peers + 1 };
+    let live_daemons = u32::try_from(live_daemons).unwrap_or(u32::MAX);
+    shared.with_core(|now_us, core| core.dispatcher.set_fleet(now_us, live_daemons));
+}
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -127,7 +127,6 @@
             }
             Decision::Cancel => {
                 self.shared.metrics.preempted();
-                self.handle.cancelled(self.progress.tokens() > 0);
                 Ok(())
             }
         }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -181,26 +181,40 @@
     call: &Call,
 ) -> Result<Answer, Refusal> {
     let mut handle = shared.submit(job);
+    let mut decision = handle.decision().await;
     loop {
-        match handle.decision().await {
+        decision = match decision {
             Decision::Start {
                 upstream, attempt, ..
             } => {
                 shared.metrics.attempt(attempt);
-                match try_upstream(shared, links, &upstream, call).await {
-                    Ok(answer) => {
+                tokio::select! {
+                    biased;
+                    // Only calls that may be repeated are ever cancelled for other work.
+                    decision = handle.decision(), if call.idempotent => decision,
+                    result = try_upstream(shared, links, &upstream, call) => {
+                        let answer = match result {
+                            Ok(answer) => answer,
+                            Err(outcome) => {
+                                handle.finish(outcome);
+                                decision = handle.decision().await;
+                                continue;
+                            }
+                        };
                         handle.finish(Outcome::Complete);
                         return Ok(answer);
                     }
-                    Err(outcome) => handle.finish(outcome),
                 }
             }
             Decision::Refuse {
                 code,
                 retry_after_ms,
             } => return Err(Refusal::new(code).with_retry_after_ms(retry_after_ms)),
-            Decision::Cancel => handle.cancelled(false),
-        }
+            Decision::Cancel => {
+                shared.metrics.preempted();
+                handle.decision().await
+            }
+        };
     }
 }
 
--- /dev/null
+++ b/crates/sched/src/holds_refusal_tests.rs
@@ -0,0 +1,111 @@
+use code::Run;
+use settings::{Config, Honours, Kind, State, Upstream};
+
+use crate::{Action, Dispatcher, Job, JobId, Outcome, Target};
+
+const ID: JobId = JobId(1);
+
+const OUTCOMES: [Outcome; 6] = [
+    Outcome::NotSent,
+    Outcome::Rejected,
+    Outcome::LostBeforeAnswer,
+    Outcome::LostMidStream { resumable: true },
+    Outcome::LostMidStream { resumable: false },
+    Outcome::Failed,
+];
+
+fn config() -> Config {
+    let upstream = |name: &str| Upstream {
+        name: name.to_owned(),
+        kind: Kind::Model,
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "costa".to_owned(),
+        zone: "costa-norte".to_owned(),
+        models: vec!["faucet".to_owned()],
+        service: String::new(),
+        slots: 1,
+        honours: Honours {
+            resume: true,
+            ..Honours::default()
+        },
+        state: State::Live,
+    };
+    Config {
+        upstreams: vec![upstream("a"), upstream("b"), upstream("c")],
+        ..Config::default()
+    }
+}
+
+fn job(idempotent: bool) -> Job {
+    Job {
+        id: ID,
+        account: "one".into(),
+        class: "any".into(),
+        tier: 0,
+        target: Target::Model("faucet".into()),
+        prompt_tokens: 10,
+        max_tokens: 10,
+        body_bytes: 100,
+        prefix_hash: 0,
+        deadline_us: 1_000_000,
+        idempotent,
+    }
+}
+
+/// Ends up to two attempts, then lets the deadline pass; returns what the refusal says.
+fn refused_run(idempotent: bool, outcomes: &[Outcome]) -> (Run, bool) {
+    let mut dispatcher = Dispatcher::default();
+    let mut actions = Vec::new();
+    dispatcher.configure(0, &config(), &mut actions);
+    dispatcher.submit(0, job(idempotent), &mut actions);
+    let mut may_have_run = false;
+    for (now_us, &outcome) in (1..).zip(outcomes) {
+        let started = actions
+            .drain(..)
+            .any(|action| matches!(action, Action::Start { .. }));
+        if !started {
+            break;
+        }
+        may_have_run |= !matches!(outcome, Outcome::NotSent | Outcome::Rejected);
+        if matches!(outcome, Outcome::LostMidStream { .. }) {
+            dispatcher.first_token(now_us, ID, &mut actions);
+        }
+        if now_us == outcomes.len() as u64 {
+            // No further attempt can start, so that the deadline ends the job.
+            for upstream in ["a", "b", "c"] {
+                dispatcher.set_share(now_us, upstream, Some(0), &mut actions);
+            }
+        }
+        dispatcher.finish(now_us, ID, outcome, &mut actions);
+        if actions
+            .iter()
+            .any(|action| matches!(action, Action::Refuse { .. }))
+        {
+            break;
+        }
+    }
+    dispatcher.tick(u64::MAX / 2, &mut actions);
+    let code = actions.iter().find_map(|action| match action {
+        Action::Refuse { code, .. } => Some(*code),
+        _ => None,
+    });
+    (code.expect("the job ends").run(), may_have_run)
+}
+
+/// Guards against a refusal that says "not run" although one of two attempts may have run, and
+/// against one that says "may have run" although nothing was sent.
+#[test]
+fn holds_refusal_after_any_two_attempts() {
+    for idempotent in [true, false] {
+        for first in OUTCOMES {
+            for second in OUTCOMES {
+                let (run, may_have_run) = refused_run(idempotent, &[first, second]);
+                assert_eq!(
+                    run != Run::No,
+                    may_have_run,
+                    "{idempotent} {first:?} {second:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -18,6 +18,8 @@
 #[cfg(test)]
 mod holds_complete_tests;
 #[cfg(test)]
+mod holds_refusal_tests;
+#[cfg(test)]
 mod holds_served_tests;
 mod job;
 mod lane;
