feat(daemon): read the load of one engine at a time

Cause: the dispatcher never got load reports in the daemon, so it could not see that others fill an engine.

Ruled out: reading every engine every second (2,300 pages a second for each daemon at the target size); own observations go first and reports lag anyway.

Change: one engine of the own region every 500 ms, whatever their number; the page is parsed for the names that batching engines publish.

Conclusion: bounded; a real engine's page of tens of kilobytes would exceed 4 KB/s and needs a smaller page from the platform.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod handle;
 mod input;
+mod loads;
 mod models;
 mod peers;
 mod progress;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -20,6 +20,7 @@
 use crate::{
     admin, completions,
     follow::follow_releases,
+    loads::read_loads,
     models,
     peers::{Peers, exchange_datagrams, fetch_configs, follow_hosts, serve_config},
     running::Running,
@@ -93,6 +94,7 @@
         running.spawn(exchange_datagrams(shared.clone(), socket, announce));
         running.spawn(serve_config(shared.clone(), peer_listener));
         running.spawn(fetch_configs(shared.clone(), announcements));
+        running.spawn(read_loads(shared.clone(), upstream_client().await));
         running.spawn(tick(shared));
         Ok(running)
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod assembler;
 mod chunk;
+mod engine_load;
 mod error_body;
 mod form;
 mod request;
@@ -24,6 +25,7 @@
 pub use self::{
     assembler::Assembler,
     chunk::Chunk,
+    engine_load::EngineLoad,
     error_body::error_body,
     form::Form,
     request::{Request, RequestError},
