--- a/crates/peer/src/membership_tests.rs
+++ b/crates/peer/src/membership_tests.rs
@@ -154,7 +154,7 @@
     }
 }
 
-/// Guards against a payload that fits into no datagram and holds up the tick for ever.
+/// Guards against a payload that fits into no datagram and uses up the byte budget at every tick.
 #[test]
 fn peer_drops_a_payload_that_fits_nowhere() {
     let long = "x".repeat(64);
