--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -47,16 +47,6 @@
     .to_string()
 }
 
-async fn put_config(client: &Client, store: SocketAddr, row: Option<u64>, version: u64) {
-    put(
-        client,
-        store,
-        row,
-        &config(version, "127.0.0.1:9".parse().unwrap()),
-    )
-    .await;
-}
-
 async fn put(client: &Client, store: SocketAddr, row: Option<u64>, config: &str) {
     let request = client.put(format!("http://{store}/rows/release/current"));
     let request = match row {
@@ -112,7 +102,7 @@
     let store = Store::default();
     let platform = store.start(local()).unwrap();
     let client = Client::new().await;
-    put_config(&client, platform.address(), None, 3).await;
+    put(&client, platform.address(), None, &config(3, local())).await;
     let a = start("entry-1", platform.address(), local()).await;
     let b = start("entry-2", platform.address(), local()).await;
     let c = start("entry-3", platform.address(), local()).await;
@@ -158,7 +148,7 @@
 
     // The store comes back with what a lagging replica would hold.
     store.control(StoreControl::default());
-    put_config(&client, platform.address(), Some(1), 2).await;
+    put(&client, platform.address(), Some(1), &config(2, local())).await;
     let reads = store.calls().0;
     for _ in 0..WAIT_ROUNDS {
         if store.calls().0 > reads + 10 {
@@ -217,7 +207,7 @@
 async fn peer_serves_only_genuine_requests() {
     let platform = Store::default().start(local()).unwrap();
     let client = Client::new().await;
-    put_config(&client, platform.address(), None, 3).await;
+    put(&client, platform.address(), None, &config(3, local())).await;
     let a = start("entry-1", platform.address(), local()).await;
     wait_for(&client, &a, "configured", |status| status["version"] == 3).await;
     let cases: [(&str, Make, bool); 7] = [
--- a/crates/peer/src/membership_tests.rs
+++ b/crates/peer/src/membership_tests.rs
@@ -3,7 +3,7 @@
 use rand::{SeedableRng as _, rngs::StdRng};
 use settings::PeerKey;
 
-use crate::{Keys, Member, Membership, Options, Output, Seed, State};
+use crate::{Keys, Member, Membership, Options, Output, Seed, State, replay_window::ReplayWindow};
 
 fn keys(ids: &[u8]) -> Keys {
     let key = |&id: &u8| PeerKey {
@@ -167,3 +167,20 @@
     view.tick(1, &mut StdRng::seed_from_u64(1), &mut out);
     assert!(view.payloads.first().is_none());
 }
+
+/// Guards against recordings, also from an earlier life of their sender.
+#[test]
+fn peer_accepts_a_sequence_number_once() {
+    let mut window = ReplayWindow::default();
+    let first = [(5, 1, true), (5, 1, false), (5, 200, true), (5, 136, false)];
+    let second = [
+        (5, 137, true),
+        (5, 137, false),
+        (6, 3, true),
+        (5, 300, false),
+    ];
+    for (incarnation, sequence, accepted) in [first, second].concat() {
+        let result = window.accept(incarnation, sequence);
+        assert_eq!(result, accepted, "{incarnation}, {sequence}");
+    }
+}
--- a/crates/peer/src/output.rs
+++ b/crates/peer/src/output.rs
@@ -29,6 +29,8 @@
         version: u64,
     },
     /// A peer has confirmed that its configuration is not newer than this daemon's.
+    ///
+    /// Returned only after [`Output::Resumed`], once for each pause.
     ConfigConfirmed,
     /// A peer has seen that this upstream is leaving.
     UpstreamLeaving {
@@ -43,6 +45,9 @@
         bytes: Vec<u8>,
     },
     /// This process did not run for a while; its view may be out of date.
+    ///
+    /// The daemon refreshes its view before it sends work. [`Output::ConfigConfirmed`] follows
+    /// when a peer has answered a ping that was sent since.
     Resumed {
         /// Length of the gap.
         paused_us: u64,
