--- a/crates/peer/tests/datagrams.rs
+++ b/crates/peer/tests/datagrams.rs
@@ -8,10 +8,8 @@
 use settings::PeerKey;
 use sim::{address, keys, name};
 
-const CONFIG_VERSION: u64 = 7;
-
 fn membership(index: usize, keys: Keys) -> Membership {
-    let me = Member::new(&name(index), address(index), 10).with_config_version(CONFIG_VERSION);
+    let me = Member::new(&name(index), address(index), 10).with_config_version(7);
     let mut membership = Membership::new(me, keys, Options::default());
     membership.set_hosts(&sim::seeds(3));
     membership
@@ -140,9 +138,14 @@
         prop_assert_eq!(receive(&mut receiver, &valid).0, Ok(()));
     }
 
-    /// Guards against a panic or an effect of arbitrary bytes.
+    /// Guards against a panic or an effect of arbitrary bytes behind a valid format and key.
     #[test]
-    fn holds_config_against_arbitrary_bytes(bytes in prop::collection::vec(any::<u8>(), 0..1_400)) {
+    fn holds_config_against_arbitrary_bytes(
+        bytes in prop::collection::vec(any::<u8>(), 0..1_400),
+        length in 0_usize..1_400,
+    ) {
+        let mut bytes = [vec![1, 1], bytes].concat();
+        bytes.truncate(length);
         let mut receiver = membership(1, keys());
         let before = state(&receiver);
         let (result, out) = receive(&mut receiver, &bytes);
