feat(daemon): refuse headers over 32 KiB with their code

Cause: the HTTP server accepts up to 128 KiB of headers and refuses more with a bare 431. Ruled out: changing the server's own limit; it is per read buffer, and its refusal has no body. Conclusion: between 32 and 128 KiB the refusal is numbered; above, it is a bare 431.

--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -14,7 +14,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    input::{authenticate, check_ready, class_of, discard_body, read_body, request_id},
+    input::{
+        authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
+    },
     progress::Progress,
     refusal::{Refusal, note_refusal},
     relay::Relay,
@@ -71,6 +73,7 @@
 ) -> Result<HttpResponse, Refusal> {
     let view = shared.view.load_full();
     check_ready(shared, &view)?;
+    check_headers(request)?;
     let account = authenticate(&view, request)?;
     let body = read_body(shared, request, payload).await?;
     let parsed = Request::parse(form, &body)
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -4,7 +4,7 @@
 
 use code::Code;
 use ntex::{
-    http::header,
+    http::header::{self, HeaderName, HeaderValue},
     util::{Bytes, BytesMut},
     web::{HttpRequest, types::Payload},
 };
@@ -12,6 +12,9 @@
 
 use crate::{refusal::Refusal, shared::Shared, view::View};
 
+/// Largest headers of a request; those of client libraries have less than 2 KiB.
+const HEADERS_MAX_BYTES: usize = 32 * 1024;
+
 /// Bytes of a refused body that are read and dropped, as a multiple of the limit.
 const DISCARD_FACTOR: usize = 8;
 
@@ -95,6 +98,19 @@
         .ok_or_else(|| Refusal::new(Code::UnknownClass).with_detail(&format!("`{name}`")))
 }
 
+/// Refuses oversized headers with a numbered code.
+///
+/// The HTTP server itself refuses more than 128 KiB, with status 431 and no body.
+pub(crate) fn check_headers(request: &HttpRequest) -> Result<(), Refusal> {
+    let header_bytes =
+        |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    let total_bytes: usize = request.headers().iter().map(header_bytes).sum();
+    if total_bytes > HEADERS_MAX_BYTES {
+        return Err(Code::HeadersTooLarge.into());
+    }
+    Ok(())
+}
+
 /// Refuses work that this host can't take in its present state.
 pub(crate) fn check_ready(shared: &Shared, view: &View) -> Result<(), Refusal> {
     if shared.is_draining() {
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -19,7 +19,9 @@
     attempt::outcome_of,
     claimed::run_claimed,
     core::Decision,
-    input::{authenticate, check_ready, class_of, discard_body, read_body, request_id},
+    input::{
+        authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
+    },
     refusal::{Refusal, note_refusal},
     shared::Shared,
 };
@@ -84,6 +86,7 @@
 ) -> Result<HttpResponse, Refusal> {
     let view = shared.view.load_full();
     check_ready(shared, &view)?;
+    check_headers(request)?;
     let account = authenticate(&view, request)?;
     let rest = request
         .path()
