--- a/crates/route/src/departures.rs
+++ b/crates/route/src/departures.rs
@@ -40,12 +40,11 @@
 
     /// Returns whether an upstream that a configuration lists as live is leaving nevertheless, and
     /// forgets the departure if not.
-    pub fn overrides(&mut self, now_us: u64, name: &str, version: u64) -> bool {
+    pub fn overrides(&mut self, name: &str, version: u64) -> bool {
         let Ok(index) = self.find(name) else {
             return false;
         };
-        let entry = &self.entries[index];
-        if version <= entry.version && now_us < entry.until_us {
+        if version <= self.entries[index].version {
             return true;
         }
         self.entries.remove(index);
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -165,13 +165,8 @@
 
     /// Returns whether a slot is free.
     pub fn has_room(&self) -> bool {
-        let slots = self.settings.slots;
-        self.outstanding
-            < self
-                .share
-                .unwrap_or(slots)
-                .min(slots)
-                .min(self.assumed_slots())
+        let share = self.share.unwrap_or(u32::MAX);
+        self.outstanding < share.min(self.assumed_slots())
     }
 
     /// Returns whether failures keep work away from it.
--- a/crates/route/src/pool/layout.rs
+++ b/crates/route/src/pool/layout.rs
@@ -36,8 +36,7 @@
                 self.departures.insert(now_us, &member.name, config.version);
                 true
             } else {
-                self.departures
-                    .overrides(now_us, &member.name, config.version)
+                self.departures.overrides(&member.name, config.version)
             };
             if member.jitter == 0.0 {
                 member.jitter = unit(member.id ^ self.seed);
