--- a/crates/route/src/pool/judgement.rs
+++ b/crates/route/src/pool/judgement.rs
@@ -10,8 +10,8 @@
 /// Time between probes of an ejected upstream.
 pub(super) const PROBE_US: u64 = 1_000_000;
 
-/// Time between refreshes of medians, decays and overdue first tokens. A refresh costs some 100 us
-/// with 2,300 upstreams; at this interval it takes a small part of the 1.2% of a core.
+/// Time between refreshes of medians, decays and overdue first tokens. A refresh costs 165 to
+/// 280 us with 2,300 upstreams: at most 0.14% of a core at this interval.
 const REFRESH_US: u64 = 200_000;
 
 /// Change of the slow-down that is worth an update of the index.
@@ -167,15 +167,15 @@
         }
     }
 
-    /// Counts live and ejected members, and ends ejections beyond the bound, mildest first.
+    /// Counts usable and ejected members, and ends ejections beyond the bound, mildest first.
     pub(super) fn recount(&mut self, now_us: u64) {
         for cohort in &mut self.cohorts {
-            (cohort.live, cohort.ejected) = (0, 0);
+            (cohort.usable, cohort.ejected) = (0, 0);
         }
         for member in &mut self.members {
             let cohort = &mut self.cohorts[member.cohort as usize];
-            member.ejected &= member.is_live();
-            cohort.live += u32::from(member.is_live());
+            member.ejected &= member.is_usable();
+            cohort.usable += u32::from(member.is_usable());
             cohort.ejected += u32::from(member.ejected);
         }
         self.ejected.clear();
@@ -209,7 +209,7 @@
                 self.reinstate(now_us, index);
             }
         } else if (failing || proven > EJECT_SLOWDOWN)
-            && member.is_live()
+            && member.is_usable()
             && cohort.ejected < cohort.ejected_max()
         {
             self.eject(now_us, index);
