--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -5,6 +5,7 @@
     HttpResponse,
     types::{Path, State},
 };
+use sched::Standing;
 use serde_json::json;
 
 use crate::shared::Shared;
@@ -57,11 +58,32 @@
     }))
 }
 
+/// Serves `/admin/upstreams`: how this host judges each upstream.
+pub(crate) async fn upstreams(shared: State<Arc<Shared>>) -> HttpResponse {
+    let standings = shared.with_core(|_, core| core.dispatcher.standings());
+    let entry = |standing: &Standing| {
+        json!({
+            "upstream": &*standing.upstream,
+            "weight": standing.weight,
+            "slowdown": standing.slowdown,
+            "ejected": standing.ejected,
+            "outstanding": standing.outstanding,
+        })
+    };
+    HttpResponse::Ok().json(&standings.iter().map(entry).collect::<Vec<_>>())
+}
+
 /// Serves `/metrics`.
 pub(crate) async fn metrics(shared: State<Arc<Shared>>) -> HttpResponse {
     let mut gauges = shared.with_core(|_, core| Gauges {
         queued: [0, 1, 2].map(|tier| core.dispatcher.queued(tier) as u64),
         in_flight: core.dispatcher.in_flight() as u64,
+        stragglers: core
+            .dispatcher
+            .standings()
+            .iter()
+            .filter(|standing| standing.ejected)
+            .count() as u64,
         ..Gauges::default()
     });
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -3,7 +3,9 @@
 use audit::{Journal, Step};
 use code::Code;
 use sched::{Action, Dispatcher, JobId, Place};
+use settings::Host;
 use tokio::sync::mpsc::UnboundedSender;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Decision for the task that handles one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,9 +38,13 @@
 }
 
 impl Core {
-    pub(crate) fn new(place: Place) -> Self {
+    pub(crate) fn new(host: &Host) -> Self {
+        let place = Place::new(&host.region, &host.zone);
+        let dispatcher = Dispatcher::new(place)
+            .with_seed(xxh3_64(host.name.as_bytes()))
+            .with_link_budget(host.cross_region_bytes_per_s);
         Self {
-            dispatcher: Dispatcher::new(place),
+            dispatcher,
             waiters: BTreeMap::new(),
             actions: Vec::new(),
             journal: Journal::new(JOURNAL_REQUESTS),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use audit::Step;
 use metric::Metrics;
-use sched::{Job, JobId, Place, Target};
+use sched::{Job, JobId, Target};
 use settings::{Config, Host};
 use tokio::sync::mpsc;
 
@@ -33,7 +33,7 @@
 
 impl Shared {
     pub(crate) fn new(host: Host, peers: Peers) -> Self {
-        let place = Place::new(&host.region, &host.zone);
+        let core = Core::new(&host);
         Self {
             host,
             clock: Clock::new(),
@@ -45,7 +45,7 @@
             metrics: Metrics::default(),
             calls: Calls::default(),
             start_nonce: rand::random(),
-            core: Mutex::new(Core::new(place)),
+            core: Mutex::new(core),
         }
     }
 
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -162,6 +162,7 @@
             .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
             .service(web::resource("/metrics").route(web::get().to(admin::metrics)))
             .service(web::resource("/admin/explain/{id}").route(web::get().to(admin::explain)))
+            .service(web::resource("/admin/upstreams").route(web::get().to(admin::upstreams)))
             .service(web::resource("/admin/status").route(web::get().to(admin::status)))
             .service(web::resource("/admin/drain").route(web::post().to(admin::drain)))
     })
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -3,7 +3,7 @@
 use code::{Code, Run};
 use limit::{Allowance, Limits, RetryBudget};
 use queue::{Lengths, Queue, TIERS};
-use route::{Ending, Load, Place, Pool};
+use route::{Ending, Load, Place, Pool, Standing};
 use settings::Config;
 
 use crate::{
@@ -44,6 +44,20 @@
         }
     }
 
+    /// Sets the seed that orders equal upstreams, which should differ between daemons.
+    #[must_use]
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.pool = std::mem::take(&mut self.pool).with_seed(seed);
+        self
+    }
+
+    /// Sets the bytes a second that may be sent to upstreams in other regions.
+    #[must_use]
+    pub fn with_link_budget(mut self, bytes_per_s: u64) -> Self {
+        self.pool.set_link_budget(bytes_per_s);
+        self
+    }
+
     /// Sets the bound on waiting jobs that have not run.
     #[must_use]
     pub const fn with_queue_max(mut self, queue_max: usize) -> Self {
@@ -270,6 +284,12 @@
         self.jobs.len()
     }
 
+    /// Returns how this daemon judges each upstream.
+    #[must_use]
+    pub fn standings(&self) -> Vec<Standing> {
+        self.pool.weights()
+    }
+
     pub(crate) fn is_queued(&self, id: JobId) -> bool {
         self.jobs
             .get(&id)
@@ -291,7 +311,13 @@
         self.remove_from_index(id);
         let entry = self.jobs.get_mut(&id)?;
         let running = entry.running.take()?;
-        self.pool.end(now_us, &running.upstream, ending);
+        let upstream = &running.upstream;
+        if running.tokens > 0 {
+            self.pool.end_started(now_us, upstream, ending);
+        } else {
+            let elapsed_us = now_us.saturating_sub(running.started_us);
+            self.pool.end_waiting(now_us, upstream, ending, elapsed_us);
+        }
         self.topology.reopen_freed(&running.upstream);
         let cost = entry.cost_of(running.tokens);
         self.queue.settle(&entry.item, cost);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -44,4 +44,4 @@
     outcome::Outcome,
     reason::Reason,
 };
-pub use route::{Load, Place, Target};
+pub use route::{Load, Place, Standing, Target};
