--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -22,7 +22,7 @@
 /// pool.set_link_budget(3_750_000 / 6);
 /// assert!(pool.weights().is_empty());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Pool {
     place: Place,
     seed: u64,
--- a/crates/sched/src/member.rs
+++ b/crates/sched/src/member.rs
@@ -18,7 +18,7 @@
 impl Member {
     pub(crate) fn room(&self) -> u32 {
         if self.live {
-            self.share.unwrap_or(self.slots)
+            self.share.unwrap_or(u32::MAX).min(self.slots)
         } else {
             0
         }
