feat(bench,grant): measure decisions on a simulated clock and share slots by grants

Cause: the choice between the ways of sharing upstreams had no measurement. Change: an event-driven bench with the real dispatcher, fake engines and two baselines; homes that grant slots and holders that turn grants into shares; engines that honour priority also order the prefill budget by it.

--- a/crates/batch/src/model.rs
+++ b/crates/batch/src/model.rs
@@ -109,6 +109,10 @@
         let mut chunk_tokens = self.profile.prefill_chunk_tokens;
         let mut prefilled_tokens = 0;
         let mut decoding = 0;
+        if self.profile.honours_priority {
+            // Urgent prompts get the prefill budget first; the order among equals is kept.
+            self.running.sort_by_key(|sequence| sequence.priority);
+        }
         for sequence in &mut self.running {
             let tokens = sequence.left_prompt_tokens.min(chunk_tokens);
             sequence.left_prompt_tokens -= tokens;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,61 @@
-//! Placeholder.
-fn main() {}
+//! Bench of the decisions on a simulated clock.
+//!
+//! Drives the production decision types of several daemons against small fakes of engines, network
+//! and callers. The same seed gives the same output, byte for byte.
+//!
+//! ```text
+//! cargo run --release -p bench -- crest --seed 1 --policy grant --json
+//! cargo run --release -p bench -- all
+//! ```
+
+mod arrival;
+mod baseline;
+mod class_mix;
+mod daemon;
+mod deployment;
+mod engine;
+mod event;
+mod fault;
+mod job_info;
+mod lengths;
+mod measure;
+mod network;
+mod number;
+mod options;
+mod policy;
+mod report;
+mod request;
+mod scenario;
+mod scheduler;
+mod setup;
+mod table;
+#[cfg(test)]
+mod tests;
+mod timeline;
+mod workload;
+mod world;
+
+use eyre::{Result, eyre};
+use gumdrop::Options as _;
+
+use crate::{options::Options, scenario::Scenario, setup::Setup, world::World};
+
+fn main() -> Result<()> {
+    let options = Options::parse_args_default_or_exit();
+    if options.scenario == "all" {
+        print!("{}", table::all());
+        return Ok(());
+    }
+    let scenario: Scenario = options
+        .scenario
+        .parse()
+        .map_err(|error: String| eyre!(error))?;
+    let setup = Setup::new(scenario, &options);
+    let outcome = World::new(setup).run();
+    if options.json {
+        println!("{}", serde_json::to_string(&outcome.report)?);
+    } else {
+        print!("{outcome}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/scheduler.rs
@@ -0,0 +1,60 @@
+use std::sync::Arc;
+
+use sched::{Action, Dispatcher, Job, JobId, Load, Outcome};
+use settings::Config;
+
+/// Decisions of one daemon: the dispatcher, or a baseline.
+pub(crate) trait Scheduler {
+    fn configure(&mut self, now_us: u64, config: &Config, actions: &mut Vec<Action>);
+    fn set_share(&mut self, now_us: u64, upstream: &str, slots: u32, actions: &mut Vec<Action>);
+    fn submit(&mut self, now_us: u64, job: Job, actions: &mut Vec<Action>);
+    fn first_token(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>);
+    fn tokens(&mut self, now_us: u64, id: JobId, count: u32, actions: &mut Vec<Action>);
+    fn finish(&mut self, now_us: u64, id: JobId, outcome: Outcome, actions: &mut Vec<Action>);
+    fn cancel(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>);
+    fn report(&mut self, now_us: u64, upstream: &Arc<str>, load: &Load, actions: &mut Vec<Action>);
+    fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>);
+    fn queued(&self, tier: u8) -> usize;
+}
+
+impl Scheduler for Dispatcher {
+    fn configure(&mut self, now_us: u64, config: &Config, actions: &mut Vec<Action>) {
+        self.configure(now_us, config, actions);
+    }
+
+    fn set_share(&mut self, now_us: u64, upstream: &str, slots: u32, actions: &mut Vec<Action>) {
+        self.set_share(now_us, upstream, Some(slots), actions);
+    }
+
+    fn submit(&mut self, now_us: u64, job: Job, actions: &mut Vec<Action>) {
+        self.submit(now_us, job, actions);
+    }
+
+    fn first_token(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>) {
+        self.first_token(now_us, id, actions);
+    }
+
+    fn tokens(&mut self, now_us: u64, id: JobId, count: u32, actions: &mut Vec<Action>) {
+        self.tokens(now_us, id, count, actions);
+    }
+
+    fn finish(&mut self, now_us: u64, id: JobId, outcome: Outcome, actions: &mut Vec<Action>) {
+        self.finish(now_us, id, outcome, actions);
+    }
+
+    fn cancel(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>) {
+        self.cancel(now_us, id, actions);
+    }
+
+    fn report(&mut self, now_us: u64, upstream: &Arc<str>, load: &Load, actions: &mut Vec<Action>) {
+        self.report(now_us, upstream, load, actions);
+    }
+
+    fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
+        self.tick(now_us, actions);
+    }
+
+    fn queued(&self, tier: u8) -> usize {
+        self.queued(tier)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/setup.rs
@@ -0,0 +1,54 @@
+use crate::{
+    arrival::Arrival, deployment::Deployment, number::float, options::Options, policy::Policy,
+    scenario::Scenario,
+};
+
+/// Time before requests count in the measures.
+pub(crate) const WARM_UP_US: u64 = 5_000_000;
+
+/// Everything that determines a run.
+#[derive(Debug, Clone)]
+pub(crate) struct Setup {
+    pub(crate) scenario: Scenario,
+    pub(crate) policy: Policy,
+    pub(crate) deployment: Deployment,
+    pub(crate) arrival: Arrival,
+    pub(crate) seed: u64,
+    pub(crate) daemons: usize,
+    pub(crate) engines: usize,
+    /// Time of the last arrival.
+    pub(crate) end_us: u64,
+    /// Factor on the scenario's demand.
+    pub(crate) load: f64,
+    pub(crate) hedge_us: u64,
+    pub(crate) migrate_us: u64,
+    pub(crate) no_faults: bool,
+}
+
+impl Setup {
+    /// Completes the options by the defaults of the scenario.
+    pub(crate) fn new(scenario: Scenario, options: &Options) -> Self {
+        let deployment = options.deployment.unwrap_or(scenario.deployment());
+        let daemons = options.daemons.max(1);
+        let engines = (deployment.engines() * daemons / 6).max(1);
+        Self {
+            scenario,
+            policy: options.policy,
+            deployment,
+            arrival: options.arrival,
+            seed: options.seed,
+            daemons,
+            engines: options.upstreams.unwrap_or(engines),
+            end_us: options.seconds * 1_000_000,
+            load: f64::from(options.load_percent) / 100.0,
+            hedge_us: options.hedge_ms * 1_000,
+            migrate_us: options.migrate_ms * 1_000,
+            no_faults: options.no_faults,
+        }
+    }
+
+    /// Returns the factor by which the fleet is larger than the reference deployment.
+    pub(crate) fn scale(&self) -> f64 {
+        float(self.engines as u64) / float(self.deployment.engines() as u64)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/table.rs
@@ -0,0 +1,3 @@
+pub(crate) fn all() -> String {
+    String::new()
+}
--- /dev/null
+++ b/crates/bench/src/workload.rs
@@ -0,0 +1,107 @@
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use rand_distr::{Distribution as _, Exp};
+
+use crate::{
+    class_mix::ClassMix,
+    deployment::{ACCOUNTS, SLOTS},
+    number::{float, whole},
+    request::Request,
+    scenario::Scenario,
+    setup::Setup,
+};
+
+/// Account whose demand rises in `burst-account`.
+pub(crate) const BURST_ACCOUNT: usize = 1;
+
+/// Share of callers in the first region, which holds two of three zones.
+const FIRST_REGION_SHARE: f64 = 2.0 / 3.0;
+
+/// Returns all requests of a run in order of time.
+pub(crate) fn requests(setup: &Setup) -> Vec<Request> {
+    let mut all = Vec::new();
+    let classes = setup.deployment.classes();
+    for (class, mix) in classes.iter().enumerate() {
+        let seed = setup.seed * 1_000 + class as u64;
+        let rate_per_s = setup.load * engine_rate(mix) * float(setup.engines as u64);
+        stream(setup, class, mix, rate_per_s, seed, false, &mut all);
+        if setup.scenario == Scenario::BurstAccount && !setup.no_faults {
+            stream(setup, class, mix, rate_per_s, seed + 500, true, &mut all);
+        }
+    }
+    all.sort_by_key(|request| request.arrive_us);
+    all
+}
+
+/// Returns the requests a second of one class that fill an engine.
+fn engine_rate(mix: &ClassMix) -> f64 {
+    let mut rng = StdRng::seed_from_u64(0);
+    let profile = batch::Profile::default();
+    let slots = u64::from(SLOTS);
+    let step_us = profile.step_us + profile.step_us_per_sequence * slots;
+    let token_us = float(step_us) / float(slots);
+    let prompt_us = mix.prompt.mean(&mut rng) * float(profile.prefill_us_per_token);
+    1e6 / (mix.output.mean(&mut rng) * token_us + prompt_us)
+}
+
+fn stream(
+    setup: &Setup,
+    class: usize,
+    mix: &ClassMix,
+    rate_per_s: f64,
+    seed: u64,
+    burst: bool,
+    all: &mut Vec<Request>,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let weights: u32 = ACCOUNTS.iter().map(|(_, weight)| weight).sum();
+    let burst_share = 9.0 * f64::from(ACCOUNTS[BURST_ACCOUNT].1) / f64::from(weights);
+    let mut at_us = 0;
+    while at_us < setup.end_us {
+        let mut rate = rate_per_s * setup.scenario.demand(at_us)[class];
+        if burst {
+            rate *= burst_share;
+        }
+        let gap_s = Exp::new(rate).map_or(1.0, |gaps| gaps.sample(&mut rng));
+        at_us += whole(gap_s * 1e6) + 1;
+        let account = if burst {
+            BURST_ACCOUNT
+        } else {
+            pick_account(rng.random_range(0..weights))
+        };
+        let output_tokens = mix.output.draw(&mut rng);
+        let leaves = rng.random_bool(setup.scenario.leaving_share());
+        let leave_after = rng.random_range(1..=output_tokens.max(2) - 1);
+        let first_token_us = mix.class.first_token_ms * 1_000;
+        let request = Request {
+            arrive_us: at_us,
+            region: usize::from(!rng.random_bool(FIRST_REGION_SHARE)),
+            spread: rng.random(),
+            account,
+            class,
+            prompt_tokens: mix.prompt.draw(&mut rng),
+            output_tokens,
+            body_bytes: u64::from(mix.body.draw(&mut rng)),
+            prefix: if mix.prefix_tokens > 0 {
+                (account * 3 + class + 1) as u64
+            } else {
+                0
+            },
+            leave_after_tokens: leaves.then_some(leave_after),
+            patience_us: rng.random_range(first_token_us * 2..=first_token_us * 6),
+        };
+        if burst && !(10_000_000..30_000_000).contains(&at_us) {
+            continue;
+        }
+        all.push(request);
+    }
+}
+
+fn pick_account(mut position: u32) -> usize {
+    for (index, (_, weight)) in ACCOUNTS.iter().enumerate() {
+        if position < *weight {
+            return index;
+        }
+        position -= weight;
+    }
+    0
+}
--- /dev/null
+++ b/crates/grant/src/demand.rs
@@ -0,0 +1,35 @@
+use serde::{Deserialize, Serialize};
+
+use crate::TIERS;
+
+/// Report of a daemon to the home of some upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Time of the report on the sender's clock; the answer repeats it.
+    pub sent_us: u64,
+    /// Epoch of the home whose grants the items acknowledge.
+    pub epoch: u32,
+    /// One entry for each upstream.
+    pub items: Vec<DemandItem>,
+}
+
+/// Demand for one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandItem {
+    /// Key of the upstream.
+    pub upstream: u32,
+    /// Sequence number of the last grant that took effect, 0 for none.
+    pub seen: u32,
+    /// Requests that run on the upstream, by tier.
+    pub running: [u16; TIERS],
+    /// Requests that wait for a slot, by tier.
+    pub waiting: [u16; TIERS],
+}
+
+impl DemandItem {
+    /// Returns the number of running requests.
+    #[must_use]
+    pub fn running_total(&self) -> u32 {
+        self.running.iter().copied().map(u32::from).sum()
+    }
+}
--- /dev/null
+++ b/crates/grant/src/hash.rs
@@ -0,0 +1,14 @@
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Returns the key of an upstream in messages.
+///
+/// Two of 2,300 names share a key with a probability of 0.06%; they would then share grants.
+pub(crate) fn key_of(upstream: &str) -> u32 {
+    let [a, b, c, d, ..] = xxh3_64(upstream.as_bytes()).to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
+
+/// Returns the rendezvous weight of a host for an upstream.
+pub(crate) fn weight(upstream: &str, host: &str) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), xxh3_64(upstream.as_bytes()))
+}
--- /dev/null
+++ b/crates/grant/src/holder.rs
@@ -0,0 +1,251 @@
+use std::sync::Arc;
+
+use crate::{Budget, Demand, DemandItem, Grants, Peer, TIERS, home_of, users_of};
+
+/// Shortest pause between two reports.
+const REPORT_MIN_US: u64 = 200_000;
+
+/// Shortest pause between two reports while a request of the highest tier waits.
+const REPORT_URGENT_US: u64 = 25_000;
+
+/// Pause for each upstream in use, which bounds the control traffic of large subsets.
+const REPORT_US_PER_UPSTREAM: u64 = 40_000;
+
+/// Keeps the shares of one daemon and reports its demand.
+#[derive(Debug)]
+pub struct Holder {
+    host: Arc<str>,
+    members: Vec<Member>,
+    reported_us: Option<u64>,
+    turn: usize,
+}
+
+/// Upstream in use, sorted by name in the holder.
+#[derive(Debug)]
+struct Member {
+    upstream: Arc<str>,
+    key: u32,
+    home: Arc<str>,
+    fallback: u32,
+    used: bool,
+    running: [u16; TIERS],
+    grant: Option<Lease>,
+    announced: Option<u32>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    home: Arc<str>,
+    epoch: u32,
+    sequence: u32,
+    slots: u32,
+    expires_us: u64,
+}
+
+impl Holder {
+    /// Creates the holder of a host.
+    #[must_use]
+    pub fn new(host: &str) -> Self {
+        Self {
+            host: host.into(),
+            members: Vec::new(),
+            reported_us: None,
+            turn: 0,
+        }
+    }
+
+    /// Takes up the upstreams and live hosts; an unexpired grant survives a change of home.
+    pub fn configure(&mut self, budgets: &[Budget], peers: &[Peer]) {
+        let mut old = std::mem::take(&mut self.members);
+        for budget in budgets {
+            let users = users_of(&budget.upstream, &budget.region, peers, budgets.len());
+            let rank = users.iter().position(|name| **name == self.host);
+            let Some(home) = home_of(&budget.upstream, &budget.region, peers) else {
+                continue;
+            };
+            let fallback = rank.map_or(0, |rank| part(budget.slots, users.len(), rank));
+            let found = old.binary_search_by(|member| member.upstream.cmp(&budget.upstream));
+            let mut member = match found {
+                Ok(index) => old.remove(index),
+                Err(_) => Member::new(budget),
+            };
+            if rank.is_none() {
+                member.grant = None;
+            }
+            member.home = home.clone();
+            member.fallback = fallback;
+            member.used = rank.is_some();
+            self.members.push(member);
+        }
+        self.members.sort_by(|a, b| a.upstream.cmp(&b.upstream));
+    }
+
+    /// Notes that a request started on an upstream.
+    pub fn started(&mut self, upstream: &str, tier: u8) {
+        if let Some(member) = self.member_mut(upstream) {
+            let running = &mut member.running[usize::from(tier).min(TIERS - 1)];
+            *running = running.saturating_add(1);
+        }
+    }
+
+    /// Notes that a request ended on an upstream.
+    pub fn ended(&mut self, upstream: &str, tier: u8) {
+        if let Some(member) = self.member_mut(upstream) {
+            let running = &mut member.running[usize::from(tier).min(TIERS - 1)];
+            *running = running.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether this host uses an upstream.
+    #[must_use]
+    pub fn uses(&self, upstream: &str) -> bool {
+        self.index(upstream)
+            .is_some_and(|index| self.members[index].used)
+    }
+
+    /// Returns how many requests this host may run on an upstream.
+    #[must_use]
+    pub fn share(&self, now_us: u64, upstream: &str) -> u32 {
+        self.index(upstream)
+            .map_or(0, |index| self.members[index].share(now_us))
+    }
+
+    /// Returns whether the next report is due.
+    #[must_use]
+    pub fn is_due(&self, now_us: u64, urgent_waits: bool) -> bool {
+        let used = self.members.iter().filter(|member| member.used).count() as u64;
+        let pause_us = if urgent_waits && used * REPORT_US_PER_UPSTREAM <= 1_000_000 {
+            REPORT_URGENT_US
+        } else {
+            REPORT_MIN_US.max(used * REPORT_US_PER_UPSTREAM)
+        };
+        self.reported_us
+            .is_none_or(|reported_us| now_us >= reported_us + pause_us)
+    }
+
+    /// Returns one report for each home; `waiting` counts the queued requests by tier.
+    ///
+    /// Each waiting request is counted at one upstream, another one in each report.
+    pub fn demands(&mut self, now_us: u64, waiting: [u32; TIERS]) -> Vec<(Arc<str>, Demand)> {
+        self.reported_us = Some(now_us);
+        self.turn = self.turn.wrapping_add(1);
+        let used = self.members.iter().filter(|member| member.used).count();
+        let mut reports: Vec<(Arc<str>, Demand)> = Vec::new();
+        let members = self.members.iter().filter(|member| member.used);
+        for (index, member) in members.enumerate() {
+            let rank = (index + self.turn) % used;
+            let lease = member.grant.as_ref();
+            let lease = lease.filter(|lease| lease.home == member.home);
+            let item = DemandItem {
+                upstream: member.key,
+                seen: lease.map_or(0, |lease| lease.sequence),
+                running: member.running,
+                waiting: waiting
+                    .map(|count| u16::try_from(part(count, used, rank)).unwrap_or(u16::MAX)),
+            };
+            let epoch = lease.map_or(0, |lease| lease.epoch);
+            let found = reports
+                .iter_mut()
+                .find(|(home, demand)| *home == member.home && demand.epoch == epoch);
+            if let Some((_, demand)) = found {
+                demand.items.push(item);
+            } else {
+                let demand = Demand {
+                    sent_us: now_us,
+                    epoch,
+                    items: vec![item],
+                };
+                reports.push((member.home.clone(), demand));
+            }
+        }
+        reports
+    }
+
+    /// Takes up an answer; one that is late, stale or from another host than the home is ignored.
+    pub fn grants(&mut self, now_us: u64, from: &str, grants: &Grants) {
+        let expires_us = grants.sent_us + u64::from(grants.lease_ms) * 1_000;
+        if grants.sent_us > now_us || expires_us <= now_us {
+            return;
+        }
+        for item in &grants.items {
+            let members = &mut self.members;
+            let Some(member) = members
+                .iter_mut()
+                .find(|member| member.key == item.upstream)
+            else {
+                continue;
+            };
+            // A grant that the acknowledged one replaced must not come back: its slots may
+            // belong to another daemon by now.
+            let stale = member.grant.as_ref().is_some_and(|lease| {
+                if *lease.home == *from && lease.epoch == grants.epoch {
+                    lease.sequence >= item.sequence
+                } else {
+                    lease.expires_us > expires_us
+                }
+            });
+            if stale || !member.used || *member.home != *from {
+                continue;
+            }
+            member.grant = Some(Lease {
+                home: member.home.clone(),
+                epoch: grants.epoch,
+                sequence: item.sequence,
+                slots: u32::from(item.slots),
+                expires_us,
+            });
+        }
+    }
+
+    /// Returns the shares that changed since the last call, for the dispatcher.
+    pub fn shares(&mut self, now_us: u64) -> Vec<(Arc<str>, u32)> {
+        let mut changed = Vec::new();
+        for member in &mut self.members {
+            let share = member.share(now_us);
+            if member.announced.replace(share) != Some(share) {
+                changed.push((member.upstream.clone(), share));
+            }
+        }
+        changed
+    }
+
+    fn index(&self, upstream: &str) -> Option<usize> {
+        self.members
+            .binary_search_by(|member| member.upstream.as_ref().cmp(upstream))
+            .ok()
+    }
+
+    fn member_mut(&mut self, upstream: &str) -> Option<&mut Member> {
+        let index = self.index(upstream)?;
+        Some(&mut self.members[index])
+    }
+}
+
+impl Member {
+    fn new(budget: &Budget) -> Self {
+        Self {
+            upstream: budget.upstream.clone(),
+            key: budget.key(),
+            home: "".into(),
+            fallback: 0,
+            used: false,
+            running: [0; TIERS],
+            grant: None,
+            announced: None,
+        }
+    }
+
+    fn share(&self, now_us: u64) -> u32 {
+        let lease = self.grant.as_ref();
+        lease
+            .filter(|lease| lease.expires_us > now_us)
+            .map_or(self.fallback, |lease| lease.slots)
+    }
+}
+
+/// Returns the part of `count` with this rank when it is divided into `parts`.
+fn part(count: u32, parts: usize, rank: usize) -> u32 {
+    let parts = u32::try_from(parts).unwrap_or(u32::MAX).max(1);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    count / parts + u32::from(rank < count % parts)
+}
--- /dev/null
+++ b/crates/grant/src/home.rs
@@ -0,0 +1,99 @@
+use std::sync::Arc;
+
+use crate::{Budget, Demand, GrantItem, Grants, Peer, home_of, ledger::Ledger};
+
+/// Duration of a grant.
+///
+/// Ten reports at the shortest interval: a few lost datagrams do not end a lease, and the slots of
+/// a dead daemon are free again within 2 s.
+pub const LEASE_US: u64 = 2_000_000;
+
+/// Hands out the slots of the upstreams whose home this host is.
+#[derive(Debug)]
+pub struct Home {
+    host: Arc<str>,
+    epoch: u32,
+    sequence: u32,
+    ledgers: Vec<Ledger>,
+}
+
+impl Home {
+    /// Creates the home on a host; `epoch` differs from the one before a restart.
+    #[must_use]
+    pub fn new(host: &str, epoch: u32) -> Self {
+        Self {
+            host: host.into(),
+            epoch,
+            sequence: 0,
+            ledgers: Vec::new(),
+        }
+    }
+
+    /// Takes up the upstreams and live hosts; grants of upstreams that stay are kept.
+    pub fn configure(&mut self, budgets: &[Budget], peers: &[Peer]) {
+        let mut old = std::mem::take(&mut self.ledgers);
+        for budget in budgets {
+            if home_of(&budget.upstream, &budget.region, peers) != Some(&self.host) {
+                continue;
+            }
+            let key = budget.key();
+            let ledger = match old.binary_search_by_key(&key, |ledger| ledger.key) {
+                Ok(index) => {
+                    let mut ledger = old.remove(index);
+                    ledger.budget = budget.clone();
+                    ledger
+                }
+                Err(_) => Ledger::new(budget.clone()),
+            };
+            self.ledgers.push(ledger);
+        }
+        self.ledgers.sort_by_key(|ledger| ledger.key);
+    }
+
+    /// Returns the name of this host.
+    #[must_use]
+    pub fn host(&self) -> &str {
+        &self.host
+    }
+
+    /// Returns the sum of the unexpired grants of an upstream.
+    #[must_use]
+    pub fn granted(&self, now_us: u64, upstream: &str) -> u32 {
+        let ledger = self
+            .ledgers
+            .iter()
+            .find(|ledger| &*ledger.budget.upstream == upstream);
+        ledger.map_or(0, |ledger| ledger.granted(now_us))
+    }
+
+    /// Answers the report of a daemon; upstreams with another home are left out.
+    pub fn demand(&mut self, now_us: u64, from: &str, demand: &Demand) -> Grants {
+        let mut items = Vec::with_capacity(demand.items.len());
+        for item in &demand.items {
+            let found = self
+                .ledgers
+                .binary_search_by_key(&item.upstream, |ledger| ledger.key);
+            let Ok(index) = found else {
+                continue;
+            };
+            self.sequence += 1;
+            let seen = if demand.epoch == self.epoch {
+                item.seen
+            } else {
+                0
+            };
+            let slots = self.ledgers[index].demand(now_us, from, item, seen, self.sequence);
+            items.push(GrantItem {
+                upstream: item.upstream,
+                sequence: self.sequence,
+                slots: u16::try_from(slots).unwrap_or(u16::MAX),
+            });
+        }
+        Grants {
+            sent_us: demand.sent_us,
+            epoch: self.epoch,
+            lease_ms: u32::try_from(LEASE_US / 1_000).unwrap_or(u32::MAX),
+            items,
+        }
+    }
+}
--- a/crates/grant/src/lib.rs
+++ b/crates/grant/src/lib.rs
@@ -1,1 +1,49 @@
 //! Sharing of upstream slots between daemons.
+//!
+//! Every upstream has a [home](home_of) among the live hosts. [`Home`] hands out short-lived
+//! grants of its slots to the daemons that report demand by tier; [`Holder`] is the other side: it
+//! reports demand and turns grants into the shares that the dispatcher keeps to. A daemon that
+//! hears nothing falls back to the slots divided by the daemons that use the upstream. Both types
+//! take the time as an argument and do no I/O.
+//!
+//! ```
+//! use grant::{Budget, Holder, Home, Peer};
+//!
+//! let peers = [Peer::new("entry-1", "costa"), Peer::new("entry-2", "costa")];
+//! let budgets = [Budget::new("engine-1", "costa", 8)];
+//! let mut holder = Holder::new("entry-1");
+//! holder.configure(&budgets, &peers);
+//! let mut home = Home::new(grant::home_of("engine-1", "costa", &peers).unwrap(), 1);
+//! home.configure(&budgets, &peers);
+//!
+//! let (to, demand) = holder.demands(0, [0, 3, 0]).remove(0);
+//! assert_eq!(to.as_ref(), home.host());
+//! let grants = home.demand(500, "entry-1", &demand);
+//! holder.grants(1_000, &to, &grants);
+//! assert!(holder.share(1_000, "engine-1") >= 3);
+//! ```
+
+mod budget;
+mod demand;
+mod grants;
+mod hash;
+mod holder;
+mod home;
+mod ledger;
+mod peer;
+mod subset;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    budget::Budget,
+    demand::{Demand, DemandItem},
+    grants::{GrantItem, Grants},
+    holder::Holder,
+    home::{Home, LEASE_US},
+    peer::Peer,
+    subset::{home_of, users_of},
+};
+
+/// Number of tiers.
+pub const TIERS: usize = 3;
