fix(grant): pace reports within the control budget and keep slots for silent daemons

Change: pause between reports by their size, demand that rises at once and falls slowly, fallback share of live daemons without a report is not granted to others.

--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -471,7 +471,7 @@
             holder, scheduler, ..
         } = &mut self.daemons[daemon];
         let waiting = [0, 1, 2].map(|tier| u32::try_from(scheduler.queued(tier)).unwrap_or(0));
-        if !holder.is_due(self.now_us, waiting[0] > 0) {
+        if !holder.is_due(self.now_us) {
             return;
         }
         for (home, demand) in holder.demands(self.now_us, waiting) {
--- a/crates/grant/src/holder.rs
+++ b/crates/grant/src/holder.rs
@@ -1,22 +1,26 @@
 use std::sync::Arc;
 
-use crate::{Budget, Demand, DemandItem, Grants, Peer, TIERS, home_of, users_of};
+use crate::{Budget, Demand, DemandItem, Grants, Peer, TIERS, home_of, subset::part, users_of};
 
 /// Shortest pause between two reports.
 const REPORT_MIN_US: u64 = 200_000;
 
-/// Shortest pause between two reports while a request of the highest tier waits.
-const REPORT_URGENT_US: u64 = 25_000;
+/// Longest pause between two reports: two may be lost before a lease of 2 s ends.
+const REPORT_MAX_US: u64 = 650_000;
 
-/// Pause for each upstream in use, which bounds the control traffic of large subsets.
-const REPORT_US_PER_UPSTREAM: u64 = 40_000;
+/// Bytes of reports a second; the answers cost about as much, heartbeats have the rest of 4 KB/s.
+const REPORT_BYTES_PER_S: u64 = 1_400;
+
+/// Estimated bytes of a report with its envelope, and of each entry in it.
+const REPORT_BYTES: u64 = 65;
+const ITEM_BYTES: u64 = 14;
 
 /// Keeps the shares of one daemon and reports its demand.
 #[derive(Debug)]
 pub struct Holder {
     host: Arc<str>,
     members: Vec<Member>,
-    reported_us: Option<u64>,
+    due_us: u64,
     turn: usize,
 }
 
@@ -49,7 +53,7 @@
         Self {
             host: host.into(),
             members: Vec::new(),
-            reported_us: None,
+            due_us: 0,
             turn: 0,
         }
     }
@@ -110,24 +114,23 @@
             .map_or(0, |index| self.members[index].share(now_us))
     }
 
+    /// Returns the slots of an unexpired grant.
+    #[must_use]
+    pub fn granted(&self, now_us: u64, upstream: &str) -> Option<u32> {
+        let index = self.index(upstream)?;
+        self.members[index].granted(now_us)
+    }
+
     /// Returns whether the next report is due.
     #[must_use]
-    pub fn is_due(&self, now_us: u64, urgent_waits: bool) -> bool {
-        let used = self.members.iter().filter(|member| member.used).count() as u64;
-        let pause_us = if urgent_waits && used * REPORT_US_PER_UPSTREAM <= 1_000_000 {
-            REPORT_URGENT_US
-        } else {
-            REPORT_MIN_US.max(used * REPORT_US_PER_UPSTREAM)
-        };
-        self.reported_us
-            .is_none_or(|reported_us| now_us >= reported_us + pause_us)
+    pub fn is_due(&self, now_us: u64) -> bool {
+        now_us >= self.due_us
     }
 
     /// Returns one report for each home; `waiting` counts the queued requests by tier.
     ///
     /// Each waiting request is counted at one upstream, another one in each report.
     pub fn demands(&mut self, now_us: u64, waiting: [u32; TIERS]) -> Vec<(Arc<str>, Demand)> {
-        self.reported_us = Some(now_us);
         self.turn = self.turn.wrapping_add(1);
         let used = self.members.iter().filter(|member| member.used).count();
         let mut reports: Vec<(Arc<str>, Demand)> = Vec::new();
@@ -158,6 +161,9 @@
                 reports.push((member.home.clone(), demand));
             }
         }
+        let bytes = REPORT_BYTES * reports.len() as u64 + ITEM_BYTES * used as u64;
+        let pause_us = bytes * 1_000_000 / REPORT_BYTES_PER_S;
+        self.due_us = now_us + pause_us.clamp(REPORT_MIN_US, REPORT_MAX_US);
         reports
     }
 
@@ -235,17 +241,12 @@
         }
     }
 
-    fn share(&self, now_us: u64) -> u32 {
-        let lease = self.grant.as_ref();
-        lease
-            .filter(|lease| lease.expires_us > now_us)
-            .map_or(self.fallback, |lease| lease.slots)
+    fn granted(&self, now_us: u64) -> Option<u32> {
+        let lease = self.grant.as_ref()?;
+        (lease.expires_us > now_us).then_some(lease.slots)
     }
-}
 
-/// Returns the part of `count` with this rank when it is divided into `parts`.
-fn part(count: u32, parts: usize, rank: usize) -> u32 {
-    let parts = u32::try_from(parts).unwrap_or(u32::MAX).max(1);
-    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-    count / parts + u32::from(rank < count % parts)
+    fn share(&self, now_us: u64) -> u32 {
+        self.granted(now_us).unwrap_or(self.fallback)
+    }
 }
--- a/crates/grant/src/home.rs
+++ b/crates/grant/src/home.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::{Budget, Demand, GrantItem, Grants, Peer, home_of, ledger::Ledger};
+use crate::{Budget, Demand, GrantItem, Grants, Peer, home_of, ledger::Ledger, users_of};
 
 /// Duration of a grant.
 ///
@@ -37,14 +37,12 @@
                 continue;
             }
             let key = budget.key();
-            let ledger = match old.binary_search_by_key(&key, |ledger| ledger.key) {
-                Ok(index) => {
-                    let mut ledger = old.remove(index);
-                    ledger.budget = budget.clone();
-                    ledger
-                }
+            let mut ledger = match old.binary_search_by_key(&key, |ledger| ledger.key) {
+                Ok(index) => old.remove(index),
                 Err(_) => Ledger::new(budget.clone()),
             };
+            let users = users_of(&budget.upstream, &budget.region, peers, budgets.len());
+            ledger.configure(budget, &users);
             self.ledgers.push(ledger);
         }
         self.ledgers.sort_by_key(|ledger| ledger.key);
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -1,12 +1,17 @@
 use std::sync::Arc;
 
-use crate::{Budget, DemandItem, TIERS, home::LEASE_US};
+use crate::{Budget, DemandItem, TIERS, home::LEASE_US, subset::part};
+
+/// Part of the demand that falls away with each report.
+const FALL_PART: u32 = 8;
 
 /// Grants of one upstream and the demand they answer.
 #[derive(Debug)]
 pub(crate) struct Ledger {
     pub(crate) budget: Budget,
     pub(crate) key: u32,
+    /// Daemons that use the upstream with their slots without a grant.
+    users: Vec<(Arc<str>, u32)>,
     accounts: Vec<Account>,
 }
 
@@ -16,6 +21,8 @@
     host: Arc<str>,
     expires_us: u64,
     demand: DemandItem,
+    /// Demand by tier in thousandths of a request; rises at once and falls slowly.
+    wanted: [u32; TIERS],
     grants: Vec<Grant>,
 }
 
@@ -31,10 +38,21 @@
         Self {
             key: budget.key(),
             budget,
+            users: Vec::new(),
             accounts: Vec::new(),
         }
     }
 
+    /// Takes up the slots and the daemons that use the upstream.
+    pub(crate) fn configure(&mut self, budget: &Budget, users: &[&Arc<str>]) {
+        self.budget = budget.clone();
+        let users = users.iter().enumerate().map(|(rank, &name)| {
+            let slots = part(budget.slots, users.len(), rank);
+            (name.clone(), slots)
+        });
+        self.users = users.collect();
+    }
+
     /// Returns the sum of the grants that have not expired.
     pub(crate) fn granted(&self, now_us: u64) -> u32 {
         let held = self.accounts.iter().map(|account| account.granted(now_us));
@@ -62,7 +80,7 @@
             index
         });
         let account = &mut self.accounts[index];
-        account.demand = demand.clone();
+        account.take_up(demand);
         account.expires_us = now_us + LEASE_US;
         // An acknowledged grant replaces all earlier ones at the daemon.
         account.grants.retain(|grant| grant.sequence >= seen);
@@ -73,7 +91,7 @@
             .filter(|&(other, _)| other != index)
             .map(|(_, account)| account.held(now_us))
             .sum();
-        let free = self.budget.slots.saturating_sub(taken);
+        let free = self.budget.slots.saturating_sub(taken + self.silent());
         let slots = self.targets(sequence)[index].min(free);
         let expires_us = now_us + LEASE_US;
         self.accounts[index].grants.push(Grant {
@@ -84,6 +102,17 @@
         slots
     }
 
+    /// Returns the slots of live daemons that do not report: they run on their fallback share.
+    fn silent(&self) -> u32 {
+        let silent = self.users.iter().filter(|(name, _)| {
+            let found = self
+                .accounts
+                .binary_search_by(|account| account.host.cmp(name));
+            found.is_err()
+        });
+        silent.map(|(_, slots)| slots).sum()
+    }
+
     /// Divides the slots: reserved share, then strictly by tier, fairly inside a tier, then the
     /// rest evenly without the slots that are kept free for the highest tier.
     fn targets(&self, turn: u32) -> Vec<u32> {
@@ -141,6 +170,7 @@
             host: host.into(),
             expires_us: 0,
             demand: demand.clone(),
+            wanted: [0; TIERS],
             grants: Vec::new(),
         }
     }
@@ -155,7 +185,20 @@
         self.granted(now_us).max(self.demand.running_total())
     }
 
+    /// Takes up a report.
+    ///
+    /// Without the slow fall, slots would leave a daemon in every short pause of its urgent
+    /// arrivals and be missing at the next one.
+    fn take_up(&mut self, demand: &DemandItem) {
+        self.demand = demand.clone();
+        for tier in 0..TIERS {
+            let now = u32::from(demand.running[tier]) + u32::from(demand.waiting[tier]);
+            let before = self.wanted[tier];
+            self.wanted[tier] = (now * 1_000).max(before - before / FALL_PART);
+        }
+    }
+
     fn wanted(&self, tier: usize) -> u32 {
-        u32::from(self.demand.running[tier]) + u32::from(self.demand.waiting[tier])
+        self.wanted[tier].div_ceil(1_000)
     }
 }
--- a/crates/grant/src/subset.rs
+++ b/crates/grant/src/subset.rs
@@ -49,3 +49,10 @@
     far.truncate(remote);
     near.into_iter().chain(far).map(|peer| &peer.name).collect()
 }
+
+/// Returns the part of `count` with this rank when it is divided into `parts`.
+pub(crate) fn part(count: u32, parts: usize, rank: usize) -> u32 {
+    let parts = u32::try_from(parts).unwrap_or(u32::MAX).max(1);
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    count / parts + u32::from(rank < count % parts)
+}
