--- /dev/null
+++ b/crates/queue/src/lengths.rs
@@ -0,0 +1,119 @@
+use std::sync::Arc;
+
+/// Largest number of classes times lanes; the least used estimate is dropped beyond it.
+const ESTIMATES_MAX: usize = 256;
+
+/// Expected output before the first observation.
+const DEFAULT_TOKENS: u32 = 256;
+
+/// Weight of a new observation, 1/16: a mean over about the last 30 answers.
+const SHIFT: u32 = 4;
+
+/// Output lengths learned by class of service and lane.
+#[derive(Debug, Default)]
+pub struct Lengths {
+    /// Sorted by class and lane.
+    estimates: Vec<Estimate>,
+}
+
+#[derive(Debug)]
+struct Estimate {
+    class: Arc<str>,
+    lane: usize,
+    /// Mean in 1/16 tokens.
+    mean: u64,
+    /// Running estimate of the median, which a few very long answers don't move.
+    median: u32,
+    samples: u64,
+}
+
+impl Lengths {
+    /// Returns the expected number of output tokens, at most `max_tokens` unless that is 0.
+    #[must_use]
+    pub fn expect(&self, class: &str, lane: usize, max_tokens: u32) -> u32 {
+        let mean = self.index(class, lane).map_or(DEFAULT_TOKENS, |index| {
+            u32::try_from(self.estimates[index].mean >> SHIFT).unwrap_or(u32::MAX)
+        });
+        cap(mean, max_tokens)
+    }
+
+    /// Returns the length that half of the answers stay below, at most `max_tokens` unless that
+    /// is 0.
+    #[must_use]
+    pub fn typical(&self, class: &str, lane: usize, max_tokens: u32) -> u32 {
+        let median = self.index(class, lane);
+        let median = median.map_or(DEFAULT_TOKENS, |index| self.estimates[index].median);
+        cap(median, max_tokens)
+    }
+
+    /// Notes the length of a complete answer.
+    pub fn observe(&mut self, class: &Arc<str>, lane: usize, tokens: u32) {
+        let sample = u64::from(tokens);
+        match self.index(class, lane) {
+            Ok(index) => {
+                let estimate = &mut self.estimates[index];
+                estimate.mean = estimate.mean - (estimate.mean >> SHIFT) + sample;
+                let step = (estimate.median >> SHIFT).max(1);
+                estimate.median = if tokens > estimate.median {
+                    estimate.median.saturating_add(step)
+                } else {
+                    estimate.median.saturating_sub(step)
+                };
+                estimate.samples += 1;
+            }
+            Err(index) => {
+                let estimate = Estimate {
+                    class: class.clone(),
+                    lane,
+                    mean: sample << SHIFT,
+                    median: tokens.min(DEFAULT_TOKENS),
+                    samples: 1,
+                };
+                self.estimates.insert(index, estimate);
+                self.drop_least_used();
+            }
+        }
+    }
+
+    /// Notes an answer that was cut off: it says only that the answer is at least this long.
+    pub fn observe_at_least(&mut self, class: &Arc<str>, lane: usize, tokens: u32) {
+        if tokens > self.expect(class, lane, 0) {
+            self.observe(class, lane, tokens);
+        }
+    }
+
+    /// Returns the number of estimates.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.estimates.len()
+    }
+
+    /// Returns whether nothing has been observed.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.estimates.is_empty()
+    }
+
+    fn index(&self, class: &str, lane: usize) -> Result<usize, usize> {
+        self.estimates
+            .binary_search_by(|estimate| (&*estimate.class, estimate.lane).cmp(&(class, lane)))
+    }
+
+    fn drop_least_used(&mut self) {
+        if self.estimates.len() <= ESTIMATES_MAX {
+            return;
+        }
+        let least = self.estimates.iter().enumerate();
+        if let Some((index, _)) = least.min_by_key(|(_, estimate)| estimate.samples) {
+            self.estimates.remove(index);
+        }
+    }
+}
+
+fn cap(tokens: u32, max_tokens: u32) -> u32 {
+    if max_tokens == 0 {
+        tokens
+    } else {
+        tokens.min(max_tokens)
+    }
+}
