fix(grant): smooth only the demand of the highest tier

Cause: remembered demand of lower tiers kept slots at daemons that had none left to start. Change: only the highest tier falls slowly.

--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -193,7 +193,7 @@
         self.demand = demand.clone();
         for tier in 0..TIERS {
             let now = u32::from(demand.running[tier]) + u32::from(demand.waiting[tier]);
-            let before = self.wanted[tier];
+            let before = if tier == 0 { self.wanted[tier] } else { 0 };
             self.wanted[tier] = (now * 1_000).max(before - before / FALL_PART);
         }
     }
