--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -4,7 +4,7 @@
 };
 
 use code::Code;
-use sched::{Action, Job, JobId, Load, Outcome};
+use sched::{Action, Job, JobId, Load, Outcome, Reason};
 use settings::Config;
 
 use crate::scheduler::Scheduler;
@@ -98,6 +98,7 @@
                     upstream: member.name.clone(),
                     attempt: entry.attempt,
                     priority: 0,
+                    reason: Reason::InTurn,
                 });
             }
         }
@@ -116,6 +117,8 @@
         self.upstreams = upstreams.collect();
     }
 
+    fn set_fleet(&mut self, _: u64, _: u32) {}
+
     fn set_share(&mut self, _: u64, _: &str, _: u32, _: &mut Vec<Action>) {}
 
     fn submit(&mut self, _now_us: u64, job: Job, actions: &mut Vec<Action>) {
@@ -144,6 +147,7 @@
                         id,
                         code: Code::UpstreamLost,
                         retry_after_ms: 1_000,
+                        reason: Reason::AttemptsUsed,
                     });
                 }
             }
--- a/crates/bench/src/daemon.rs
+++ b/crates/bench/src/daemon.rs
@@ -19,6 +19,8 @@
     /// Engine to whose home the next request is forwarded.
     pub(crate) next_engine: usize,
     pub(crate) starts: u32,
+    /// Own attempts that run, by tier.
+    pub(crate) held: [u32; 3],
     pub(crate) scheduler: Box<dyn Scheduler>,
     pub(crate) holder: Holder,
     pub(crate) home: Home,
@@ -45,6 +47,7 @@
             ticked_us: 0,
             next_engine: 0,
             starts: 1,
+            held: [0; 3],
             holder: Holder::new(name),
             home: Home::new(name, 1),
         }
@@ -54,6 +57,7 @@
     pub(crate) fn restart(&mut self, policy: Policy) {
         self.starts += 1;
         self.up = true;
+        self.held = [0; 3];
         self.scheduler = scheduler(policy, &self.place);
         self.holder = Holder::new(&self.name);
         self.home = Home::new(&self.name, self.starts);
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -13,6 +13,9 @@
 /// Requests that an engine runs at once.
 pub(crate) const SLOTS: u32 = 32;
 
+/// Share of the slots that is reserved for the lowest tier.
+pub(crate) const RESERVED_PERCENT: u32 = 5;
+
 /// Client accounts with their weight in the demand, three of them large.
 pub(crate) const ACCOUNTS: [(&str, u32); 10] = [
     ("account-0", 24),
--- a/crates/bench/src/scheduler.rs
+++ b/crates/bench/src/scheduler.rs
@@ -6,6 +6,7 @@
 /// Decisions of one daemon: the dispatcher, or a baseline.
 pub(crate) trait Scheduler {
     fn configure(&mut self, now_us: u64, config: &Config, actions: &mut Vec<Action>);
+    fn set_fleet(&mut self, now_us: u64, live_daemons: u32);
     fn set_share(&mut self, now_us: u64, upstream: &str, slots: u32, actions: &mut Vec<Action>);
     fn submit(&mut self, now_us: u64, job: Job, actions: &mut Vec<Action>);
     fn first_token(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>);
@@ -22,6 +23,10 @@
         self.configure(now_us, config, actions);
     }
 
+    fn set_fleet(&mut self, now_us: u64, live_daemons: u32) {
+        self.set_fleet(now_us, live_daemons);
+    }
+
     fn set_share(&mut self, now_us: u64, upstream: &str, slots: u32, actions: &mut Vec<Action>) {
         self.set_share(now_us, upstream, Some(slots), actions);
     }
