--- a/crates/bench/src/job_info.rs
+++ b/crates/bench/src/job_info.rs
@@ -16,6 +16,8 @@
     pub(crate) priority: i32,
     /// Tokens that the caller had before.
     pub(crate) base: u32,
+    /// Whether it runs on the share that is reserved for its tier.
+    pub(crate) reserved: bool,
     /// Whether a token has come.
     pub(crate) answered: bool,
     /// Whether its daemon still counts it.
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -16,6 +16,7 @@
 mod engine;
 mod event;
 mod fault;
+mod held;
 mod job_info;
 mod lengths;
 mod measure;
