--- a/crates/grant/src/demand.rs
+++ b/crates/grant/src/demand.rs
@@ -32,4 +32,18 @@
     pub fn running_total(&self) -> u32 {
         self.running.iter().copied().map(u32::from).sum()
     }
+
+    /// Returns the slots to leave with the daemon so that its own waiting work can take the place
+    /// of running work of a lower tier.
+    ///
+    /// The slots are held in any case. Without a share that covers them, the daemon could start
+    /// nothing after a preemption, and the lower tier would run to its end.
+    pub(crate) fn replaceable(&self) -> u32 {
+        let highest = self.waiting.iter().position(|&count| count > 0);
+        let lowest = self.running.iter().rposition(|&count| count > 0);
+        match (highest, lowest) {
+            (Some(highest), Some(lowest)) if highest < lowest => self.running_total(),
+            _ => 0,
+        }
+    }
 }
--- a/crates/grant/src/ledger.rs
+++ b/crates/grant/src/ledger.rs
@@ -92,7 +92,8 @@
             .map(|(_, account)| account.held(now_us))
             .sum();
         let free = self.budget.slots.saturating_sub(taken + self.silent());
-        let slots = self.targets(sequence)[index].min(free);
+        let wanted = self.targets(sequence)[index];
+        let slots = wanted.max(demand.replaceable()).min(free);
         let expires_us = now_us + LEASE_US;
         self.accounts[index].grants.push(Grant {
             sequence,
