feat(bench): limit accounts to a multiple of their usual demand

Cause: without limits a tenfold burst of one account took the capacity of lower tiers from all. Conclusion: four times the usual rate, at least 18 requests a second.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -5,6 +5,7 @@
 use crate::{
     class_mix::ClassMix,
     lengths::Lengths::{HeavyTail, Uniform},
+    number::whole,
 };
 
 /// Model that all engines of a deployment serve.
@@ -16,6 +17,12 @@
 /// Share of the slots that is reserved for the lowest tier.
 pub(crate) const RESERVED_PERCENT: u32 = 5;
 
+/// Multiple of its usual demand that an account may send; `crest` needs about 2.3.
+const LIMIT_FACTOR: f64 = 4.0;
+
+/// Rate that every account may reach, so that a daemon's share still lets a small burst through.
+const LIMIT_MIN_PER_S: u64 = 18;
+
 /// Client accounts with their weight in the demand, three of them large.
 pub(crate) const ACCOUNTS: [(&str, u32); 10] = [
     ("account-0", 24),
@@ -102,7 +109,10 @@
     }
 
     /// Returns the configuration of a fleet with this many engines.
-    pub(crate) fn config(self, engines: usize) -> Config {
+    ///
+    /// The accounts may send a multiple of their part of `steady_per_s`, the demand of the scenario
+    /// `steady` in requests.
+    pub(crate) fn config(self, engines: usize, steady_per_s: f64) -> Config {
         let classes = self.classes().map(|mix| mix.class).to_vec();
         let class_names: Vec<String> = classes.iter().map(|class| class.name.clone()).collect();
         let accounts = ACCOUNTS.iter().map(|&(name, weight)| Account {
@@ -110,8 +120,8 @@
             key_sha256: Vec::new(),
             default_class: class_names[0].clone(),
             classes: class_names.clone(),
-            // Far above the demand: the bench measures the order of service, not the limits.
-            requests_per_s: 1_000_000,
+            requests_per_s: limit_per_s(steady_per_s, weight),
+            // Not limited: the bench measures the order of service.
             requests_in_flight: 1_000_000,
             tokens_in_flight: 1_000_000_000_000,
             weight,
@@ -148,6 +158,14 @@
     }
 }
 
+/// Returns the request rate that an account may reach.
+fn limit_per_s(steady_per_s: f64, weight: u32) -> u32 {
+    let weights: u32 = ACCOUNTS.iter().map(|(_, weight)| weight).sum();
+    let part_per_s = steady_per_s * f64::from(weight) / f64::from(weights);
+    let limit_per_s = whole(part_per_s * LIMIT_FACTOR).max(LIMIT_MIN_PER_S);
+    u32::try_from(limit_per_s).unwrap_or(u32::MAX)
+}
+
 impl FromStr for Deployment {
     type Err = String;
 
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -32,6 +32,17 @@
     all
 }
 
+/// Returns the requests a second of the scenario `steady`.
+pub(crate) fn steady_per_s(setup: &Setup) -> f64 {
+    let classes = setup.deployment.classes();
+    let demand = Scenario::Steady.demand(0);
+    let rates = classes
+        .iter()
+        .zip(demand)
+        .map(|(mix, part)| engine_rate(mix) * part);
+    rates.sum::<f64>() * setup.load * float(setup.engines as u64)
+}
+
 /// Returns the requests a second of one class that fill an engine.
 fn engine_rate(mix: &ClassMix) -> f64 {
     let mut rng = StdRng::seed_from_u64(0);
