--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 
 mod arrival;
 mod baseline;
+mod check;
 mod class_mix;
 mod daemon;
 mod deployment;
--- a/crates/bench/src/tests.rs
+++ b/crates/bench/src/tests.rs
@@ -1,1 +1,90 @@
+use gumdrop::Options as _;
 
+use crate::{options::Options, scenario::Scenario, setup::Setup, world::World};
+
+fn json(arguments: &[&str]) -> String {
+    let options = Options::parse_args_default(arguments).unwrap();
+    let scenario: Scenario = options.scenario.parse().unwrap();
+    let outcome = World::new(Setup::new(scenario, &options)).run();
+    serde_json::to_string(&outcome.report).unwrap()
+}
+
+/// Guards against output that depends on more than the seed.
+#[test]
+fn same_seed_gives_the_same_bytes() {
+    for scenario in ["host-churn", "region-cut", "stragglers"] {
+        for policy in ["fifo", "home", "grant"] {
+            let run = |seed| {
+                let arguments = [
+                    scenario,
+                    "--seconds",
+                    "12",
+                    "--policy",
+                    policy,
+                    "--seed",
+                    seed,
+                ];
+                json(&arguments)
+            };
+            assert_eq!(run("1"), run("1"), "{scenario} {policy}");
+            assert_ne!(run("1"), run("2"), "{scenario} {policy}");
+        }
+    }
+}
+
+/// Guards against a field that readers of the output expect and do not find, or do not expect.
+#[test]
+fn json_has_the_documented_fields() {
+    let text = json(&["steady", "--seconds", "7"]);
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let mut fields: Vec<&String> = value.as_object().unwrap().keys().collect();
+    fields.sort();
+    let expected = [
+        "classes",
+        "control_bytes_per_s_per_daemon",
+        "goodput_tokens_per_s",
+        "policy",
+        "scenario",
+        "seed",
+        "shed",
+        "short_behind_long_p99_ms",
+        "starved",
+        "tier_inversions",
+        "wasted_tokens_ratio",
+    ];
+    assert_eq!(fields, expected);
+    let class = value["classes"][0].as_object().unwrap();
+    let mut fields: Vec<&String> = class.keys().collect();
+    fields.sort();
+    assert_eq!(fields, ["attainment", "class", "tier", "ttft_p95_ms"]);
+}
+
+/// Guards against control traffic over the limit of 4 KB/s at the target size.
+#[test]
+fn control_traffic_stays_within_its_limit() {
+    for (daemons, upstreams, load) in [
+        ("6", "12", "100"),
+        ("60", "120", "20"),
+        ("330", "2300", "1"),
+    ] {
+        let text = json(&[
+            "steady",
+            "--seconds",
+            "6",
+            "--policy",
+            "grant",
+            "--daemons",
+            daemons,
+            "--upstreams",
+            upstreams,
+            "--load-percent",
+            load,
+        ]);
+        let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+        let bytes = value["control_bytes_per_s_per_daemon"].as_f64().unwrap();
+        assert!(
+            bytes > 0.0 && bytes <= 4_000.0,
+            "{daemons} daemons: {bytes}"
+        );
+    }
+}
--- a/crates/grant/src/fleet_tests.rs
+++ b/crates/grant/src/fleet_tests.rs
@@ -98,11 +98,11 @@
 
     /// Every daemon reports and gets its answer.
     fn round(&mut self, waiting: [u32; 3]) {
-        for host in 0..HOSTS.len() {
-            for (home, demand) in self.holders[host].demands(self.now_us, waiting) {
+        for (holder, host) in self.holders.iter_mut().zip(HOSTS) {
+            for (home, demand) in holder.demands(self.now_us, waiting) {
                 let to = HOSTS.iter().position(|name| **name == *home).unwrap();
-                let grants = self.homes[to].demand(self.now_us, HOSTS[host], &demand);
-                self.holders[host].grants(self.now_us, HOSTS[to], &grants);
+                let grants = self.homes[to].demand(self.now_us, host, &demand);
+                holder.grants(self.now_us, HOSTS[to], &grants);
             }
         }
     }
