--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -15,6 +15,10 @@
 /// tokens.
 const EVIDENCE_MIN: f64 = 4.0;
 
+/// Slow-down up to which the difference is taken for chance: batches and prefills of other jobs
+/// vary that much, and following them makes all daemons crowd the same upstreams.
+const SLOWDOWN_NOISE: f64 = 1.5;
+
 /// Smallest slow-down, so that a few lucky observations attract no crowd.
 const SLOWDOWN_MIN: f64 = 0.5;
 
@@ -169,6 +173,18 @@
         self.outstanding < share.min(self.assumed_slots())
     }
 
+    /// Returns whether it has room for what an upstream so much slower than its peers can take.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the quotient lies between 0 and the slots"
+    )]
+    pub fn has_slow_room(&self) -> bool {
+        let limit = self.share.unwrap_or(u32::MAX).min(self.assumed_slots());
+        let slow_limit = (f64::from(limit) / self.slowdown.max(1.0)) as u32;
+        self.outstanding < slow_limit.max(1).min(limit)
+    }
+
     /// Returns whether failures keep work away from it.
     pub const fn is_failing(&self, now_us: u64) -> bool {
         now_us < self.failing_until_us
@@ -183,7 +199,7 @@
         } else {
             self.ramp(now_us)
         };
-        weight / self.slowdown.max(1.0)
+        weight / self.penalty()
     }
 
     /// Ages the jitter, so that an idle upstream's turn comes.
@@ -191,6 +207,11 @@
         self.jitter *= 0.5;
     }
 
+    /// Returns the factor by which the slow-down lengthens the expected wait.
+    fn penalty(&self) -> f64 {
+        1.0 + 2.0 * (self.slowdown - SLOWDOWN_NOISE).max(0.0)
+    }
+
     /// Returns the share of its capacity that counts after a reinstatement.
     fn ramp(&self, now_us: u64) -> f64 {
         self.reinstated_us.map_or(1.0, |since_us| {
@@ -211,8 +232,13 @@
 
     /// Returns the expected time to the first token in units of the one when it is half idle.
     pub fn pressure(&self, now_us: u64) -> f64 {
-        let own = (f64::from(self.outstanding) + 0.5 * self.jitter) / self.capacity.max(1.0);
-        let foreign = self.foreign(now_us) / f64::from(self.settings.slots.max(1));
+        // Other daemons have shares of their own, so their jobs count only where none is set.
+        let (capacity, foreign) = match self.share {
+            Some(share) => (self.capacity.min(f64::from(share)), 0.0),
+            None => (self.capacity, self.foreign(now_us)),
+        };
+        let own = (f64::from(self.outstanding) + 0.5 * self.jitter) / capacity.max(1.0);
+        let foreign = foreign / f64::from(self.settings.slots.max(1));
         let load = (own + foreign) / self.ramp(now_us);
         let over = (load - LOAD_KNEE).max(0.0);
         let wait = 0.5 + 0.3 * load + 8.0 * over * over;
@@ -221,7 +247,7 @@
         } else {
             1.0
         };
-        self.slowdown * wait / spared
+        self.penalty() * wait / spared
     }
 
     /// Returns the estimated jobs of other daemons.
@@ -231,8 +257,8 @@
             return 0.0;
         }
         let age_us = now_us.saturating_sub(self.foreign_us) as f64;
-        // Own observations go first: with many of them the report counts half.
-        let trust = 1.0 - 0.5 * (self.gap.weight(now_us) / 16.0).min(1.0);
+        // Own observations go first: the more there are, the less the report counts.
+        let trust = 1.0 / (1.0 + self.gap.weight(now_us));
         self.foreign * trust * (-age_us / REPORT_DECAY_US).exp()
     }
 
--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -55,10 +55,17 @@
         if let Some(index) = avoided {
             self.rekey(now_us, index);
         }
-        let best = best.or_else(|| avoided.and_then(|_| self.best(now_us, group, need)))?;
+        let best = best
+            .map(|best| best.member as usize)
+            .or_else(|| self.least_slow(group, need))
+            .or_else(|| {
+                avoided?;
+                let best = self.best(now_us, group, need)?;
+                Some(best.member as usize)
+            })?;
         let since_probe = &mut self.groups[group].since_probe;
         *since_probe = since_probe.saturating_add(1);
-        Some(self.take(now_us, best.member as usize, need))
+        Some(self.take(now_us, best, need))
     }
 
     fn best(&self, now_us: u64, group: usize, need: &Need<'_>) -> Option<Candidate> {
@@ -174,7 +181,27 @@
         if self.ejected.is_empty() || self.groups[group].since_probe < PROBE_EVERY * patience {
             return None;
         }
-        let probes = |&index: &usize| {
+        let mut ejected = self.usable_ejected(group, need);
+        ejected.find(|&index| {
+            let member = &self.members[index];
+            member.probe_due_us <= now_us && member.pending.is_empty() && member.has_room()
+        })
+    }
+
+    /// Returns the ejected upstream to use while all others are full.
+    ///
+    /// It gets no more than what its slow-down leaves of its capacity, so that a short queue
+    /// doesn't idle a quarter of the pool and a job doesn't wait behind many on a straggler.
+    fn least_slow(&self, group: usize, need: &Need<'_>) -> Option<usize> {
+        let ejected = self.usable_ejected(group, need);
+        let open = ejected.filter(|&index| self.members[index].has_slow_room());
+        open.min_by_key(|&index| self.members[index].outstanding)
+    }
+
+    /// Returns the members that are ejected because of their speed and could run the job.
+    fn usable_ejected(&self, group: usize, need: &Need<'_>) -> impl Iterator<Item = usize> {
+        let ejected = self.ejected.iter().map(|&index| index as usize);
+        ejected.filter(move |&index| {
             let member = &self.members[index];
             let seats = &mut member.seats.iter();
             let Some(seat) = seats.find(|seat| seat.group as usize == group) else {
@@ -182,16 +209,11 @@
             };
             let far = usize::from(seat.lane) / 2 == DISTANCES - 1;
             let large = LinkBudget::is_large(need.body_bytes);
-            member.probe_due_us <= now_us
-                && !member.is_failing(now_us)
-                && member.pending.is_empty()
-                && member.has_room()
+            !member.is_failing(self.now_us)
                 && (member.settings.honours.resume || !need.resume)
                 && need.avoid != Some(&*member.name)
                 && (!far || !large && self.link.allows(need.tier, need.body_bytes))
-        };
-        let mut ejected = self.ejected.iter().map(|&index| index as usize);
-        ejected.find(probes)
+        })
     }
 
     fn take(&mut self, now_us: u64, index: usize, need: &Need<'_>) -> Pick {
