--- a/crates/route/src/cohort.rs
+++ b/crates/route/src/cohort.rs
@@ -18,8 +18,8 @@
     pub gap_median: f64,
     /// Whether a first token was ever noted; without one silence means nothing.
     pub has_first_token: bool,
-    /// Members that take new work.
-    pub live: u32,
+    /// Members that this daemon may use.
+    pub usable: u32,
     /// Members that are ejected.
     pub ejected: u32,
 }
@@ -34,13 +34,13 @@
             first_token_median: 1.0,
             gap_median: 1.0,
             has_first_token: false,
-            live: 0,
+            usable: 0,
             ejected: 0,
         }
     }
 
     /// Returns how many members may be ejected at once.
     pub const fn ejected_max(&self) -> u32 {
-        self.live / EJECTED_SHARE
+        self.usable / EJECTED_SHARE
     }
 }
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -31,6 +31,10 @@
 /// Part of the way that one load report moves the estimate; reports lag by seconds.
 const REPORT_GAIN: f64 = 0.3;
 
+/// Reported load of other daemons that is ignored. Daemons that all follow small differences in
+/// reports from seconds ago crowd the same upstreams in turn.
+const FOREIGN_BAND: f64 = 0.75;
+
 /// Cache use from which an engine starts to preempt sequences.
 const CACHE_FULL_PERMILLE: u32 = 950;
 
@@ -167,6 +171,11 @@
         self.configured && !self.leaving && self.settings.state == State::Live
     }
 
+    /// Returns whether this daemon may use it at all.
+    pub fn is_usable(&self) -> bool {
+        self.is_live() && self.share != Some(0)
+    }
+
     /// Returns whether a slot is free.
     pub fn has_room(&self) -> bool {
         let share = self.share.unwrap_or(u32::MAX);
@@ -239,6 +248,7 @@
         };
         let own = (f64::from(self.outstanding) + 0.5 * self.jitter) / capacity.max(1.0);
         let foreign = foreign / f64::from(self.settings.slots.max(1));
+        let foreign = (foreign - FOREIGN_BAND).max(0.0) / (1.0 - FOREIGN_BAND);
         let load = (own + foreign) / self.ramp(now_us);
         let over = (load - LOAD_KNEE).max(0.0);
         let wait = 0.5 + 0.3 * load + 8.0 * over * over;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -73,7 +73,12 @@
     /// Sets how many jobs this daemon may run on an upstream; `None` lifts the limit.
     pub fn set_share(&mut self, upstream: &str, slots: Option<u32>) {
         if let Some(index) = self.index(upstream) {
-            self.members[index].share = slots;
+            let member = &mut self.members[index];
+            let was_usable = member.is_usable();
+            member.share = slots;
+            if member.is_usable() != was_usable {
+                self.recount(self.now_us);
+            }
             self.rekey(self.now_us, index);
         }
     }
--- a/crates/route/src/pool/judgement.rs
+++ b/crates/route/src/pool/judgement.rs
@@ -167,15 +167,15 @@
         }
     }
 
-    /// Counts live and ejected members, and ends ejections beyond the bound, mildest first.
+    /// Counts usable and ejected members, and ends ejections beyond the bound, mildest first.
     pub(super) fn recount(&mut self, now_us: u64) {
         for cohort in &mut self.cohorts {
-            (cohort.live, cohort.ejected) = (0, 0);
+            (cohort.usable, cohort.ejected) = (0, 0);
         }
         for member in &mut self.members {
             let cohort = &mut self.cohorts[member.cohort as usize];
-            member.ejected &= member.is_live();
-            cohort.live += u32::from(member.is_live());
+            member.ejected &= member.is_usable();
+            cohort.usable += u32::from(member.is_usable());
             cohort.ejected += u32::from(member.ejected);
         }
         self.ejected.clear();
@@ -209,7 +209,7 @@
                 self.reinstate(now_us, index);
             }
         } else if (failing || proven > EJECT_SLOWDOWN)
-            && member.is_live()
+            && member.is_usable()
             && cohort.ejected < cohort.ejected_max()
         {
             self.eject(now_us, index);
