--- a/crates/route/src/pool/layout.rs
+++ b/crates/route/src/pool/layout.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use settings::{Config, Kind, Upstream};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{Pool, choice::unit, is_leaving};
 use crate::{
@@ -39,7 +40,7 @@
                 self.departures.overrides(&member.name, config.version)
             };
             if member.jitter == 0.0 {
-                member.jitter = unit(member.id ^ self.seed);
+                member.jitter = unit(xxh3_64_with_seed(upstream.name.as_bytes(), self.seed));
             }
             self.members.push(member);
         }
--- a/crates/route/src/tests.rs
+++ b/crates/route/src/tests.rs
@@ -274,6 +274,47 @@
     );
 }
 
+// Guards against a queue that waits while only stragglers have room, and against one that fills a
+// straggler like any other.
+#[test]
+fn straggler_serves_a_part_while_the_others_are_full() {
+    let names = ["e00", "e01", "e02", "e03"];
+    let mut pool = pool(&local(4));
+    let target = model();
+    for step in 1..40 {
+        feed(&mut pool, step * 20_000, &names, &["e02"], 4);
+    }
+    let now_us = SECOND_US;
+    let picks = (0..200).map_while(|_| choose(&mut pool, now_us, &need(&target)));
+    let picks: Vec<String> = picks.collect();
+    let slow = picks.iter().filter(|pick| **pick == "e02").count();
+    assert_eq!(picks.len() - slow, 96, "the others are filled");
+    assert!((6..=12).contains(&slow), "a quarter of 32 slots: {slow}");
+    let probes = picks[..96].iter().filter(|pick| **pick == "e02").count();
+    assert!(probes <= 2, "the straggler comes last: {probes}");
+    let standing = &pool.weights()[2];
+    assert!(standing.ejected && standing.slowdown > 2.5, "{standing:?}");
+}
+
+// Guards against daemons that all start on the same upstream.
+#[test]
+fn equal_upstreams_are_ordered_by_the_seed() {
+    let mut first: Vec<String> = Vec::new();
+    for seed in 0..64 {
+        let mut pool = Pool::new(Place::new("costa", "norte")).with_seed(seed);
+        pool.configure(0, &config(1, &local(8)));
+        first.extend(choose(&mut pool, 0, &need(&model())));
+    }
+    for upstream in local(8) {
+        let count = first.iter().filter(|name| **name == upstream.name).count();
+        assert!(
+            (2..=18).contains(&count),
+            "{} comes first {count} times",
+            upstream.name
+        );
+    }
+}
+
 // Guards against an engine that accepts work and says nothing, whose attempts never yield a
 // measurement; and against the same verdict when every engine is equally slow.
 #[test]
