--- a/crates/route/src/tests.rs
+++ b/crates/route/src/tests.rs
@@ -70,11 +70,11 @@
     }
 }
 
-/// Feeds `tokens` of each upstream; those in `slow` take `factor` times as long.
-fn feed(pool: &mut Pool, now_us: u64, names: &[&str], slow: &[&str], factor: u64) {
+/// Feeds `tokens` of each upstream; those in `slow` take `percent` of the normal time.
+fn feed(pool: &mut Pool, now_us: u64, names: &[&str], slow: &[&str], percent: u64) {
     for name in names {
-        let factor = if slow.contains(name) { factor } else { 1 };
-        pool.tokens(now_us, name, 20_000 * factor, 1);
+        let percent = if slow.contains(name) { percent } else { 100 };
+        pool.tokens(now_us, name, 200 * percent, 1);
     }
 }
 
@@ -83,10 +83,10 @@
 #[test]
 fn distance_is_weighed_against_waiting() {
     let cases = [
-        // name, jobs on near, jobs on the zone beside, near gap factor, expected
-        ("idle: same zone", 0, 0, 1, "near"),
-        ("as many jobs: same zone", 4, 4, 1, "near"),
-        ("clearly more: other zone", 8, 0, 1, "zone"),
+        // name, jobs on near, jobs on the zone beside, near gap in percent, expected
+        ("idle: same zone", 0, 0, 100, "near"),
+        ("as many jobs: same zone", 4, 4, 100, "near"),
+        ("clearly more: other zone", 8, 0, 100, "zone"),
         (
             "both half full: not yet the other region",
             16,
@@ -94,11 +94,12 @@
             1,
             "near",
         ),
-        ("both nearly full: other region", 30, 30, 1, "far"),
-        ("both full: other region", 32, 32, 1, "far"),
-        ("near slow: other zone", 0, 0, 3, "zone"),
+        ("both nearly full: other region", 30, 30, 100, "far"),
+        ("both full: other region", 32, 32, 100, "far"),
+        ("near slow: other zone", 0, 0, 300, "zone"),
+        ("near a little slow: same zone", 0, 0, 140, "near"),
     ];
-    for (name, near, zone, factor, expected) in cases {
+    for (name, near, zone, percent, expected) in cases {
         let upstreams = [
             engine("near", "costa", "norte"),
             engine("zone", "costa", "sur"),
@@ -120,19 +121,24 @@
         for other in ["near", "zone", "far"] {
             pool.set_share(other, None);
         }
-        if factor > 1 {
-            for step in 1..5 {
+        if percent > 100 {
+            for step in 1..50 {
                 feed(
                     &mut pool,
-                    step * 20_000,
+                    step * 4_000,
                     &["near", "zone", "far"],
                     &["near"],
-                    factor,
+                    percent,
                 );
             }
         }
         let chosen = choose(&mut pool, SECOND_US / 5, &need(&target));
-        assert_eq!(chosen.as_deref(), Some(expected), "{name}");
+        assert_eq!(
+            chosen.as_deref(),
+            Some(expected),
+            "{name} {:?}",
+            pool.weights()
+        );
     }
 }
 
@@ -226,16 +232,16 @@
     let mut now_us = 0;
     for _ in 0..100 {
         now_us += 20_000;
-        feed(&mut pool, now_us, &names, &[], 1);
+        feed(&mut pool, now_us, &names, &[], 100);
         run(&mut pool, now_us);
     }
     assert!(pool.weights().iter().all(|standing| standing.weight > 0.9));
     // A stream with 80 ms between tokens yields twelve of them in a second.
     for _ in 0..12 {
         now_us += 80_000;
-        feed(&mut pool, now_us, &["e01"], &["e01"], 4);
+        feed(&mut pool, now_us, &["e01"], &["e01"], 400);
         for _ in 0..4 {
-            feed(&mut pool, now_us, &["e00", "e02", "e03"], &[], 1);
+            feed(&mut pool, now_us, &["e00", "e02", "e03"], &[], 100);
         }
     }
     assert!(pool.straggler("e01").is_some(), "{:?}", pool.weights());
@@ -251,7 +257,7 @@
                 },
             )
             .unwrap();
-        feed(&mut pool, now_us, &names, &["e01"], 4);
+        feed(&mut pool, now_us, &names, &["e01"], 400);
         picked += u32::from(&*pick.upstream == "e01");
         pool.end_waiting(now_us, &pick.upstream, Ending::Cancelled, 0);
     }
@@ -263,7 +269,7 @@
     let mut weights = vec![weight(&pool)];
     for _ in 0..200 {
         now_us += 50_000;
-        feed(&mut pool, now_us, &names, &[], 1);
+        feed(&mut pool, now_us, &names, &[], 100);
         run(&mut pool, now_us);
         weights.push(weight(&pool));
     }
@@ -282,7 +288,7 @@
     let mut pool = pool(&local(4));
     let target = model();
     for step in 1..40 {
-        feed(&mut pool, step * 20_000, &names, &["e02"], 4);
+        feed(&mut pool, step * 20_000, &names, &["e02"], 400);
     }
     let now_us = SECOND_US;
     let picks = (0..200).map_while(|_| choose(&mut pool, now_us, &need(&target)));
@@ -425,8 +431,29 @@
         chosen.push(pick.upstream.to_string());
     }
     assert_eq!((&*chosen[0], &*chosen[9]), ("near", "far"));
+    let half = Load {
+        running: 20,
+        ..full
+    };
+    for _ in 0..30 {
+        pool.report(0, "near", &half);
+    }
+    let pick = choose(&mut pool, 0, &need(&target));
+    assert_eq!(
+        pick.as_deref(),
+        Some("near"),
+        "small differences aren't followed"
+    );
     let pick = choose(&mut pool, 120 * SECOND_US, &need(&target));
     assert_eq!(pick.as_deref(), Some("near"), "an old report is forgotten");
+    // A share bounds what this daemon may use, so most of it is a high load.
+    pool.set_share("near", Some(8));
+    let near = (0..8)
+        .filter(|_| choose(&mut pool, 120 * SECOND_US, &need(&target)).as_deref() == Some("near"));
+    assert!(
+        (4..=7).contains(&near.count()),
+        "the last ones go to the other region"
+    );
 }
 
 // Guards against prefills repeated on another upstream, and against a hot prefix that overloads
