--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -71,7 +71,9 @@
     fn best(&self, now_us: u64, group: usize, need: &Need<'_>) -> Option<Candidate> {
         let near = self.nearest(group, need, 0..DISTANCES - 1);
         let large = LinkBudget::is_large(need.body_bytes);
-        let far = !(large && near.is_some()) && self.link.allows(need.tier, need.body_bytes);
+        let near_works =
+            near.is_some_and(|near| !self.members[near.member as usize].is_failing(now_us));
+        let far = !(large && near_works) && self.link.allows(need.tier, need.body_bytes);
         let far = far.then(|| self.nearest(group, need, DISTANCES - 1..DISTANCES));
         let best = cheaper(near, far.flatten())?;
         let cached = self.cached(now_us, group, need, far.is_some());
@@ -190,8 +192,8 @@
 
     /// Returns the ejected upstream to use while all others are full.
     ///
-    /// It gets no more than what its slow-down leaves of its capacity, so that a short queue
-    /// doesn't idle a quarter of the pool and a job doesn't wait behind many on a straggler.
+    /// It gets no more jobs than its slow-down leaves of its capacity, so that stragglers aren't idle
+    /// while jobs queue, and no job waits behind many others on a straggler.
     fn least_slow(&self, group: usize, need: &Need<'_>) -> Option<usize> {
         let ejected = self.usable_ejected(group, need);
         let open = ejected.filter(|&index| self.members[index].has_slow_room());
--- a/crates/route/src/pool/judgement.rs
+++ b/crates/route/src/pool/judgement.rs
@@ -10,8 +10,8 @@
 /// Time between probes of an ejected upstream.
 pub(super) const PROBE_US: u64 = 1_000_000;
 
-/// Time between refreshes of medians, decays and overdue first tokens. A refresh costs some 100 us
-/// with 2,300 upstreams; at this interval it takes a small part of the 1.2% of a core.
+/// Time between refreshes of medians, decays and overdue first tokens. A refresh costs 165 to
+/// 280 us with 2,300 upstreams: at most 0.14% of a core at this interval.
 const REFRESH_US: u64 = 200_000;
 
 /// Change of the slow-down that is worth an update of the index.
--- a/crates/route/src/tests.rs
+++ b/crates/route/src/tests.rs
@@ -221,6 +221,14 @@
         assert_eq!(choose(&mut pool, 0, &photo).as_deref(), Some("near"));
     }
     assert_eq!(choose(&mut pool, 0, &photo).as_deref(), Some("far"));
+    for _ in 0..32 {
+        pool.end(0, "near", Ending::ConnectFailed);
+    }
+    assert_eq!(
+        choose(&mut pool, 1, &photo).as_deref(),
+        Some("far"),
+        "near is down"
+    );
 }
 
 // Guards against a straggler that keeps its share of work until the load reports show it.
