--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -57,6 +57,8 @@
         default = "0"
     )]
     pub(crate) migrate_ms: u64,
+    #[options(no_short, help = "leave out the client accounts' limits")]
+    pub(crate) no_limits: bool,
     #[options(no_short, help = "leave out the scenario's faults")]
     pub(crate) no_faults: bool,
 }
--- a/crates/bench/src/setup.rs
+++ b/crates/bench/src/setup.rs
@@ -22,6 +22,7 @@
     pub(crate) load: f64,
     pub(crate) hedge_us: u64,
     pub(crate) migrate_us: u64,
+    pub(crate) no_limits: bool,
     pub(crate) no_faults: bool,
 }
 
@@ -43,6 +44,7 @@
             load: f64::from(options.load_percent) / 100.0,
             hedge_us: options.hedge_ms * 1_000,
             migrate_us: options.migrate_ms * 1_000,
+            no_limits: options.no_limits,
             no_faults: options.no_faults,
         }
     }
--- a/crates/bench/src/table.rs
+++ b/crates/bench/src/table.rs
@@ -107,6 +107,7 @@
         load_percent: 100,
         hedge_ms: 0,
         migrate_ms: 0,
+        no_limits: false,
         no_faults,
     };
     World::new(Setup::new(scenario, &options)).run()
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -32,8 +32,11 @@
     all
 }
 
-/// Returns the requests a second of the scenario `steady`.
+/// Returns the requests a second of the scenario `steady`, from which the limits follow.
 pub(crate) fn steady_per_s(setup: &Setup) -> f64 {
+    if setup.no_limits {
+        return 1e6;
+    }
     let classes = setup.deployment.classes();
     let demand = Scenario::Steady.demand(0);
     let rates = classes
