--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -3,6 +3,10 @@
 use crate::{arrival::Arrival, deployment::Deployment, policy::Policy};
 
 /// Command line of the bench.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "one for each flag of the command line"
+)]
 #[derive(Debug, Clone, Parse)]
 pub(crate) struct Options {
     #[options(help = "print this help")]
