fix(sched): protect jobs that start on a due share, refill after a reserved slot yields

Cause: a start in turn used up the credit of its tier and was not protected, so with tier 0 at 70% of the capacity every answer of tier 1 was preempted: 2 of 421 were of tier 1, which has 20% reserved. A reserved turn that found no slot closed its tier for the rest of the event and kept it from preempting a lower one. And a job cancelled in favour of one close to its deadline stayed queued until the next event although an upstream that serves only its model was idle; the state machine test found that in about 1 of 3,000 cases.

Ruled out: refunding the credit of each preempted start, which lets a tier collect more than its percentage.

A due share is taken whether or not a higher tier waits, only such starts use credit, a reserved turn without a free slot falls back to the ordinary turns, and a yield is followed by a dispatch.

--- a/crates/queue/src/reserve.rs
+++ b/crates/queue/src/reserve.rs
@@ -58,7 +58,7 @@
         tiers
     }
 
-    /// Returns whether a waiting tier takes the next free slot ahead of higher tiers.
+    /// Returns whether a waiting tier takes the next free slot on its share, ahead of higher tiers.
     #[must_use]
     pub fn is_due(&self, tier: usize, slots: u32) -> bool {
         let share = slots.saturating_mul(u32::from(self.percent[tier]));
@@ -67,7 +67,7 @@
             && self.held[tier] < share.div_ceil(START).max(1)
     }
 
-    /// Notes a start; `reserved` if the tier was ahead of its turn, `waiting` by tier.
+    /// Notes a start; `reserved` if the share of the tier was due, `waiting` by tier.
     pub fn started(&mut self, tier: usize, reserved: bool, waiting: [bool; TIERS]) {
         for (other, waiting) in waiting.into_iter().enumerate().skip(1) {
             if other != tier && waiting {
@@ -75,8 +75,11 @@
                 self.credit[other] = credit.min(2 * START);
             }
         }
-        self.credit[tier] = self.credit[tier].saturating_sub(START);
-        self.held[tier] += u32::from(reserved);
+        // A start in turn may be preempted again and therefore uses up no credit.
+        if reserved {
+            self.credit[tier] = self.credit[tier].saturating_sub(START);
+            self.held[tier] += 1;
+        }
         self.starts += 1;
         self.last[tier] = self.starts;
     }
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -17,7 +17,8 @@
     }
 
     fn fill(&mut self, now_us: u64, group: usize, actions: &mut Vec<Action>) {
-        while let Some(mut turn) = self.next_turn(group) {
+        let mut reserve = true;
+        while let Some(mut turn) = self.next_turn(group, reserve) {
             if turn.reserved
                 && let Some(urgent) = self.urgent(now_us, group)
             {
@@ -29,9 +30,12 @@
             if self.start(now_us, turn, None, actions) {
                 continue;
             }
-            if !turn.reserved
-                && let Some(preempted) = self.make_room(now_us, turn, actions)
-            {
+            if turn.reserved {
+                // The share is a claim on free slots only; go on with the ordinary turns.
+                reserve = false;
+                continue;
+            }
+            if let Some(preempted) = self.make_room(now_us, turn, actions) {
                 if self.start(now_us, turn, Some(preempted), actions) {
                     continue;
                 }
@@ -189,16 +193,18 @@
         true
     }
 
-    fn next_turn(&self, group: usize) -> Option<Turn> {
+    fn next_turn(&self, group: usize, reserve: bool) -> Option<Turn> {
         let state = &self.topology.groups[group];
-        for tier in state.reserve.order() {
-            if state.reserve.is_due(tier, state.slots) {
-                let higher = (0..tier).any(|higher| self.head(group, higher).is_some());
-                if let Some(turn) = self.head(group, tier) {
-                    let reserved = higher;
-                    return Some(Turn { reserved, ..turn });
-                }
-            }
+        let due = state.reserve.order().into_iter().filter(|&tier| {
+            // Also if no higher tier waits now: one that arrives next could preempt the job.
+            reserve && state.reserve.is_due(tier, state.slots)
+        });
+        let mut due = due.filter_map(|tier| self.head(group, tier));
+        if let Some(turn) = due.next() {
+            return Some(Turn {
+                reserved: true,
+                ..turn
+            });
         }
         (0..TIERS).find_map(|tier| self.head(group, tier))
     }
--- a/crates/sched/src/holds_served_tests.rs
+++ b/crates/sched/src/holds_served_tests.rs
@@ -151,6 +151,8 @@
     ] {
         let completed = run_overload(every_ms);
         let total: u32 = completed.iter().sum();
+        // Half of the percentages; what is preempted here starts again from nothing.
+        assert!(completed[1] >= total / 10, "{name}: {completed:?}");
         assert!(completed[2] >= total / 20, "{name}: {completed:?}");
         let asked = u32::try_from(10_000 / every_ms[0]).unwrap();
         assert!(
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -63,9 +63,12 @@
         let reason = Reason::HigherTier { by: turn.id };
         self.preempt(now_us, victim, reason, actions);
         let started = self.start(now_us, turn, Some(victim), actions);
+        let group = self.topology.lanes[turn.lane].group;
         if !started {
-            self.note_vain(now_us, self.topology.lanes[turn.lane].group);
+            self.note_vain(now_us, group);
         }
+        // The cancelled job may find room on an upstream that was of no use to the other.
+        self.dispatch(now_us, group, actions);
         started
     }
 
--- a/crates/sched/src/reason.rs
+++ b/crates/sched/src/reason.rs
@@ -14,7 +14,7 @@
     AttemptFailed,
     /// Started: a slot was free and no job went before it.
     InTurn,
-    /// Started ahead of a higher tier, on the share reserved for its own.
+    /// Started on the share reserved for its tier, which goes ahead of higher tiers.
     ReservedShare,
     /// Started in the slot of another job that was cancelled for it.
     InPlaceOf {
--- a/crates/sched/src/turn.rs
+++ b/crates/sched/src/turn.rs
@@ -6,6 +6,6 @@
     pub(crate) id: JobId,
     pub(crate) lane: usize,
     pub(crate) tier: usize,
-    /// Whether it goes ahead of a higher tier on its reserved share.
+    /// Whether it takes a free slot on the share reserved for its tier.
     pub(crate) reserved: bool,
 }
