feat(daemon): share engine slots between daemons by grants

Ruled out: a connection of its own between daemons; reports and grants travel as payloads of the authenticated heartbeats, inside their byte budget of 2,000 B/s. Plain services are not shared out: their few calls need no order between daemons.

Change: Sharing drives grant::Holder and grant::Home under the dispatcher's lock; a task plans by the live peers and sends reports; shares go to the dispatcher.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -7,6 +7,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::sharing::Sharing;
+
 /// Decision for the task that handles one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Decision {
@@ -22,6 +24,13 @@
     Cancel,
 }
 
+/// Task that waits for the decisions about one job.
+#[derive(Debug)]
+struct Waiter {
+    sender: UnboundedSender<Decision>,
+    tier: u8,
+}
+
 /// Requests that `/admin/explain` knows: some minutes at the peak, about 20 MB.
 const JOURNAL_REQUESTS: usize = 20_000;
 
@@ -32,7 +41,8 @@
 #[derive(Debug)]
 pub(crate) struct Core {
     pub(crate) dispatcher: Dispatcher,
-    waiters: BTreeMap<JobId, UnboundedSender<Decision>>,
+    pub(crate) sharing: Sharing,
+    waiters: BTreeMap<JobId, Waiter>,
     actions: Vec<Action>,
     pub(crate) journal: Journal,
 }
@@ -45,6 +55,7 @@
             .with_link_budget(host.cross_region_bytes_per_s);
         Self {
             dispatcher,
+            sharing: Sharing::new(&host.name, &host.region, rand::random()),
             waiters: BTreeMap::new(),
             actions: Vec::new(),
             journal: Journal::new(JOURNAL_REQUESTS),
@@ -52,8 +63,8 @@
     }
 
     /// Registers the channel of a job.
-    pub(crate) fn register(&mut self, id: JobId, sender: UnboundedSender<Decision>) {
-        self.waiters.insert(id, sender);
+    pub(crate) fn register(&mut self, id: JobId, tier: u8, sender: UnboundedSender<Decision>) {
+        self.waiters.insert(id, Waiter { sender, tier });
     }
 
     /// Removes the channel of a job.
@@ -61,6 +72,15 @@
         self.waiters.remove(&id);
     }
 
+    /// Passes the shares that have changed to the dispatcher.
+    pub(crate) fn apply_shares(&mut self, now_us: u64) {
+        for (upstream, slots) in self.sharing.shares(now_us) {
+            self.act(now_us, |dispatcher, actions| {
+                dispatcher.set_share(now_us, &upstream, Some(slots), actions);
+            });
+        }
+    }
+
     /// Passes one event to the dispatcher and its decisions to the waiting tasks.
     pub(crate) fn act<F>(&mut self, now_us: u64, event: F)
     where
@@ -69,13 +89,19 @@
         event(&mut self.dispatcher, &mut self.actions);
         for action in self.actions.drain(..) {
             let id = action.id();
+            if let (Action::Start { upstream, .. }, Some(waiter)) = (&action, self.waiters.get(&id))
+            {
+                self.sharing.started(id, upstream, waiter.tier);
+            } else if matches!(action, Action::Cancel { .. }) {
+                self.sharing.ended(id);
+            }
             let (decision, step) = translate(action);
             self.journal.record(now_us, id.0, step);
             let Some(decision) = decision else { continue };
             let ended = matches!(decision, Decision::Refuse { .. });
             // A closed channel belongs to a request that was dropped; its handle cancels the job.
-            if let Some(sender) = self.waiters.get(&id) {
-                let _ = sender.send(decision);
+            if let Some(waiter) = self.waiters.get(&id) {
+                let _ = waiter.sender.send(decision);
             }
             if ended {
                 self.waiters.remove(&id);
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -73,6 +73,7 @@
         let complete = outcome == Outcome::Complete;
         self.ended |= complete;
         self.shared.with_core(|now_us, core| {
+            core.sharing.ended(id);
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.finish(now_us, id, outcome, actions);
             });
@@ -90,6 +91,7 @@
         }
         let id = self.id;
         self.shared.with_core(|now_us, core| {
+            core.sharing.ended(id);
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.cancel(now_us, id, actions);
             });
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -9,7 +9,7 @@
 };
 
 use super::Announcement;
-use crate::shared::Shared;
+use crate::{grants::receive_payload, shared::Shared};
 
 /// Pause between two ticks of the membership.
 const TICK: Duration = Duration::from_millis(100);
@@ -98,9 +98,7 @@
             info!("peer: upstream {name} was seen leaving");
             shared.with_core(|_, core| core.dispatcher.set_leaving(&name));
         }
-        Output::Payload { from, bytes } => {
-            debug!("peer: payload of {} bytes from {from}", bytes.len());
-        }
+        Output::Payload { from, bytes } => receive_payload(shared, &from, &bytes),
         // Sent and noted already.
         Output::Send { .. } | Output::Resumed { .. } => {}
     }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -91,7 +91,7 @@
         let received = received_step(&job);
         self.with_core(|now_us, core| {
             core.journal.record(now_us, id.0, received);
-            core.register(id, sender);
+            core.register(id, job.tier, sender);
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.submit(now_us, job, actions);
             });
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -20,6 +20,7 @@
 use crate::{
     admin, completions,
     follow::follow_releases,
+    grants::share_slots,
     loads::read_loads,
     models,
     peers::{Peers, exchange_datagrams, fetch_configs, follow_hosts, serve_config},
@@ -95,6 +96,7 @@
         running.spawn(serve_config(shared.clone(), peer_listener));
         running.spawn(fetch_configs(shared.clone(), announcements));
         running.spawn(read_loads(shared.clone(), upstream_client().await));
+        running.spawn(share_slots(shared.clone()));
         running.spawn(tick(shared));
         Ok(running)
     }
