--- /dev/null
+++ b/crates/bench/src/world/control.rs
@@ -0,0 +1,160 @@
+//! Timers, shares and messages between daemons.
+
+use std::sync::Arc;
+
+use grant::{Budget, Demand, Grants, Peer, Plan};
+
+use crate::{
+    daemon::Daemon,
+    event::Event,
+    policy::Policy,
+    world::{TICK_US, View, World, encoded_bytes},
+};
+
+impl World {
+    pub(super) fn tick(&mut self, daemon: usize) {
+        self.timeline
+            .add(self.now_us + TICK_US, Event::Tick { daemon });
+        if !self.daemons[daemon].up {
+            return;
+        }
+        self.daemons[daemon].ticked_us = self.now_us;
+        self.apply_shares(daemon);
+        self.act(daemon, |scheduler, now_us, actions| {
+            scheduler.tick(now_us, actions);
+        });
+        if self.setup.policy != Policy::Grant {
+            return;
+        }
+        let Daemon {
+            holder, scheduler, ..
+        } = &mut self.daemons[daemon];
+        let waiting = [0, 1, 2].map(|tier| u32::try_from(scheduler.queued(tier)).unwrap_or(0));
+        if !holder.is_due(self.now_us) {
+            return;
+        }
+        for (home, demand) in holder.demands(self.now_us, waiting) {
+            let Some(to) = self.daemons.iter().position(|other| other.name == home) else {
+                continue;
+            };
+            let bytes = encoded_bytes(&demand);
+            let at_us = self.send_control(daemon, to, bytes);
+            if let Some(at_us) = at_us {
+                let from = daemon;
+                self.timeline.add(at_us, Event::Demand { from, to, demand });
+            }
+        }
+    }
+
+    pub(super) fn demand(&mut self, from: usize, to: usize, demand: &Demand) {
+        if !self.daemons[to].up {
+            return;
+        }
+        let name = self.daemons[from].name.clone();
+        let grants = self.daemons[to].home.demand(self.now_us, &name, demand);
+        let bytes = encoded_bytes(&grants);
+        if let Some(at_us) = self.send_control(to, from, bytes) {
+            let answer = Event::Grants {
+                from: self.daemons[to].name.clone(),
+                to: from,
+                grants,
+            };
+            self.timeline.add(at_us, answer);
+        }
+    }
+
+    pub(super) fn grants(&mut self, from: &Arc<str>, to: usize, grants: &Grants) {
+        if self.daemons[to].up {
+            self.daemons[to].holder.grants(self.now_us, from, grants);
+            self.apply_shares(to);
+        }
+    }
+
+    pub(super) fn apply_shares(&mut self, daemon: usize) {
+        if !matches!(self.setup.policy, Policy::Alone | Policy::Grant) {
+            return;
+        }
+        for (upstream, slots) in self.daemons[daemon].holder.shares(self.now_us) {
+            self.act(daemon, |scheduler, now_us, actions| {
+                scheduler.set_share(now_us, &upstream, slots, actions);
+            });
+        }
+    }
+
+    pub(super) fn configure(&mut self, daemon: usize) {
+        let config = self.config.clone();
+        // No share before the first grant: the dispatcher would start work on all slots.
+        self.act(daemon, |scheduler, now_us, actions| {
+            scheduler.configure(now_us, &config, actions);
+        });
+        self.share_out(daemon);
+    }
+
+    /// Takes up the view of the live hosts.
+    pub(super) fn share_out(&mut self, daemon: usize) {
+        let Daemon { region, .. } = self.daemons[daemon];
+        let live = self.views[region].live;
+        let now_us = self.now_us;
+        self.daemons[daemon].scheduler.set_fleet(now_us, live);
+        if self.setup.policy == Policy::Home {
+            for index in 0..self.budgets.len() {
+                let Budget {
+                    upstream, slots, ..
+                } = self.budgets[index].clone();
+                let home = self.views[region].plan.home(&upstream);
+                let is_home = home == Some(&self.daemons[daemon].name);
+                let slots = if is_home { slots } else { 0 };
+                self.act(daemon, |scheduler, now_us, actions| {
+                    scheduler.set_share(now_us, &upstream, slots, actions);
+                });
+            }
+            return;
+        }
+        let Self { daemons, views, .. } = self;
+        daemons[daemon].holder.configure(&views[region].plan);
+        daemons[daemon].home.configure(&views[region].plan);
+        self.apply_shares(daemon);
+    }
+
+    pub(super) fn update_views(&mut self) {
+        for region in 0..self.views.len() {
+            let seen = |daemon: &&Daemon| {
+                let stands = daemon.paused_until_us > self.now_us;
+                daemon.up && !stands && (!self.network.cut || daemon.region == region)
+            };
+            let peers = self.daemons.iter().filter(seen);
+            let peers = peers.map(|daemon| Peer::new(&daemon.name, &daemon.place.region));
+            let peers: Vec<Peer> = peers.collect();
+            self.views[region] = View {
+                live: u32::try_from(peers.len()).unwrap_or(u32::MAX),
+                plan: Plan::new(&self.budgets, &peers),
+            };
+        }
+    }
+
+    pub(super) fn update_pollers(&mut self) {
+        let all = !matches!(self.setup.policy, Policy::Alone | Policy::Grant);
+        let pollers = self.engines.iter().map(|engine| {
+            let daemons = self.daemons.iter().enumerate();
+            let uses = daemons.filter(|(_, daemon)| all || daemon.holder.uses(&engine.name));
+            uses.map(|(index, _)| index).collect()
+        });
+        self.pollers = pollers.collect();
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: usize, bytes: u64) -> Option<u64> {
+        let (from, to) = (&self.daemons[from].place, &self.daemons[to].place);
+        let reaches = self.network.reaches(from, to);
+        reaches.then(|| self.network.send(self.now_us, from, to, bytes))
+    }
+
+    pub(super) fn send_control(&mut self, from: usize, to: usize, bytes: u64) -> Option<u64> {
+        if from == to {
+            return Some(self.now_us);
+        }
+        if self.now_us <= self.setup.end_us {
+            self.counts.control_bytes += bytes;
+        }
+        self.send(from, to, bytes)
+    }
+}
