feat(lease): add leases on upstreams and deliveries of commands

Commands to upstreams had no sender that is fenced off when it is paused. A lease is a row of the table service with a growing token; expiry is judged by monotonic clocks only. A delivery reads, sends, reads back and repeats.

--- /dev/null
+++ b/crates/lease/src/fuzz_tests.rs
@@ -0,0 +1,371 @@
+//! Several holders with wrong clocks, pauses, store faults and delayed commands.
+
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use store::{Fault, MemoryTable, Row, StoreError};
+
+use crate::{
+    Action, Command, Delivery, DeliveryStep, Lease, Outcome, Sent, Terms, UpstreamState, row_key,
+};
+
+const HOSTS: usize = 3;
+
+/// Just under the stated bound of 1 s in 10 s; the rest is the rounding of the simulated clocks.
+const RATE_MAX_PPM: i64 = 99_990;
+
+#[derive(Debug, Clone)]
+enum Transition {
+    /// The host begins a command, if it has none.
+    Begin { host: usize, role: u8 },
+    /// The host takes its next part of a step after this time: ask, perform or answer.
+    Step {
+        host: usize,
+        after_us: u64,
+        fault: Option<Fault>,
+        loss: Loss,
+    },
+    /// The host stops for good at this point.
+    Restart { host: usize },
+    /// Delayed bytes of a command reach the upstream.
+    Arrive { index: usize },
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    None,
+    Request,
+    Answer,
+    /// The sender gives up; the bytes arrive later.
+    Delayed,
+}
+
+#[derive(Debug, Clone)]
+struct Reference {
+    rates_ppm: [i64; HOSTS],
+    honours_fencing: bool,
+}
+
+impl ReferenceStateMachine for Reference {
+    type State = Self;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        let rate = prop_oneof![
+            Just(-RATE_MAX_PPM),
+            Just(RATE_MAX_PPM),
+            -RATE_MAX_PPM..=RATE_MAX_PPM
+        ];
+        (prop::array::uniform3(rate), any::<bool>())
+            .prop_map(|(rates_ppm, honours_fencing)| Self {
+                rates_ppm,
+                honours_fencing,
+            })
+            .boxed()
+    }
+
+    fn transitions(_state: &Self) -> BoxedStrategy<Transition> {
+        let fault = prop_oneof![
+            8 => Just(None),
+            1 => Just(Some(Fault::Down)),
+            1 => Just(Some(Fault::AnswerLost)),
+            1 => Just(Some(Fault::RequestLost)),
+            1 => Just(Some(Fault::Stale)),
+        ];
+        let loss = prop_oneof![
+            4 => Just(Loss::None),
+            1 => Just(Loss::Request),
+            1 => Just(Loss::Answer),
+            2 => Just(Loss::Delayed),
+        ];
+        // Pauses within a lease, and around the times at which one ends for holder and observer.
+        let after = prop_oneof![20 => 0..100_000_u64, 1 => 8_000_000..12_500_000_u64];
+        prop_oneof![
+            3 => (0..HOSTS, 0..3_u8).prop_map(|(host, role)| Transition::Begin { host, role }),
+            40 => (0..HOSTS, after, fault, loss).prop_map(|(host, after_us, fault, loss)| {
+                Transition::Step { host, after_us, fault, loss }
+            }),
+            1 => (0..HOSTS).prop_map(|host| Transition::Restart { host }),
+            2 => (0..4_usize).prop_map(|index| Transition::Arrive { index }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _transition: &Transition) -> Self {
+        state
+    }
+}
+
+enum Part {
+    Ask,
+    Perform(DeliveryStep),
+    Answer(Answer),
+}
+
+enum Answer {
+    Read(Result<Option<Row>, StoreError>),
+    Written(Result<u64, StoreError>),
+    State(UpstreamState),
+    Sent(Sent),
+}
+
+struct Holder {
+    delivery: Delivery,
+    action: Action,
+    part: Part,
+    /// Time by the host's clock at which its lease ended when it last asked to send.
+    until_us: u64,
+    attempt: u32,
+    /// Whether a late command or a later holder changed the upstream since this holder read it.
+    is_disturbed: bool,
+}
+
+struct Delayed {
+    command: Command,
+    host: usize,
+    until_us: u64,
+}
+
+struct System {
+    table: MemoryTable,
+    real_us: u64,
+    rates_ppm: [i64; HOSTS],
+    honours_fencing: bool,
+    holders: [Option<Holder>; HOSTS],
+    upstream: UpstreamState,
+    applied_tokens: Vec<u64>,
+    /// Token and attempt of every holder that sent a command.
+    senders: Vec<(u64, u32)>,
+    attempts: u32,
+    delayed: Vec<Delayed>,
+    /// State that the last confirmed command left, until another command or a late one is sent.
+    wanted: Option<Action>,
+}
+
+impl System {
+    fn local_us(&self, host: usize) -> u64 {
+        let rate = u64::try_from(1_000_000 + self.rates_ppm[host]).unwrap();
+        // Clocks differ in their origin too.
+        self.real_us * rate / 1_000_000 + 7_000_000 * host as u64
+    }
+
+    fn begin(&mut self, host: usize, role: u8) {
+        if self.holders[host].is_some() {
+            return;
+        }
+        self.attempts += 1;
+        let action = Action::SetRole(format!("role-{role}"));
+        let attempt = self.attempts.to_string();
+        let lease = Lease::new(Terms::default(), "host", &attempt, self.local_us(host));
+        self.holders[host] = Some(Holder {
+            delivery: Delivery::new(lease, action.clone()),
+            action,
+            part: Part::Ask,
+            until_us: 0,
+            attempt: self.attempts,
+            is_disturbed: false,
+        });
+    }
+
+    fn step(&mut self, host: usize, fault: Option<Fault>, loss: Loss) {
+        let now_us = self.local_us(host);
+        let Some(mut holder) = self.holders[host].take() else {
+            return;
+        };
+        holder.part = match std::mem::replace(&mut holder.part, Part::Ask) {
+            Part::Ask => match holder.delivery.step(now_us) {
+                DeliveryStep::Done(report) => {
+                    if report.outcome == Outcome::Confirmed && !holder.is_disturbed {
+                        self.wanted = Some(holder.action);
+                    }
+                    return;
+                }
+                DeliveryStep::Wait { .. } => Part::Ask,
+                step => {
+                    if matches!(step, DeliveryStep::Send(_)) {
+                        assert!(holder.delivery.lease().holds(now_us), "sends without lease");
+                        holder.until_us = now_us + holder.delivery.lease().left_us(now_us);
+                    }
+                    Part::Perform(step)
+                }
+            },
+            Part::Perform(step) => Part::Answer(self.perform(&mut holder, host, step, fault, loss)),
+            Part::Answer(answer) => {
+                match answer {
+                    Answer::Read(result) => holder.delivery.read(now_us, result),
+                    Answer::Written(result) => holder.delivery.written(now_us, result),
+                    Answer::State(state) => holder.delivery.state(now_us, Some(state)),
+                    Answer::Sent(sent) => holder.delivery.sent(now_us, sent),
+                }
+                Part::Ask
+            }
+        };
+        self.holders[host] = Some(holder);
+    }
+
+    fn perform(
+        &mut self,
+        holder: &mut Holder,
+        host: usize,
+        step: DeliveryStep,
+        fault: Option<Fault>,
+        loss: Loss,
+    ) -> Answer {
+        let key = row_key("engine");
+        match step {
+            DeliveryStep::Read => {
+                self.table.push_fault(fault);
+                Answer::Read(self.table.read_now(&key))
+            }
+            DeliveryStep::Write { expect, record } => {
+                self.table.push_fault(fault);
+                Answer::Written(self.table.write_now(&key, expect, &record.to_value()))
+            }
+            DeliveryStep::ReadState => {
+                holder.is_disturbed = false;
+                Answer::State(self.upstream.clone())
+            }
+            DeliveryStep::Send(command) => {
+                let until_us = holder.until_us;
+                self.senders.push((command.token, holder.attempt));
+                let command = Delayed {
+                    command,
+                    host,
+                    until_us,
+                };
+                Answer::Sent(self.send(command, loss))
+            }
+            DeliveryStep::Wait { .. } | DeliveryStep::Done(_) => unreachable!("not performed"),
+        }
+    }
+
+    fn send(&mut self, delayed: Delayed, loss: Loss) -> Sent {
+        let applied = match loss {
+            Loss::Request => return Sent::Lost,
+            Loss::Delayed => {
+                self.delayed.push(delayed);
+                return Sent::Lost;
+            }
+            Loss::None | Loss::Answer => self.arrive(&delayed),
+        };
+        match (loss, applied) {
+            (Loss::Answer, _) => Sent::Lost,
+            (_, true) => Sent::Applied,
+            (_, false) => Sent::Stale,
+        }
+    }
+
+    fn arrive(&mut self, delayed: &Delayed) -> bool {
+        let is_late = self.local_us(delayed.host) >= delayed.until_us;
+        let applied = self.upstream.take(&delayed.command, self.honours_fencing);
+        if !applied {
+            return false;
+        }
+        self.applied_tokens.push(delayed.command.token);
+        // Only an upstream that ignores tokens may be changed by a late command of an old holder.
+        let is_newest = self.upstream.token == delayed.command.token;
+        if is_late || is_newest {
+            self.wanted = None;
+        }
+        // A holder that has released its lease reports only later.
+        for holder in self.holders.iter_mut().flatten() {
+            holder.is_disturbed |=
+                is_late || delayed.command.token > holder.delivery.lease().token();
+        }
+        true
+    }
+
+    fn check(&self) {
+        let believers = (0..HOSTS).filter(|&host| {
+            let holder = self.holders[host].as_ref();
+            holder.is_some_and(|holder| holder.delivery.lease().holds(self.local_us(host)))
+        });
+        assert!(believers.count() <= 1, "two hosts hold the lease");
+        if self.honours_fencing {
+            assert!(self.applied_tokens.is_sorted(), "{:?}", self.applied_tokens);
+        }
+        if let Some(wanted) = &self.wanted {
+            assert!(wanted.is_met(&self.upstream), "not {wanted}");
+        }
+        let mut senders = self.senders.clone();
+        senders.sort_unstable();
+        senders.dedup();
+        let is_shared = senders.windows(2).any(|pair| pair[0].0 == pair[1].0);
+        assert!(!is_shared, "two holders sent one token: {senders:?}");
+    }
+}
+
+struct Test;
+
+impl StateMachineTest for Test {
+    type SystemUnderTest = System;
+    type Reference = Reference;
+
+    fn init_test(reference: &Reference) -> System {
+        System {
+            table: MemoryTable::default(),
+            real_us: 0,
+            rates_ppm: reference.rates_ppm,
+            honours_fencing: reference.honours_fencing,
+            holders: [const { None }; HOSTS],
+            upstream: UpstreamState::default(),
+            applied_tokens: Vec::new(),
+            senders: Vec::new(),
+            attempts: 0,
+            delayed: Vec::new(),
+            wanted: None,
+        }
+    }
+
+    fn apply(mut system: System, _reference: &Reference, transition: Transition) -> System {
+        match transition {
+            Transition::Begin { host, role } => system.begin(host, role),
+            Transition::Step {
+                host,
+                after_us,
+                fault,
+                loss,
+            } => {
+                system.real_us += after_us;
+                system.step(host, fault, loss);
+            }
+            Transition::Restart { host } => system.holders[host] = None,
+            Transition::Arrive { index } if index < system.delayed.len() => {
+                let delayed = system.delayed.remove(index);
+                system.arrive(&delayed);
+            }
+            Transition::Arrive { .. } => {}
+        }
+        system
+    }
+
+    fn check_invariants(system: &System, _reference: &Reference) {
+        system.check();
+    }
+
+    /// The last holder, undisturbed, leaves the upstream in its wanted state.
+    fn teardown(mut system: System, _reference: Reference) {
+        system.holders = [const { None }; HOSTS];
+        for delayed in std::mem::take(&mut system.delayed) {
+            system.arrive(&delayed);
+        }
+        system.begin(0, 9);
+        while system.holders[0].is_some() {
+            system.real_us += 50_000;
+            system.step(0, None, Loss::None);
+            system.check();
+        }
+        assert_eq!(system.wanted, Some(Action::SetRole("role-9".to_owned())));
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_500,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    /// Guards against two believers in one lease, an old command after a newer one, and a wrong
+    /// confirmation, under any interleaving of hosts, clocks, pauses and faults.
+    #[test]
+    fn holds_lease_for_racing_hosts(sequential 1..250 => Test);
+}
--- /dev/null
+++ b/crates/lease/src/record.rs
@@ -0,0 +1,49 @@
+use serde::{Deserialize, Serialize};
+
+/// Lease as it stands in the table service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Who holds it, for people.
+    pub holder: String,
+    /// Unique number of the acquisition; recognises the own write when its answer was lost.
+    pub attempt: String,
+    /// Fencing token; grows with every acquisition and stays through renewals.
+    pub token: u64,
+    /// Length, counted anew from every renewal.
+    pub length_us: u64,
+    /// Renewals so far; tells one write of the same attempt from another.
+    pub renewals: u64,
+    /// Whether the holder gave the lease up; the row stays, so that the token keeps growing.
+    pub released: bool,
+}
+
+impl Record {
+    /// Reads a record from the value of a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a record.
+    pub fn parse(value: &str) -> Result<Self, serde_json::Error> {
+        serde_json::from_str(value)
+    }
+
+    /// Writes the record as the value of a row.
+    #[must_use]
+    pub fn to_value(&self) -> String {
+        // Plain data with text keys always converts.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// Returns the key of the lease's row in the table service.
+#[must_use]
+pub fn row_key(upstream: &str) -> String {
+    format!("lease/{upstream}")
+}
+
+/// Returns the key of the audit row of a command.
+#[must_use]
+pub fn audit_key(upstream: &str, token: u64) -> String {
+    format!("audit/command/{upstream}/{token}")
+}
--- /dev/null
+++ b/crates/lease/src/terms.rs
@@ -0,0 +1,27 @@
+/// Length of a lease and the bounds that its holder and its observers use.
+///
+/// Two monotonic clocks may each run fast or slow by at most `clock_error_us / length_us`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Terms {
+    /// Length of a lease.
+    pub length_us: u64,
+    /// Largest error of a clock over the length of a lease.
+    pub clock_error_us: u64,
+    /// Pause between two reads of a lease that another holder has.
+    pub poll_us: u64,
+    /// Time after which an acquisition gives up.
+    pub wait_max_us: u64,
+}
+
+impl Default for Terms {
+    /// A command and its two reads take well under 10 s; an error of 1 s covers clocks that are
+    /// wrong by 10%, far more than the 500 ppm to which system clocks are disciplined.
+    fn default() -> Self {
+        Self {
+            length_us: 10_000_000,
+            clock_error_us: 1_000_000,
+            poll_us: 500_000,
+            wait_max_us: 30_000_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lease/src/tests.rs
@@ -0,0 +1,178 @@
+use store::{Expect, Fault, MemoryTable};
+
+use crate::{
+    Action, Delivery, DeliveryStep, Lease, LeaseEnd, LeaseStep, Outcome, Record, Sent, Terms,
+    UpstreamState, row_key,
+};
+
+const SECOND_US: u64 = 1_000_000;
+
+fn run(table: &MemoryTable, lease: &mut Lease, now_us: &mut u64) -> LeaseStep {
+    loop {
+        match lease.step(*now_us) {
+            LeaseStep::Read => lease.read(*now_us, table.read_now(&row_key("e"))),
+            LeaseStep::Write { expect, record } => {
+                let result = table.write_now(&row_key("e"), expect, &record.to_value());
+                lease.written(*now_us, result);
+            }
+            LeaseStep::Wait { until_us } => *now_us = until_us,
+            step => return step,
+        }
+    }
+}
+
+fn lease(name: &str, now_us: u64) -> Lease {
+    Lease::new(Terms::default(), name, name, now_us)
+}
+
+/// Guards against a lost, refused or stale call of the store that ends in a wrong belief.
+#[test]
+fn holds_lease_through_faults_of_the_store() {
+    use Fault::{AnswerLost, Down, RequestLost, Stale};
+    let held = |us| LeaseStep::Held { until_us: us };
+    let failed = LeaseStep::Ended(LeaseEnd::StoreFailed);
+    let second = 9 * SECOND_US;
+    let cases: [(&str, &[Option<Fault>], LeaseStep); 6] = [
+        ("no fault", &[], held(second)),
+        ("read down", &[Some(Down)], held(second + 50_000)),
+        ("write lost", &[None, Some(AnswerLost)], held(second)),
+        ("request lost", &[None, Some(RequestLost)], held(second)),
+        (
+            "write lost, stale read",
+            &[None, Some(AnswerLost), Some(Stale)],
+            held(second),
+        ),
+        ("down for good", &[Some(Down); 9], failed),
+    ];
+    for (name, faults, expected) in cases {
+        let table = MemoryTable::default();
+        faults.iter().for_each(|&fault| table.push_fault(fault));
+        let mut one = lease("a", 0);
+        let found = run(&table, &mut one, &mut 0);
+        assert_eq!(found, expected, "{name}");
+    }
+}
+
+/// Guards against a lease that is taken over early, or never, and against a token that repeats.
+#[test]
+fn holds_lease_until_expired_or_released() {
+    let cases = [
+        ("held", false, 11 * SECOND_US),
+        ("released", true, 2 * SECOND_US),
+    ];
+    for (name, released, taken_us) in cases {
+        let table = MemoryTable::default();
+        let mut first = lease("a", 0);
+        run(&table, &mut first, &mut 0);
+        if released {
+            first.release();
+            run(&table, &mut first, &mut 0);
+            assert!(!first.holds(0), "{name}");
+        }
+        let mut now_us = if released { taken_us } else { 0 };
+        let mut second = lease("b", now_us);
+        run(&table, &mut second, &mut now_us);
+        assert_eq!((now_us, second.token()), (taken_us, 2), "{name}");
+        assert!(second.holds(now_us) && !first.holds(now_us), "{name}");
+        first.renew(now_us);
+        let ended = run(&table, &mut first, &mut now_us);
+        assert_eq!(ended, LeaseStep::Ended(LeaseEnd::Over), "{name}");
+    }
+}
+
+/// Guards against an expiry that counts from the wrong version, and against a token lost by a
+/// renewal.
+#[test]
+fn holds_lease_through_renewals() {
+    let table = MemoryTable::default();
+    let mut first = lease("a", 0);
+    let wait_max_us = 60 * SECOND_US;
+    let terms = Terms {
+        wait_max_us,
+        ..Terms::default()
+    };
+    let mut second = Lease::new(terms, "b", "b", 0);
+    run(&table, &mut first, &mut 0);
+    for round in 1..6 {
+        let mut now_us = round * 5 * SECOND_US;
+        second.step(now_us);
+        second.read(now_us, table.read_now(&row_key("e")));
+        first.renew(now_us);
+        run(&table, &mut first, &mut now_us);
+        assert!(first.holds(now_us), "round {round}");
+        assert_eq!((first.token(), second.holds(now_us)), (1, false));
+    }
+    // The last renewal is first seen at 35 s, and counts from there.
+    let held = run(&table, &mut second, &mut (35 * SECOND_US));
+    let until_us = 55 * SECOND_US;
+    assert_eq!(held, LeaseStep::Held { until_us });
+    assert_eq!(second.token(), 2);
+}
+
+/// Guards against a row of another kind that is overwritten.
+#[test]
+fn unreadable_row_is_left() {
+    let table = MemoryTable::default();
+    table
+        .write_now(&row_key("e"), Expect::Absent, "{}")
+        .unwrap();
+    let ended = run(&table, &mut lease("a", 0), &mut 0);
+    assert_eq!(ended, LeaseStep::Ended(LeaseEnd::Unreadable));
+    let record = Record::parse(&table.read_now(&row_key("e")).unwrap().unwrap().value);
+    assert!(record.is_err());
+}
+
+/// Guards against a wrong statement about a command after a fault of the upstream, and against an
+/// early release while a command may still arrive.
+#[test]
+fn outcome_of_a_delivery() {
+    use Sent::{Applied, Lost, NotSent, Refused, Stale};
+    // Answers in order; the last one repeats. "Ignored" commands are answered and change nothing.
+    let cases: [(&str, &[Sent], bool, Outcome, u32, bool); 8] = [
+        ("applied", &[Applied], true, Outcome::Confirmed, 1, true),
+        ("lost, applied", &[Lost], true, Outcome::Confirmed, 1, false),
+        ("lost", &[Lost], false, Outcome::Unconfirmed, 4, false),
+        ("ignored", &[Applied], false, Outcome::Unconfirmed, 4, true),
+        ("stale", &[Stale], false, Outcome::Stale, 1, true),
+        ("refused", &[Refused], false, Outcome::Refused, 1, true),
+        (
+            "lost, then stale",
+            &[Lost, Stale],
+            false,
+            Outcome::Unconfirmed,
+            2,
+            false,
+        ),
+        ("not sent", &[NotSent], false, Outcome::Unreachable, 0, true),
+    ];
+    for (name, answers, effective, outcome, sends, released) in cases {
+        let table = MemoryTable::default();
+        let action = Action::LoadModel("m".to_owned());
+        let mut delivery = Delivery::new(lease("a", 0), action);
+        let mut state = UpstreamState::default();
+        let (mut now_us, mut count) = (0, 0);
+        let report = loop {
+            match delivery.step(now_us) {
+                DeliveryStep::Read => delivery.read(now_us, table.read_now(&row_key("e"))),
+                DeliveryStep::Write { expect, record } => {
+                    let result = table.write_now(&row_key("e"), expect, &record.to_value());
+                    delivery.written(now_us, result);
+                }
+                DeliveryStep::Wait { until_us } => now_us = until_us,
+                DeliveryStep::ReadState => delivery.state(now_us, Some(state.clone())),
+                DeliveryStep::Send(command) => {
+                    if effective {
+                        state.take(&command, true);
+                    }
+                    delivery.sent(now_us, answers[count.min(answers.len() - 1)]);
+                    count += 1;
+                }
+                DeliveryStep::Done(report) => break report,
+            }
+        };
+        assert_eq!((report.outcome, report.sends), (outcome, sends), "{name}");
+        let row = table.read_now(&row_key("e")).unwrap().unwrap();
+        let found = Record::parse(&row.value).unwrap().released;
+        assert_eq!(found, released, "{name}");
+    }
+}
