--- a/crates/claim/src/key.rs
+++ b/crates/claim/src/key.rs
@@ -31,6 +31,12 @@
     valid.then_some(key)
 }
 
+/// Returns the prefix of the rows of an account's claims.
+#[must_use]
+pub fn row_prefix(account: &str) -> String {
+    format!("claim/{account}/")
+}
+
 /// Returns the key of the claim's row in the table service.
 ///
 /// The idempotency key is hashed, so that any character is safe in a path.
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -28,6 +28,11 @@
 mod machine;
 mod next;
 mod record;
+mod settle;
+mod settle_step;
+#[cfg(test)]
+mod settle_tests;
+mod settled;
 mod state;
 #[cfg(test)]
 mod tests;
@@ -35,9 +40,12 @@
 pub use self::{
     answer::Answer,
     fingerprint::Fingerprint,
-    key::{KEY_MAX_BYTES, parse_key, row_key},
+    key::{KEY_MAX_BYTES, parse_key, row_key, row_prefix},
     machine::Claim,
     next::{Next, Sent, Verdict},
     record::Record,
+    settle::Settle,
+    settle_step::SettleStep,
+    settled::Settled,
     state::State,
 };
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -20,6 +20,10 @@
     Hosts(StoreArgs),
     #[options(help = "list the upstreams in force")]
     Upstreams(StoreArgs),
+    #[options(help = "send commands to upstreams")]
+    Upstream(UpstreamArgs),
+    #[options(help = "show and settle claims of non-idempotent calls")]
+    Claim(ClaimArgs),
     #[options(help = "stop new work on a host")]
     Drain(DrainArgs),
     #[options(help = "show why a host decided on a request as it did")]
@@ -174,3 +178,117 @@
     #[options(free, required, help = "id of the request")]
     pub(crate) id: String,
 }
+
+/// Upstreams.
+#[derive(Debug, Options)]
+pub(crate) struct UpstreamArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(command)]
+    pub(crate) command: Option<UpstreamCommand>,
+}
+
+/// Command about upstreams.
+#[derive(Debug, Options)]
+pub(crate) enum UpstreamCommand {
+    #[options(help = "load or unload a model, or change the role, under a lease")]
+    Command(SendArgs),
+}
+
+/// Command to send to an upstream.
+#[derive(Debug, Options)]
+pub(crate) struct SendArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "name of the upstream")]
+    pub(crate) upstream: String,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(help = "load this model", meta = "MODEL", no_short)]
+    pub(crate) load: Option<String>,
+    #[options(help = "unload this model", meta = "MODEL", no_short)]
+    pub(crate) unload: Option<String>,
+    #[options(help = "change the role", meta = "ROLE", no_short)]
+    pub(crate) role: Option<String>,
+    #[options(help = "who sends it; by default $USER", meta = "NAME", no_short)]
+    pub(crate) by: Option<String>,
+    #[options(
+        help = "longest wait for the lease of another holder",
+        meta = "MS",
+        default = "30000",
+        no_short
+    )]
+    pub(crate) wait_ms: u64,
+}
+
+/// Claims.
+#[derive(Debug, Options)]
+pub(crate) struct ClaimArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(command)]
+    pub(crate) command: Option<ClaimCommand>,
+}
+
+/// Command about claims.
+#[derive(Debug, Options)]
+pub(crate) enum ClaimCommand {
+    #[options(help = "list the claims of an account that need a decision")]
+    List(ClaimListArgs),
+    #[options(help = "show a claim")]
+    Show(ClaimShowArgs),
+    #[options(help = "decide whether the call of a claim ran")]
+    Settle(SettleArgs),
+}
+
+/// Claims to list.
+#[derive(Debug, Options)]
+pub(crate) struct ClaimListArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "client account")]
+    pub(crate) account: String,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(
+        help = "age from which a claim without an outcome is listed",
+        meta = "SECONDS",
+        default = "600",
+        no_short
+    )]
+    pub(crate) older_s: u64,
+    #[options(help = "print JSON")]
+    pub(crate) json: bool,
+}
+
+/// Claim to show.
+#[derive(Debug, Options)]
+pub(crate) struct ClaimShowArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "client account")]
+    pub(crate) account: String,
+    #[options(free, required, help = "idempotency key")]
+    pub(crate) key: String,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+}
+
+/// Decision about a claim.
+#[derive(Debug, Options)]
+pub(crate) struct SettleArgs {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(free, required, help = "client account")]
+    pub(crate) account: String,
+    #[options(free, required, help = "idempotency key")]
+    pub(crate) key: String,
+    #[options(required, help = "address of the table service", meta = "ADDRESS")]
+    pub(crate) store: String,
+    #[options(required, help = "whether the call ran", meta = "yes|no", no_short)]
+    pub(crate) ran: String,
+    #[options(required, help = "who decides", meta = "NAME", no_short)]
+    pub(crate) by: String,
+    #[options(required, help = "why", meta = "TEXT", no_short)]
+    pub(crate) reason: String,
+}
--- /dev/null
+++ b/crates/cli/src/claim_settle.rs
@@ -0,0 +1,68 @@
+use std::time::Duration;
+
+use claim::{Settle, SettleStep, Settled, row_key};
+use code::Code;
+use store::Table as _;
+
+use crate::{
+    args::SettleArgs, claim_read::state_name, drive, failure::Failure, release_apply::now_unix_ms,
+};
+
+/// Age below which a claim's holder may still be at work; far above any deadline of a call.
+const BUSY_MS: u64 = 600_000;
+
+/// Writes an operator's decision about a claim.
+pub(crate) async fn settle(args: &SettleArgs) -> Result<(), Failure> {
+    let ran = match args.ran.as_str() {
+        "yes" => true,
+        "no" => false,
+        other => {
+            let detail = format!("--ran {other}: expected yes or no");
+            return Err(Failure::new(Code::BadArgument, detail));
+        }
+    };
+    if args.by.trim().is_empty() || args.reason.trim().is_empty() {
+        let detail = "--by and --reason must not be empty";
+        return Err(Failure::new(Code::BadArgument, detail));
+    }
+    let table = drive::open(&args.store).await?;
+    let key = row_key(&args.account, &args.key);
+    let mut settle = Settle::new(&args.by, &args.reason, ran, now_unix_ms(), BUSY_MS);
+    let mut step = settle.start();
+    let settled = loop {
+        step = match step {
+            SettleStep::Read { after_ms } => {
+                tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                settle.read(table.read(&key).await)
+            }
+            SettleStep::Write {
+                expect,
+                record,
+                after_ms,
+            } => {
+                tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                settle.written(table.write(&key, expect, &record.to_value()).await)
+            }
+            SettleStep::Done(settled) => break settled,
+        };
+    };
+    let (code, detail) = match settled {
+        Settled::Applied => {
+            println!("settled: {}", if ran { "ran" } else { "did not run" });
+            return Ok(());
+        }
+        Settled::Absent => (Code::UnknownClaim, args.key.clone()),
+        Settled::Conflict(found) => {
+            let state = state_name(&found.state);
+            (Code::ClaimConflict, format!("the claim is {state}"))
+        }
+        Settled::InProgress(found) => {
+            let detail = format!("claimed by {} less than 10 minutes ago", found.host);
+            (Code::ClaimConflict, detail)
+        }
+        Settled::Unreadable => (Code::ClaimConflict, "the row is no claim".to_owned()),
+        Settled::Down => (Code::StoreDown, "nothing was settled".to_owned()),
+        Settled::Unknown => (Code::SettleUnknown, "run the command again".to_owned()),
+    };
+    Err(Failure::new(code, detail))
+}
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -1,4 +1,4 @@
-use std::fmt;
+use std::{fmt, process::ExitCode};
 
 use code::Code;
 use settings::Problem;
@@ -40,6 +40,14 @@
         }
     }
 
+    /// Returns the exit code: 2 if a command or a settlement may have taken effect, otherwise 1.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        match self.code {
+            Code::CommandUnconfirmed | Code::SettleUnknown => ExitCode::from(2),
+            _ => ExitCode::FAILURE,
+        }
+    }
+
     /// Creates a failure of a read.
     pub(crate) fn store(error: &StoreError) -> Self {
         Self::new(Code::StoreDown, error)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,8 @@
 mod admin;
 mod args;
 mod check;
+mod claim_read;
+mod claim_settle;
 mod drive;
 mod failure;
 mod fleet;
@@ -14,13 +16,15 @@
 mod release_status;
 #[cfg(test)]
 mod tests;
+mod upstream_client;
+mod upstream_command;
 
 use std::process::ExitCode;
 
 use gumdrop::Options as _;
 
 use self::{
-    args::{Args, Command, ReleaseCommand},
+    args::{Args, ClaimCommand, Command, ReleaseCommand, UpstreamCommand},
     failure::Failure,
 };
 
@@ -32,7 +36,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             eprintln!("{failure}");
-            ExitCode::FAILURE
+            failure.exit_code()
         }
     }
 }
@@ -63,6 +67,24 @@
         },
         Some(Command::Hosts(args)) => fleet::print_hosts(&args).await,
         Some(Command::Upstreams(args)) => fleet::print_upstreams(&args).await,
+        Some(Command::Upstream(args)) => match args.command {
+            None => {
+                let commands = UpstreamCommand::usage();
+                println!("Usage: fireflylever upstream COMMAND\n\nCommands:\n{commands}");
+                Ok(())
+            }
+            Some(UpstreamCommand::Command(args)) => upstream_command::send(args).await,
+        },
+        Some(Command::Claim(args)) => match args.command {
+            None => {
+                let commands = ClaimCommand::usage();
+                println!("Usage: fireflylever claim COMMAND\n\nCommands:\n{commands}");
+                Ok(())
+            }
+            Some(ClaimCommand::List(args)) => claim_read::list(&args).await,
+            Some(ClaimCommand::Show(args)) => claim_read::show(&args).await,
+            Some(ClaimCommand::Settle(args)) => claim_settle::settle(&args).await,
+        },
         Some(Command::Drain(args)) => admin::drain(&args).await,
         Some(Command::Explain(args)) => admin::explain(&args).await,
         Some(Command::Key(_)) => {
--- a/crates/cli/src/release_apply.rs
+++ b/crates/cli/src/release_apply.rs
@@ -82,7 +82,8 @@
     Failure::in_file(Code::NoteMismatch, file, &document.locate(problems))
 }
 
-fn now_unix_ms() -> u64 {
+/// Returns the wall-clock time, for people only.
+pub(crate) fn now_unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
     elapsed.map_or(0, |time| {
         u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/cli/src/release_read.rs
+++ b/crates/cli/src/release_read.rs
@@ -77,7 +77,7 @@
     Record::from_text(value).map_err(|error| Failure::new(Code::NoteInvalid, error))
 }
 
-fn print_json<T>(value: &T) -> Result<(), Failure>
+pub(crate) fn print_json<T>(value: &T) -> Result<(), Failure>
 where
     T: serde::Serialize,
 {
--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -86,6 +86,20 @@
     HostUnreachable,
     /// An argument is wrong or a file can't be read.
     BadArgument,
+    /// Another holder has the lease of the upstream; no command was sent.
+    LeaseBusy,
+    /// The upstream refused the command.
+    CommandRefused,
+    /// The command may have been applied and could not be confirmed.
+    CommandUnconfirmed,
+    /// The command was applied; its audit record could not be written.
+    AuditMissing,
+    /// No claim has this account and key.
+    UnknownClaim,
+    /// The claim can't be settled, or somebody else changed it first.
+    ClaimConflict,
+    /// The store did not confirm the settlement; the same command tells whether it took effect.
+    SettleUnknown,
 }
 
 impl Code {
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -1,7 +1,7 @@
 use crate::{Code, Entry, Retry, Run};
 
 /// All result codes, sorted by number, in the order of the variants of [`Code`].
-pub const TABLE: [Entry; 38] = [
+pub const TABLE: [Entry; 45] = [
     Entry {
         code: Code::BadRequest,
         number: 1001,
@@ -344,4 +344,67 @@
         retry: Retry::Never,
         message: "An argument is wrong or a file can't be read.",
     },
+    Entry {
+        code: Code::LeaseBusy,
+        number: 7008,
+        name: "lease_busy",
+        http_status: 409,
+        run: Run::No,
+        retry: Retry::Later,
+        message: "Another holder has the lease of the upstream; no command was sent.",
+    },
+    Entry {
+        code: Code::CommandRefused,
+        number: 7009,
+        name: "command_refused",
+        http_status: 409,
+        run: Run::No,
+        retry: Retry::Never,
+        message: "The upstream refused the command.",
+    },
+    Entry {
+        code: Code::CommandUnconfirmed,
+        number: 7010,
+        name: "command_unconfirmed",
+        http_status: 502,
+        run: Run::Unknown,
+        retry: Retry::Later,
+        message: "The command may have been applied and could not be confirmed.",
+    },
+    Entry {
+        code: Code::AuditMissing,
+        number: 7011,
+        name: "audit_missing",
+        http_status: 503,
+        run: Run::Yes,
+        retry: Retry::Never,
+        message: "The command was applied; its audit record could not be written.",
+    },
+    Entry {
+        code: Code::UnknownClaim,
+        number: 7012,
+        name: "unknown_claim",
+        http_status: 404,
+        run: Run::No,
+        retry: Retry::Never,
+        message: "No claim has this account and key.",
+    },
+    Entry {
+        code: Code::ClaimConflict,
+        number: 7013,
+        name: "claim_conflict",
+        http_status: 409,
+        run: Run::No,
+        retry: Retry::Never,
+        message: "The claim can't be settled, or somebody else changed it first.",
+    },
+    Entry {
+        code: Code::SettleUnknown,
+        number: 7014,
+        name: "settle_unknown",
+        http_status: 503,
+        run: Run::Unknown,
+        retry: Retry::SameKey,
+        message: "The store did not confirm the settlement; the same command tells whether it took effect.",
+    },
 ];
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -309,7 +309,7 @@
 
 impl Seen {
     const fn expires_us(&self, terms: Terms) -> u64 {
-        self.since_us + self.record.length_us + terms.clock_error_us
+        self.since_us + self.record.length_us + terms.error_over_us(self.record.length_us)
     }
 
     const fn is_free(&self, now_us: u64, terms: Terms) -> bool {
--- a/crates/lease/src/terms.rs
+++ b/crates/lease/src/terms.rs
@@ -13,6 +13,20 @@
     pub wait_max_us: u64,
 }
 
+impl Terms {
+    /// Returns the largest error of a clock over another length.
+    ///
+    /// A lease in the table may be longer than the own one, and so is its error.
+    #[must_use]
+    pub const fn error_over_us(self, length_us: u64) -> u64 {
+        let scaled = length_us.saturating_mul(self.clock_error_us);
+        match self.length_us {
+            0 => scaled,
+            own_us => scaled.div_ceil(own_us),
+        }
+    }
+}
+
 impl Default for Terms {
     /// A command and its two reads take well under 10 s; an error of 1 s covers clocks that are
     /// wrong by 10%, far more than the 500 ppm to which system clocks are disciplined.
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -46,7 +46,9 @@
     ];
     for (name, faults, expected) in cases {
         let table = MemoryTable::default();
-        faults.iter().for_each(|&fault| table.push_fault(fault));
+        for &fault in faults {
+            table.push_fault(fault);
+        }
         let mut one = lease("a", 0);
         let found = run(&table, &mut one, &mut 0);
         assert_eq!(found, expected, "{name}");
@@ -128,7 +130,8 @@
 fn outcome_of_a_delivery() {
     use Sent::{Applied, Lost, NotSent, Refused, Stale};
     // Answers in order; the last one repeats. "Ignored" commands are answered and change nothing.
-    let cases: [(&str, &[Sent], bool, Outcome, u32, bool); 8] = [
+    type Case<'a> = (&'a str, &'a [Sent], bool, Outcome, u32, bool);
+    let cases: [Case<'_>; 8] = [
         ("applied", &[Applied], true, Outcome::Confirmed, 1, true),
         ("lost, applied", &[Lost], true, Outcome::Confirmed, 1, false),
         ("lost", &[Lost], false, Outcome::Unconfirmed, 4, false),
--- a/crates/standin/src/bin/engine.rs
+++ b/crates/standin/src/bin/engine.rs
@@ -18,6 +18,8 @@
     slots: usize,
     #[options(help = "fixed part of a step in microseconds", default = "10000")]
     step_us: u64,
+    #[options(help = "refuse commands with a stale fencing token")]
+    fencing: bool,
 }
 
 #[ntex::main]
@@ -27,7 +29,8 @@
     let address: SocketAddr = args.listen.parse()?;
     let mut profile = batch::Profile::default().with_slots(args.slots);
     profile.step_us = args.step_us;
-    let running = standin::Engine::new(profile, &[&args.model]).start(address)?;
+    let engine = standin::Engine::new(profile, &[&args.model]).with_fencing(args.fencing);
+    let running = engine.start(address)?;
     println!("{}", running.address());
     Ok(running.wait().await?)
 }
--- a/crates/standin/src/control.rs
+++ b/crates/standin/src/control.rs
@@ -14,6 +14,12 @@
     pub drop_after_tokens: u32,
     /// Refuses new work with status 503.
     pub rejecting: bool,
+    /// Loses this many commands before they take effect.
+    pub lose_commands: u32,
+    /// Loses the answer of this many commands that took effect.
+    pub lose_command_answers: u32,
+    /// Answers this many commands without applying them.
+    pub ignore_commands: u32,
 }
 
 /// Faults of the plain service stand-in.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -7,6 +7,7 @@
 
 use batch::{Batch, Event, Profile, Sequence};
 use futures::stream;
+use lease::{Command, UpstreamState};
 use ntex::{
     util::Bytes,
     web::{self, App, HttpRequest, HttpResponse, HttpServer, types},
@@ -60,6 +61,7 @@
     stats: EngineStats,
     next_id: u64,
     samples: Vec<Sample>,
+    state: UpstreamState,
 }
 
 /// Stand-in of a model engine with continuous batching.
@@ -67,7 +69,7 @@
 pub struct Engine {
     inner: Arc<Mutex<Inner>>,
     wake: Arc<Notify>,
-    models: Arc<[String]>,
+    honours_fencing: bool,
     report_lag_ms: u64,
 }
 
@@ -78,6 +80,8 @@
     /// Creates an engine that serves these models.
     #[must_use]
     pub fn new(profile: Profile, models: &[&str]) -> Self {
+        let mut models: Vec<String> = models.iter().map(|&model| model.to_owned()).collect();
+        models.sort_unstable();
         let inner = Inner {
             batch: Batch::new(profile),
             control: EngineControl::default(),
@@ -85,11 +89,15 @@
             stats: EngineStats::default(),
             next_id: 0,
             samples: Vec::new(),
+            state: UpstreamState {
+                models,
+                ..UpstreamState::default()
+            },
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
             wake: Arc::new(Notify::new()),
-            models: models.iter().map(|&model| model.to_owned()).collect(),
+            honours_fencing: false,
             report_lag_ms: 1_000,
         }
     }
@@ -101,6 +109,19 @@
         self
     }
 
+    /// Sets whether commands with a stale fencing token are refused.
+    #[must_use]
+    pub const fn with_fencing(mut self, honours_fencing: bool) -> Self {
+        self.honours_fencing = honours_fencing;
+        self
+    }
+
+    /// Returns the state that commands change.
+    #[must_use]
+    pub fn state(&self) -> UpstreamState {
+        self.with(|inner| inner.state.clone())
+    }
+
     /// Replaces the injected faults.
     pub fn control(&self, control: EngineControl) {
         self.with(|inner| {
@@ -146,6 +167,11 @@
                 .service(web::resource("/control").route(web::post().to(set_control)))
                 .service(web::resource("/stats").route(web::get().to(get_stats)))
                 .service(web::resource("/metrics").route(web::get().to(get_metrics)))
+                .service(
+                    web::resource("/commands")
+                        .route(web::get().to(get_commands))
+                        .route(web::post().to(post_command)),
+                )
                 .service(web::resource("/v1/models").route(web::get().to(get_models)))
                 .service(web::resource("/v1/chat/completions").route(web::post().to(chat)))
                 .service(web::resource("/v1/completions").route(web::post().to(text_completion)))
@@ -499,9 +525,48 @@
 
 async fn get_models(engine: types::State<Engine>) -> HttpResponse {
     let data: Vec<Value> = engine
+        .state()
         .models
         .iter()
         .map(|model| json!({"id": model, "object": "model"}))
         .collect();
     HttpResponse::Ok().json(&json!({"object": "list", "data": data}))
 }
+
+async fn get_commands(engine: types::State<Engine>) -> HttpResponse {
+    if engine.with(|inner| inner.control.crashed) {
+        return dropped();
+    }
+    HttpResponse::Ok().json(&engine.state())
+}
+
+async fn post_command(engine: types::State<Engine>, command: types::Json<Command>) -> HttpResponse {
+    let honours_fencing = engine.honours_fencing;
+    engine.with(|inner| {
+        let control = &mut inner.control;
+        if control.crashed || take_one(&mut control.lose_commands) {
+            return dropped();
+        }
+        if take_one(&mut control.ignore_commands) {
+            return HttpResponse::Ok().json(&json!({"applied": true}));
+        }
+        let lost = take_one(&mut control.lose_command_answers);
+        let applied = inner.state.take(&command, honours_fencing);
+        if lost {
+            return dropped();
+        }
+        let token = inner.state.token;
+        let mut answer = if applied {
+            HttpResponse::Ok()
+        } else {
+            HttpResponse::Conflict()
+        };
+        answer.json(&json!({"applied": applied, "token": token}))
+    })
+}
+
+const fn take_one(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
