--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -129,26 +129,59 @@
 #[test]
 fn outcome_of_a_delivery() {
     use Sent::{Applied, Lost, NotSent, Refused, Stale};
-    // Answers in order; the last one repeats. "Ignored" commands are answered and change nothing.
-    type Case<'a> = (&'a str, &'a [Sent], bool, Outcome, u32, bool);
-    let cases: [Case<'_>; 8] = [
-        ("applied", &[Applied], true, Outcome::Confirmed, 1, true),
-        ("lost, applied", &[Lost], true, Outcome::Confirmed, 1, false),
-        ("lost", &[Lost], false, Outcome::Unconfirmed, 4, false),
-        ("ignored", &[Applied], false, Outcome::Unconfirmed, 4, true),
-        ("stale", &[Stale], false, Outcome::Stale, 1, true),
-        ("refused", &[Refused], false, Outcome::Refused, 1, true),
+    // Answers of the upstream in order, of which the last one repeats; whether commands take effect;
+    // outcome, sends and whether the lease is released; seconds that the send and the reads take.
+    type Case<'a> = (&'a str, &'a [Sent], bool, (Outcome, u32, bool), [u64; 2]);
+    let (confirmed, unconfirmed) = (Outcome::Confirmed, Outcome::Unconfirmed);
+    let cases: [Case<'_>; 10] = [
+        ("applied", &[Applied], true, (confirmed, 1, true), [0, 0]),
+        (
+            "lost, applied",
+            &[Lost],
+            true,
+            (confirmed, 1, false),
+            [0, 0],
+        ),
+        ("lost", &[Lost], false, (unconfirmed, 4, false), [0, 0]),
+        ("ignored", &[Applied], false, (unconfirmed, 4, true), [0, 0]),
+        ("stale", &[Stale], false, (Outcome::Stale, 1, true), [0, 0]),
+        (
+            "refused",
+            &[Refused],
+            false,
+            (Outcome::Refused, 1, true),
+            [0, 0],
+        ),
         (
             "lost, then stale",
             &[Lost, Stale],
             false,
-            Outcome::Unconfirmed,
-            2,
+            (unconfirmed, 2, false),
+            [0, 0],
+        ),
+        (
+            "not sent",
+            &[NotSent],
             false,
+            (Outcome::Unreachable, 0, true),
+            [0, 0],
+        ),
+        (
+            "late send",
+            &[Applied],
+            true,
+            (unconfirmed, 1, false),
+            [10, 0],
+        ),
+        (
+            "late read",
+            &[Applied],
+            true,
+            (unconfirmed, 1, true),
+            [0, 10],
         ),
-        ("not sent", &[NotSent], false, Outcome::Unreachable, 0, true),
     ];
-    for (name, answers, effective, outcome, sends, released) in cases {
+    for (name, answers, effective, expected, [send_s, read_s]) in cases {
         let table = MemoryTable::default();
         let action = Action::LoadModel("m".to_owned());
         let mut delivery = Delivery::new(lease("a", 0), action);
@@ -162,20 +195,27 @@
                     delivery.written(now_us, result);
                 }
                 DeliveryStep::Wait { until_us } => now_us = until_us,
-                DeliveryStep::ReadState => delivery.state(now_us, Some(state.clone())),
+                DeliveryStep::ReadState => {
+                    if count > 0 {
+                        now_us += read_s * SECOND_US;
+                    }
+                    delivery.state(now_us, Some(state.clone()));
+                }
                 DeliveryStep::Send(command) => {
                     if effective {
                         state.take(&command, true);
                     }
+                    now_us += send_s * SECOND_US;
                     delivery.sent(now_us, answers[count.min(answers.len() - 1)]);
                     count += 1;
                 }
                 DeliveryStep::Done(report) => break report,
             }
         };
-        assert_eq!((report.outcome, report.sends), (outcome, sends), "{name}");
         let row = table.read_now(&row_key("e")).unwrap().unwrap();
-        let found = Record::parse(&row.value).unwrap().released;
-        assert_eq!(found, released, "{name}");
+        let released = Record::parse(&row.value).unwrap().released;
+        let found = (report.outcome, report.sends, released);
+        assert_eq!(found, expected, "{name}");
+        assert_eq!(report.late, send_s > 0, "{name}");
     }
 }
--- a/crates/settings/src/honours.rs
+++ b/crates/settings/src/honours.rs
@@ -10,7 +10,7 @@
     /// Continues an answer from its beginning (`continue_final_message`).
     #[serde(default)]
     pub resume: bool,
-    /// Refuses an order with an old fencing number.
+    /// Refuses a command with a stale fencing token.
     #[serde(default)]
     pub fencing: bool,
 }
