fix(cli): count a broken answer to a command as lost

An answer head of an upstream without its body was taken as 'applied', so the lease was released although the command might still take effect.

--- a/crates/cli/src/upstream_client.rs
+++ b/crates/cli/src/upstream_client.rs
@@ -46,12 +46,21 @@
 
     /// Sends a command.
     pub(crate) async fn send(&self, command: &Command) -> Sent {
-        let answer = self.client.post(&self.url).send_json(command).await;
-        match answer.map(|answer| answer.status()) {
-            Ok(StatusCode::OK) => Sent::Applied,
-            Ok(StatusCode::CONFLICT) => Sent::Stale,
-            Ok(status) if status.is_client_error() => Sent::Refused,
-            Err(error) if is_unsent(&error) => Sent::NotSent,
+        let answer = match self.client.post(&self.url).send_json(command).await {
+            Ok(answer) => answer,
+            Err(error) if is_unsent(&error) => return Sent::NotSent,
+            Err(_) => return Sent::Lost,
+        };
+        let status = answer.status();
+        // A head without its whole body is no answer: the connection may have broken before the
+        // command took effect.
+        if answer.body().await.is_err() {
+            return Sent::Lost;
+        }
+        match status {
+            StatusCode::OK => Sent::Applied,
+            StatusCode::CONFLICT => Sent::Stale,
+            status if status.is_client_error() => Sent::Refused,
             _ => Sent::Lost,
         }
     }
--- a/crates/cli/tests/leases.rs
+++ b/crates/cli/tests/leases.rs
@@ -131,7 +131,7 @@
     let (code, text) = case.run_code(&load.split(' ').collect::<Vec<_>>()).await;
     assert!(code == Some(2) && text.contains("error 7010"), "{text}");
     // A lost command may still arrive, so its lease must not be free at once.
-    let again = format!("error | {load} --wait-ms 0 | error 7008");
+    let again = format!("error | {load} --wait-ms 100 | error 7008");
     case.script(&again).await;
     for running in [first_running, third_running, store] {
         running.stop().await;
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -126,7 +126,7 @@
             Phase::ReadingBack(_) => LeaseStep::Read,
             Phase::Observing => match &self.seen {
                 Some(seen) if seen.is_free(now_us, self.terms) => self.acquire(now_us),
-                _ if now_us.saturating_sub(self.started_us) >= self.terms.wait_max_us => {
+                Some(_) if now_us.saturating_sub(self.started_us) >= self.terms.wait_max_us => {
                     self.end(LeaseEnd::Busy)
                 }
                 _ => LeaseStep::Read,
