--- a/crates/claim/src/settle_tests.rs
+++ b/crates/claim/src/settle_tests.rs
@@ -59,55 +59,24 @@
 /// Guards against a settlement that overwrites an outcome, another decision or a running call.
 #[test]
 fn holds_once_settles_only_what_needs_a_decision() {
-    let conflict = |state: State| Settled::Conflict(Box::new(record(state)));
+    let refused = |state: State| Settled::Conflict(Box::new(record(state)));
     let young = record(State::Claimed).with_claimed_unix_ms(NOW_MS - 1);
-    let (unknown, claimed) = (State::Unknown, State::Claimed);
+    let busy = Settled::InProgress(Box::new(young.clone()));
+    let (claimed, unknown) = (record(State::Claimed), record(State::Unknown));
+    let (same, bia) = (settled("ana", true), settled("bia", false));
+    let (word, not_run) = (settled("ana", false), State::NotRun);
+    let (holder, operator) = (Some(done()), Some(bia.clone()));
     let cases = [
-        ("unknown", record(unknown.clone()), None, Settled::Applied),
-        ("old claim", record(claimed.clone()), None, Settled::Applied),
-        (
-            "young claim",
-            young.clone(),
-            None,
-            Settled::InProgress(Box::new(young)),
-        ),
-        ("done", record(done()), None, conflict(done())),
-        (
-            "not run",
-            record(State::NotRun),
-            None,
-            conflict(State::NotRun),
-        ),
-        (
-            "same decision",
-            record(settled("ana", true)),
-            None,
-            Settled::Applied,
-        ),
-        (
-            "other operator",
-            record(settled("bia", true)),
-            None,
-            conflict(settled("bia", true)),
-        ),
-        (
-            "other word",
-            record(settled("ana", false)),
-            None,
-            conflict(settled("ana", false)),
-        ),
-        (
-            "race with the holder",
-            record(claimed),
-            Some(done()),
-            conflict(done()),
-        ),
-        (
-            "race with an operator",
-            record(unknown),
-            Some(settled("bia", false)),
-            conflict(settled("bia", false)),
-        ),
+        ("unknown", unknown.clone(), None, Settled::Applied),
+        ("old", claimed.clone(), None, Settled::Applied),
+        ("young", young, None, busy),
+        ("done", record(done()), None, refused(done())),
+        ("not run", record(not_run.clone()), None, refused(not_run)),
+        ("same decision", record(same), None, Settled::Applied),
+        ("operator", record(bia.clone()), None, refused(bia.clone())),
+        ("other word", record(word.clone()), None, refused(word)),
+        ("race with holder", claimed, holder, refused(done())),
+        ("race with operator", unknown, operator, refused(bia)),
     ];
     for (name, before, rival, expected) in cases {
         let table = MemoryTable::default();
@@ -129,23 +98,19 @@
 #[test]
 fn holds_once_settlement_through_faults_of_the_store() {
     use Fault::{AnswerLost, Down, RequestLost, Stale};
-    let lost = Some(AnswerLost);
+    let (lost, down) = (Some(AnswerLost), Some(Down));
     let cases: [(&str, &[Option<Fault>], Settled); 7] = [
         ("answer lost", &[None, lost], Settled::Applied),
         ("request lost", &[None, Some(RequestLost)], Settled::Applied),
         ("stale", &[None, lost, Some(Stale)], Settled::Applied),
-        ("down once", &[None, Some(Down)], Settled::Applied),
-        ("down", &[Some(Down); 9], Settled::Down),
+        ("down once", &[None, down], Settled::Applied),
+        ("down", &[down; 9], Settled::Down),
         (
-            "down at the write",
-            &[None, Some(Down), Some(Down), Some(Down), Some(Down)],
+            "down to write",
+            &[None, down, down, down, down],
             Settled::Down,
         ),
-        (
-            "lost, then down",
-            &[None, lost, Some(Down), Some(Down), Some(Down)],
-            Settled::Unknown,
-        ),
+        ("unknown", &[None, lost, down, down, down], Settled::Unknown),
     ];
     for (name, faults, expected) in cases {
         let table = MemoryTable::default();
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -29,20 +29,17 @@
 #[test]
 fn holds_lease_through_faults_of_the_store() {
     use Fault::{AnswerLost, Down, RequestLost, Stale};
-    let held = |us| LeaseStep::Held { until_us: us };
+    let held = |until_us| LeaseStep::Held { until_us };
     let failed = LeaseStep::Ended(LeaseEnd::StoreFailed);
-    let second = 9 * SECOND_US;
+    let until_us = 9 * SECOND_US;
+    let (down, lost) = (Some(Down), Some(AnswerLost));
     let cases: [(&str, &[Option<Fault>], LeaseStep); 6] = [
-        ("no fault", &[], held(second)),
-        ("read down", &[Some(Down)], held(second + 50_000)),
-        ("write lost", &[None, Some(AnswerLost)], held(second)),
-        ("request lost", &[None, Some(RequestLost)], held(second)),
-        (
-            "write lost, stale read",
-            &[None, Some(AnswerLost), Some(Stale)],
-            held(second),
-        ),
-        ("down for good", &[Some(Down); 9], failed),
+        ("no fault", &[], held(until_us)),
+        ("read down", &[down], held(until_us + 50_000)),
+        ("write lost", &[None, lost], held(until_us)),
+        ("request lost", &[None, Some(RequestLost)], held(until_us)),
+        ("stale", &[None, lost, Some(Stale)], held(until_us)),
+        ("down for good", &[down; 9], failed),
     ];
     for (name, faults, expected) in cases {
         let table = MemoryTable::default();
@@ -128,58 +125,35 @@
 /// early release while a command may still arrive.
 #[test]
 fn outcome_of_a_delivery() {
+    use Outcome::{Confirmed, Unconfirmed, Unreachable};
     use Sent::{Applied, Lost, NotSent, Refused, Stale};
     // Answers of the upstream in order, of which the last one repeats; whether commands take effect;
     // outcome, sends and whether the lease is released; seconds that the send and the reads take.
     type Case<'a> = (&'a str, &'a [Sent], bool, (Outcome, u32, bool), [u64; 2]);
-    let (confirmed, unconfirmed) = (Outcome::Confirmed, Outcome::Unconfirmed);
+    let (once, now) = ([Applied], [0, 0]);
     let cases: [Case<'_>; 10] = [
-        ("applied", &[Applied], true, (confirmed, 1, true), [0, 0]),
-        (
-            "lost, applied",
-            &[Lost],
-            true,
-            (confirmed, 1, false),
-            [0, 0],
-        ),
-        ("lost", &[Lost], false, (unconfirmed, 4, false), [0, 0]),
-        ("ignored", &[Applied], false, (unconfirmed, 4, true), [0, 0]),
-        ("stale", &[Stale], false, (Outcome::Stale, 1, true), [0, 0]),
+        ("applied", &once, true, (Confirmed, 1, true), now),
+        ("answer lost", &[Lost], true, (Confirmed, 1, false), now),
+        ("lost", &[Lost], false, (Unconfirmed, 4, false), now),
+        ("ignored", &once, false, (Unconfirmed, 4, true), now),
+        ("stale", &[Stale], false, (Outcome::Stale, 1, true), now),
         (
             "refused",
             &[Refused],
             false,
             (Outcome::Refused, 1, true),
-            [0, 0],
+            now,
         ),
         (
-            "lost, then stale",
+            "then stale",
             &[Lost, Stale],
             false,
-            (unconfirmed, 2, false),
-            [0, 0],
-        ),
-        (
-            "not sent",
-            &[NotSent],
-            false,
-            (Outcome::Unreachable, 0, true),
-            [0, 0],
-        ),
-        (
-            "late send",
-            &[Applied],
-            true,
-            (unconfirmed, 1, false),
-            [10, 0],
-        ),
-        (
-            "late read",
-            &[Applied],
-            true,
-            (unconfirmed, 1, true),
-            [0, 10],
+            (Unconfirmed, 2, false),
+            now,
         ),
+        ("not sent", &[NotSent], false, (Unreachable, 0, true), now),
+        ("late send", &once, true, (Unconfirmed, 1, false), [10, 0]),
+        ("late read", &once, true, (Unconfirmed, 1, true), [0, 10]),
     ];
     for (name, answers, effective, expected, [send_s, read_s]) in cases {
         let table = MemoryTable::default();
