--- a/crates/lease/src/fuzz_tests.rs
+++ b/crates/lease/src/fuzz_tests.rs
@@ -24,8 +24,8 @@
         fault: Option<Fault>,
         loss: Loss,
     },
-    /// The host takes several parts at once, without faults; a pause of the others.
-    Run { host: usize, parts: u8 },
+    /// The host takes several parts at once, a pause of the others; its first send may be lost.
+    Run { host: usize, parts: u8, loss: Loss },
     /// The host stops for good at this point.
     Restart { host: usize },
     /// Delayed bytes of a command reach the upstream.
@@ -83,10 +83,11 @@
         let after = prop_oneof![20 => 0..100_000_u64, 1 => 8_000_000..11_000_000_u64];
         prop_oneof![
             3 => (0..HOSTS, 0..3_u8).prop_map(|(host, role)| Transition::Begin { host, role }),
-            40 => (0..HOSTS, after, fault, loss).prop_map(|(host, after_us, fault, loss)| {
+            40 => (0..HOSTS, after, fault, loss.clone()).prop_map(|(host, after_us, fault, loss)| {
                 Transition::Step { host, after_us, fault, loss }
             }),
-            8 => (0..HOSTS, 4..30_u8).prop_map(|(host, parts)| Transition::Run { host, parts }),
+            8 => (0..HOSTS, 4..30_u8, loss)
+                .prop_map(|(host, parts, loss)| Transition::Run { host, parts, loss }),
             1 => (0..HOSTS).prop_map(|host| Transition::Restart { host }),
             4 => (0..4_usize).prop_map(|index| Transition::Arrive { index }),
         ]
@@ -331,10 +332,12 @@
                 system.real_us += after_us;
                 system.step(host, fault, loss);
             }
-            Transition::Run { host, parts } => {
+            Transition::Run { host, parts, loss } => {
+                let sends = system.senders.len();
                 for _ in 0..parts {
                     system.real_us += 1_000;
-                    system.step(host, None, Loss::None);
+                    let is_first = system.senders.len() == sends;
+                    system.step(host, None, if is_first { loss } else { Loss::None });
                     system.check();
                 }
             }
