--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -309,7 +309,10 @@
 
 impl Seen {
     const fn expires_us(&self, terms: Terms) -> u64 {
-        self.since_us + self.record.length_us + terms.error_over_us(self.record.length_us)
+        let length_us = self.record.length_us;
+        self.since_us
+            .saturating_add(length_us)
+            .saturating_add(terms.error_over_us(length_us))
     }
 
     const fn is_free(&self, now_us: u64, terms: Terms) -> bool {
