perf(daemon): read a finished answer to its end, so that its connection is reused

Cause: the relay dropped the answer at the last event, before the end of the body, and the client closed the connection; every request opened a new one.

Change: after the last event the slot is freed, then the body is read to its end, for 100 ms at most.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -18,6 +18,9 @@
 /// Longest silence of an engine between two tokens; a frozen engine is left after it.
 const EVENT_GAP_MAX: Duration = Duration::from_secs(5);
 
+/// Longest wait for the end of a body after its last event.
+const END_MAX: Duration = Duration::from_millis(100);
+
 /// Largest incomplete event that is held.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
 
@@ -108,6 +111,14 @@
             }
         }
     }
+
+    /// Reads the end of the answer's body, so that the connection can be used again.
+    ///
+    /// It follows the last event at once; an engine that is slower loses the connection instead.
+    pub(crate) async fn finish(mut self) {
+        let rest = async { while let Some(Ok(_)) = self.payload.next().await {} };
+        let _ = tokio::time::timeout(END_MAX, rest).await;
+    }
 }
 
 impl AttemptError {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -84,7 +84,12 @@
             };
             match event {
                 Some(data) if data == DONE => {
+                    let attempt = self.attempt.take();
+                    // First, so that the slot is free at once.
                     self.complete();
+                    if let Some(attempt) = attempt {
+                        attempt.finish().await;
+                    }
                     return Ok(None);
                 }
                 Some(data) => {
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -11,6 +11,9 @@
 /// Warm-up calls that are not counted.
 const WARM_UP: usize = 50;
 
+/// Longest recorded time, in microseconds.
+const TIME_MAX_US: u64 = 600_000_000;
+
 /// Time of whole one-token answers, directly from an engine and through a daemon, in turns.
 #[derive(Debug)]
 pub struct Overhead {
@@ -30,8 +33,8 @@
 ) -> Result<Overhead> {
     let client = client().await?;
     let mut overhead = Overhead {
-        direct_us: Histogram::new(3)?,
-        daemon_us: Histogram::new(3)?,
+        direct_us: Histogram::new_with_max(TIME_MAX_US, 3)?,
+        daemon_us: Histogram::new_with_max(TIME_MAX_US, 3)?,
     };
     for call in 0..calls + WARM_UP {
         let direct_us = time_call(&client, target, engine).await?;
