perf(daemon): tick the dispatcher at short intervals only while jobs wait

Cause: an idle daemon spent 1.2% of a core, all that control may cost, most of it on 100 ticks a second that had nothing to do.

Ruled out: slower ticks always; a deadline is kept within two ticks.

Change: 10 ms while a job waits, else 1 s, ended at once by the next job that waits, from a new request or from a failed attempt.

--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -72,7 +72,7 @@
         let id = self.id;
         let complete = outcome == Outcome::Complete;
         self.ended |= complete;
-        self.shared.with_core(|now_us, core| {
+        let waiting = self.shared.with_core(|now_us, core| {
             core.sharing.ended(id);
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.finish(now_us, id, outcome, actions);
@@ -80,7 +80,11 @@
             if complete {
                 core.forget(id);
             }
+            core.dispatcher.has_queued()
         });
+        if waiting {
+            self.shared.queued.notify_one();
+        }
     }
 }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -8,7 +8,7 @@
 use metric::Metrics;
 use sched::{Job, JobId, Target};
 use settings::{Config, Host};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::{
     calls::Calls, clock::Clock, core::Core, follow::Releases, handle::JobHandle, peers::Peers,
@@ -28,6 +28,8 @@
     pub(crate) calls: Calls,
     /// Distinguishes this start of the daemon from all others in claims.
     start_nonce: u64,
+    /// Wakes the ticks of the dispatcher when a job has to wait.
+    pub(crate) queued: Notify,
     core: Mutex<Core>,
 }
 
@@ -45,6 +47,7 @@
             metrics: Metrics::default(),
             calls: Calls::default(),
             start_nonce: rand::random(),
+            queued: Notify::new(),
             core: Mutex::new(core),
         }
     }
@@ -89,13 +92,17 @@
         let id = job.id;
         self.metrics.received(&job.class);
         let received = received_step(&job);
-        self.with_core(|now_us, core| {
+        let waiting = self.with_core(|now_us, core| {
             core.journal.record(now_us, id.0, received);
             core.register(id, job.tier, sender);
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.submit(now_us, job, actions);
             });
+            core.dispatcher.has_queued()
         });
+        if waiting {
+            self.queued.notify_one();
+        }
         JobHandle::new(self.clone(), id, decisions)
     }
 
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -46,7 +46,10 @@
 /// Ports tried until one is free for both TCP and UDP.
 const PORT_ATTEMPTS: u32 = 16;
 
-/// Pause between two looks at deadlines.
+/// Pause between two looks at deadlines while no job waits; the next one that waits ends it.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+
+/// Pause between two looks at deadlines while jobs wait.
 const TICK: Duration = Duration::from_millis(10);
 
 /// Daemon of one host.
@@ -193,13 +196,20 @@
         .expect("the plain connector needs nothing that can fail")
 }
 
+/// Ticks the dispatcher at short intervals while jobs wait, and rarely otherwise: ticks without a
+/// purpose are most of an idle daemon's processor time.
 async fn tick(shared: Arc<Shared>) {
     loop {
-        tokio::time::sleep(TICK).await;
-        shared.with_core(|now_us, core| {
+        let waiting = shared.with_core(|now_us, core| {
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.tick(now_us, actions);
             });
+            core.dispatcher.has_queued()
         });
+        if waiting {
+            tokio::time::sleep(TICK).await;
+        } else {
+            let _ = tokio::time::timeout(IDLE_TICK, shared.queued.notified()).await;
+        }
     }
 }
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -278,6 +278,12 @@
         self.queue.len(usize::from(tier).min(TIERS - 1))
     }
 
+    /// Returns whether any job waits.
+    #[must_use]
+    pub fn has_queued(&self) -> bool {
+        (0..TIERS).any(|tier| self.queue.len(tier) > 0)
+    }
+
     /// Returns the number of queued and running jobs.
     #[must_use]
     pub fn in_flight(&self) -> usize {
