--- a/crates/daemon/src/models.rs
+++ b/crates/daemon/src/models.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    input::{authenticate, discard_body},
+    input::{authenticate, discard_body, request_id},
     refusal::{Refusal, note_refusal},
     shared::Shared,
 };
@@ -17,7 +17,9 @@
 pub(crate) async fn models(request: HttpRequest, shared: State<Arc<Shared>>) -> HttpResponse {
     let view = shared.view.load();
     if let Err(refusal) = authenticate(&view, &request) {
-        return refusal.response("");
+        let request_id = request_id(&shared, shared.next_id());
+        note_refusal(&shared, &request_id, &refusal);
+        return refusal.response(&request_id);
     }
     let entry =
         |model: &&str| json!({"id": model, "object": "model", "created": 0, "owned_by": ""});
@@ -29,6 +31,7 @@
 pub(crate) async fn unknown_path(mut payload: Payload, shared: State<Arc<Shared>>) -> HttpResponse {
     discard_body(&shared, &mut payload).await;
     let refusal = Refusal::new(Code::UnknownPath);
-    note_refusal(&shared, "", &refusal);
-    refusal.response("")
+    let request_id = request_id(&shared, shared.next_id());
+    note_refusal(&shared, &request_id, &refusal);
+    refusal.response(&request_id)
 }
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -278,6 +278,18 @@
         self.queue.len(usize::from(tier).min(TIERS - 1))
     }
 
+    /// Returns how long ago the oldest waiting job of each tier arrived, by a pass over all jobs.
+    #[must_use]
+    pub fn oldest_waits_us(&self, now_us: u64) -> [u64; TIERS] {
+        let mut oldest_us = [0; TIERS];
+        for entry in self.jobs.values().filter(|entry| entry.running.is_none()) {
+            let wait_us = now_us.saturating_sub(entry.arrived_us());
+            let oldest_us = &mut oldest_us[entry.tier()];
+            *oldest_us = wait_us.max(*oldest_us);
+        }
+        oldest_us
+    }
+
     /// Returns whether any job waits.
     #[must_use]
     pub fn has_queued(&self) -> bool {
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Returns when the job arrived.
+    pub(crate) const fn arrived_us(&self) -> u64 {
+        self.job.deadline_us.saturating_sub(self.wait_us)
+    }
+
     /// Notes that an attempt was cut off after its request was sent.
     pub(crate) fn note_run(&mut self) {
         if self.tokens > 0 {
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -383,3 +383,17 @@
         );
     }
 }
+
+/// Guards against an age of the queue that counts running jobs or the wrong tier.
+#[test]
+fn age_of_the_queue_counts_waiting_jobs() {
+    let mut dispatcher = Dispatcher::default();
+    let mut actions = Vec::new();
+    dispatcher.configure(0, &config(1), &mut actions);
+    for (now_us, id) in [(0, 1), (10, 2), (20, 3), (30, 4)] {
+        let mut low = job(id, 2);
+        low.idempotent = false;
+        dispatcher.submit(now_us, low, &mut actions);
+    }
+    assert_eq!(dispatcher.oldest_waits_us(100), [0, 0, 80]);
+}
