--- a/crates/e2e/tests/client_library.rs
+++ b/crates/e2e/tests/client_library.rs
@@ -16,7 +16,7 @@
 };
 use futures::StreamExt as _;
 use standin::answer_text;
-use support::{KEY, Process, config, host_settings, put_config, wait_ok};
+use support::{Fleet, KEY};
 
 fn chat_request(model: &str, prompt: &str) -> CreateChatCompletionRequest {
     let message = ChatCompletionRequestUserMessageArgs::default()
@@ -39,26 +39,8 @@
 /// answers, text completions, the list of models, and errors in the form that it parses.
 #[ntex::test]
 async fn published_client_library_is_served() {
-    let engine = Process::standin("standin-engine", &[]);
-    let service = Process::standin("standin-service", &[]);
-    let store = Process::standin("standin-store", &[]);
-    let settings = host_settings("entry-library", store.address);
-    let daemon = Process::daemon(&settings);
-    let plain = ntex::client::Client::new().await;
-    put_config(
-        &plain,
-        store.address,
-        &config(1, engine.address, service.address),
-    )
-    .await;
-    wait_ok(
-        &plain,
-        settings["admin_listen"].as_str().unwrap(),
-        "/readyz",
-    )
-    .await;
-
-    let base = format!("http://{}/v1", daemon.address);
+    let fleet = Fleet::start("entry-library").await;
+    let base = format!("http://{}/v1", fleet.daemon.address);
     let client = library(&base, KEY);
     let models = client.models().list().await.unwrap();
     assert_eq!(models.data[0].id, "faucet-vision");
--- a/crates/e2e/tests/planned_stop.rs
+++ b/crates/e2e/tests/planned_stop.rs
@@ -3,62 +3,37 @@
 mod support;
 
 use futures::future::{join, join_all};
-use ntex::client::{Client, Connector};
 use serde_json::json;
 use standin::answer_text;
-use support::{Process, chat, config, get_json, host_settings, put_config, wait_ok};
+use support::{Fleet, chat, get_json};
 
 /// Guards against a SIGTERM that cuts off streams or queued requests, or that ends the process
 /// with an error.
 #[ntex::test]
 async fn holds_stop_when_a_process_is_terminated() {
-    let engine = Process::standin("standin-engine", &[]);
-    let service = Process::standin("standin-service", &[]);
-    let store = Process::standin("standin-store", &[]);
-    let settings = host_settings("entry-stop", store.address);
-    let daemon = Process::daemon(&settings);
-    let client = Client::builder()
-        .connector::<()>(Connector::new().limit(1 << 20))
-        .build(ntex::SharedCfg::new("TEST"))
-        .await
-        .unwrap();
-    put_config(
-        &client,
-        store.address,
-        &config(1, engine.address, service.address),
-    )
-    .await;
-    wait_ok(
-        &client,
-        settings["admin_listen"].as_str().unwrap(),
-        "/readyz",
-    )
-    .await;
+    let fleet = Fleet::start("entry-stop").await;
+    let client = &fleet.client;
 
     // 8 slots: a part streams and a part is queued when the signal comes.
     let prompts: Vec<String> = (0..24).map(|n| format!("question {n} len=25")).collect();
-    let address = daemon.address;
+    let address = fleet.daemon.address;
     let requests = prompts.iter().map(|prompt| {
         let messages = [json!({"role": "user", "content": prompt})];
         let body = json!({"model": "faucet-vision", "messages": messages, "stream": true});
-        let client = &client;
         async move { chat(client, address, &body).await }
     });
     let terminate = async {
         // A request that arrives after the signal may be refused; these have all arrived before.
-        let stats_url = format!("http://{}/stats", engine.address);
-        let status_url = format!(
-            "http://{}/admin/status",
-            settings["admin_listen"].as_str().unwrap()
-        );
+        let stats_url = format!("http://{}/stats", fleet.engine.address);
+        let status_url = format!("http://{}/admin/status", fleet.admin);
         loop {
-            let stats = get_json(&client, &stats_url).await;
-            let status = get_json(&client, &status_url).await;
+            let stats = get_json(client, &stats_url).await;
+            let status = get_json(client, &status_url).await;
             if status["in_flight"] == 24 && stats["generated_tokens"].as_u64().unwrap() > 8 {
                 break;
             }
         }
-        daemon.signal("TERM");
+        fleet.daemon.signal("TERM");
     };
     let (answers, ()) = join(join_all(requests), terminate).await;
     for ((status, body), prompt) in answers.iter().zip(&prompts) {
@@ -72,5 +47,5 @@
         let text: String = chunks.map(|chunk| chunk.text().to_owned()).collect();
         assert_eq!(text, answer_text(prompt, 25));
     }
-    assert!(daemon.wait().success());
+    assert!(fleet.daemon.wait().success());
 }
--- a/crates/e2e/tests/support/mod.rs
+++ b/crates/e2e/tests/support/mod.rs
@@ -12,7 +12,11 @@
     time::Duration,
 };
 
-use ntex::{client::Client, time::Millis};
+use ntex::{
+    SharedCfg,
+    client::{Client, Connector},
+    time::Millis,
+};
 use serde_json::{Value, json};
 use settings::hash_api_key;
 
@@ -187,3 +191,48 @@
     let answer = client.get(url).send().await.expect("answer");
     answer.json().await.expect("JSON")
 }
+
+/// Stand-ins and one daemon as processes, with the configuration in force.
+pub struct Fleet {
+    pub engine: Process,
+    pub service: Process,
+    pub store: Process,
+    pub daemon: Process,
+    pub admin: String,
+    pub client: Client,
+}
+
+impl Fleet {
+    /// Starts everything and waits until the daemon takes work.
+    pub async fn start(name: &str) -> Self {
+        let engine = Process::standin("standin-engine", &[]);
+        let service = Process::standin("standin-service", &[]);
+        let store = Process::standin("standin-store", &[]);
+        let settings = host_settings(name, store.address);
+        let daemon = Process::daemon(&settings);
+        let client = Client::builder()
+            .connector::<()>(Connector::new().limit(1 << 20))
+            .build(SharedCfg::new("TEST"))
+            .await
+            .expect("client");
+        put_config(
+            &client,
+            store.address,
+            &config(1, engine.address, service.address),
+        )
+        .await;
+        let admin = settings["admin_listen"]
+            .as_str()
+            .expect("address")
+            .to_owned();
+        wait_ok(&client, &admin, "/readyz").await;
+        Self {
+            engine,
+            service,
+            store,
+            daemon,
+            admin,
+            client,
+        }
+    }
+}
--- a/crates/e2e/tests/whole_path.rs
+++ b/crates/e2e/tests/whole_path.rs
@@ -2,38 +2,21 @@
 
 mod support;
 
-use ntex::client::Client;
 use serde_json::{Value, json};
 use standin::answer_text;
-use support::{KEY, Process, chat, config, host_settings, put_config, wait_ok};
+use support::{Fleet, KEY, chat};
 use wire::{Chunk, DONE, SseDecoder};
 
 /// Guards against a break anywhere between caller, daemon, engine, plain service and store.
 #[ntex::test]
 async fn request_is_served_by_separate_processes() {
-    let engine = Process::standin("standin-engine", &[]);
-    let service = Process::standin("standin-service", &[]);
-    let store = Process::standin("standin-store", &[]);
-    let settings = host_settings("entry-1", store.address);
-    let daemon = Process::daemon(&settings);
-    let client = Client::new().await;
-    put_config(
-        &client,
-        store.address,
-        &config(1, engine.address, service.address),
-    )
-    .await;
-    wait_ok(
-        &client,
-        settings["admin_listen"].as_str().unwrap(),
-        "/readyz",
-    )
-    .await;
+    let fleet = Fleet::start("entry-path").await;
+    let (client, daemon) = (&fleet.client, fleet.daemon.address);
 
     let prompt = "the left tap drips len=12";
     let mut body =
         json!({"model": "faucet-vision", "messages": [{"role": "user", "content": prompt}]});
-    let (status, answer) = chat(&client, daemon.address, &body).await;
+    let (status, answer) = chat(client, daemon, &body).await;
     assert_eq!(status, 200, "{answer}");
     let answer: Value = serde_json::from_str(&answer).unwrap();
     assert_eq!(
@@ -43,7 +26,7 @@
     assert_eq!(answer["usage"]["completion_tokens"], 12);
 
     body["stream"] = json!(true);
-    let (status, stream) = chat(&client, daemon.address, &body).await;
+    let (status, stream) = chat(client, daemon, &body).await;
     assert_eq!(status, 200, "{stream}");
     let mut events = Vec::new();
     SseDecoder::default().push(stream.as_bytes(), &mut events);
@@ -54,7 +37,7 @@
         .collect();
     assert_eq!(text, answer_text(prompt, 12));
 
-    let url = format!("http://{}/services/inventory/reservations", daemon.address);
+    let url = format!("http://{daemon}/services/inventory/reservations");
     let reserved = client
         .post(url)
         .header("authorization", format!("Bearer {KEY}"))
@@ -64,6 +47,6 @@
         .unwrap();
     assert_eq!(reserved.status().as_u16(), 201);
 
-    daemon.signal("TERM");
-    assert!(daemon.wait().success());
+    fleet.daemon.signal("TERM");
+    assert!(fleet.daemon.wait().success());
 }
