fix(sched): cancel lowest-tier work beyond a lowered share

Ruled out: cancelling every tier above the share; the share may have gone to work of the same tier, which gives no reason to waste tokens.

Change: set_share cancels jobs of the lowest tier beyond the new share and queues them again at their place; the model of the fuzz tests allows exactly that.

--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -112,6 +112,7 @@
             member.share = slots;
         }
         self.topology.count_slots();
+        self.give_back(now_us, upstream, actions);
         if let Some(group) = self.topology.reopen(upstream) {
             self.dispatch(now_us, group, actions);
         }
--- a/crates/sched/src/oracle.rs
+++ b/crates/sched/src/oracle.rs
@@ -209,6 +209,14 @@
                 let tier = match reason {
                     Reason::HigherTier { by } => self.jobs[by].job.tier + 1,
                     Reason::LongAnswer { by } => self.jobs[by].job.tier,
+                    // Only the lowest tier gives way to other daemons, above the share only.
+                    Reason::ShareWithdrawn => {
+                        assert!(
+                            self.held(upstream) > self.room(upstream),
+                            "tier: {action:?}"
+                        );
+                        2
+                    }
                     reason => panic!("tier: cancelled with {reason:?}"),
                 };
                 let tracked = self.jobs.get_mut(&id).unwrap();
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BTreeSet};
 
-use queue::Variant;
+use queue::{TIERS, Variant};
 use route::Ending;
 
 use crate::{
@@ -47,6 +47,30 @@
         Some(victim)
     }
 
+    /// Cancels jobs of the lowest tier on an upstream until no more run there than its share.
+    ///
+    /// A smaller share means that work of a higher tier waits at another daemon. Jobs of other tiers
+    /// run to their end: the share may have gone to work of their own tier.
+    pub(crate) fn give_back(&mut self, now_us: u64, upstream: &str, actions: &mut Vec<Action>) {
+        let Some(member) = self.topology.member(upstream) else {
+            return;
+        };
+        let (room, group) = (member.room(), member.group);
+        let over = self.pool.outstanding(upstream).saturating_sub(room);
+        let lowest = u8::try_from(TIERS - 1).unwrap_or(u8::MAX);
+        let keys = self.topology.groups[group].victims.iter();
+        let lowest = keys.take_while(|(Reverse(tier), ..)| *tier == lowest);
+        let ids = lowest.map(|&(_, _, Reverse(id))| JobId(id));
+        let here = ids.filter(|&id| {
+            self.running(id)
+                .is_some_and(|(_, running)| *running.upstream == *upstream)
+        });
+        let victims: Vec<JobId> = here.take(over as usize).collect();
+        for id in victims {
+            self.preempt(now_us, id, Reason::ShareWithdrawn, actions);
+        }
+    }
+
     /// Starts a job that would otherwise be refused in place of one on a reserved slot.
     pub(crate) fn start_in_place(
         &mut self,
--- a/crates/sched/src/reason.rs
+++ b/crates/sched/src/reason.rs
@@ -31,6 +31,8 @@
         /// Short job.
         by: JobId,
     },
+    /// Cancelled and queued again: the slot was granted to another daemon.
+    ShareWithdrawn,
     /// Refused: a limit of the client account.
     AccountLimit,
     /// Refused: the queue is full and holds nothing of a lower tier.
@@ -67,6 +69,7 @@
             Self::InPlaceOf { preempted } => write!(f, "in the slot of job {}", preempted.0),
             Self::HigherTier { by } => write!(f, "job {} of a higher tier needs the slot", by.0),
             Self::LongAnswer { by } => write!(f, "long answer, short job {} was blocked", by.0),
+            Self::ShareWithdrawn => f.write_str("the slot was granted to another daemon"),
             Self::AccountLimit => f.write_str("limit of the client account"),
             Self::QueueBound => f.write_str("the queue is full"),
             Self::Shed { by } => write!(f, "shed for job {} of a higher tier", by.0),
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -397,3 +397,30 @@
     }
     assert_eq!(dispatcher.oldest_waits_us(100), [0, 0, 80]);
 }
+
+/// Guards against lower-tier work that keeps slots which were granted to another daemon, and
+/// against cancelling a higher tier for that.
+#[test]
+fn withdrawn_share_cancels_the_lowest_tier_only() {
+    for (tier, cancelled) in [(0, 0), (1, 0), (2, 2)] {
+        let mut dispatcher = Dispatcher::default();
+        let mut actions = Vec::new();
+        let mut config = config(3);
+        config.upstreams.truncate(1);
+        config.upstreams[0].honours.resume = true;
+        dispatcher.configure(0, &config, &mut actions);
+        for id in 1..=3 {
+            dispatcher.submit(0, job(id, tier), &mut actions);
+        }
+        actions.clear();
+        dispatcher.set_share(1, "a", Some(1), &mut actions);
+        let withdrawn = |action: &&Action| {
+            matches!(action, Action::Cancel { .. }) && action.reason() == Reason::ShareWithdrawn
+        };
+        assert_eq!(
+            actions.iter().filter(withdrawn).count(),
+            cancelled,
+            "tier {tier}"
+        );
+    }
+}
