perf(daemon): index the models once for each configuration, not for each request

In the tests of the dispatcher the same configuration and job stood twice.

Ruled out: a cache inside Config, which is a plain document; View is the index that is replaced with each version.

Change: View keeps the sorted models; sched's tests share fixtures. Assertions and bounds are as they were.

The time saved was not measured.

Conclusion: one sort less on the path of a request.

--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -79,7 +79,7 @@
     let parsed = Request::parse(form, &body)
         .map_err(|error| Refusal::new(Code::BadRequest).with_detail(&error.detail))?;
     let class = class_of(&view, account, request, parsed.class())?;
-    if view.config.models().binary_search(&parsed.model()).is_err() {
+    if !view.serves(parsed.model()) {
         return Err(Refusal::new(Code::UnknownModel).with_detail(&format!("`{}`", parsed.model())));
     }
     let job = Job {
--- a/crates/daemon/src/models.rs
+++ b/crates/daemon/src/models.rs
@@ -22,8 +22,8 @@
         return refusal.response(&request_id);
     }
     let entry =
-        |model: &&str| json!({"id": model, "object": "model", "created": 0, "owned_by": ""});
-    let data: Vec<Value> = view.config.models().iter().map(entry).collect();
+        |model: &String| json!({"id": model, "object": "model", "created": 0, "owned_by": ""});
+    let data: Vec<Value> = view.models().iter().map(entry).collect();
     HttpResponse::Ok().json(&json!({"object": "list", "data": data}))
 }
 
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -9,6 +9,8 @@
     pub(crate) config: Config,
     /// SHA-256 of each API key with the index of its account, sorted.
     keys: Vec<([u8; 32], usize)>,
+    /// Names of all models in force, sorted.
+    models: Vec<String>,
 }
 
 impl View {
@@ -23,7 +25,24 @@
             }
         }
         keys.sort_unstable();
-        Self { config, keys }
+        let models = config.models().into_iter().map(str::to_owned).collect();
+        Self {
+            config,
+            keys,
+            models,
+        }
+    }
+
+    /// Returns the names of all models in force, sorted.
+    pub(crate) fn models(&self) -> &[String] {
+        &self.models
+    }
+
+    /// Returns whether some upstream in force serves a model.
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        self.models
+            .binary_search_by(|name| name.as_str().cmp(model))
+            .is_ok()
     }
 
     /// Returns the client account of an API key.
--- /dev/null
+++ b/crates/sched/src/fixtures.rs
@@ -0,0 +1,42 @@
+//! Configuration and jobs that several test files share.
+
+use settings::{Config, Honours, Kind, State, Upstream};
+
+use crate::{Job, JobId, Target};
+
+/// Returns a configuration with the engines `a` and `b`.
+pub(crate) fn config(slots: u32) -> Config {
+    let upstream = |name: &str| Upstream {
+        name: name.to_owned(),
+        kind: Kind::Model,
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "costa".to_owned(),
+        zone: "costa-norte".to_owned(),
+        models: vec!["faucet".to_owned()],
+        service: String::new(),
+        slots,
+        honours: Honours::default(),
+        state: State::Live,
+    };
+    Config {
+        upstreams: vec![upstream("a"), upstream("b")],
+        ..Config::default()
+    }
+}
+
+/// Returns an idempotent job for one of these engines.
+pub(crate) fn job(id: u64, tier: u8) -> Job {
+    Job {
+        id: JobId(id),
+        account: "one".into(),
+        class: "any".into(),
+        tier,
+        target: Target::Model("faucet".into()),
+        prompt_tokens: 10,
+        max_tokens: 10,
+        body_bytes: 100,
+        prefix_hash: 0,
+        deadline_us: 1_000_000,
+        idempotent: true,
+    }
+}
--- a/crates/sched/src/holds_refusal_tests.rs
+++ b/crates/sched/src/holds_refusal_tests.rs
@@ -1,7 +1,10 @@
 use code::Run;
-use settings::{Config, Honours, Kind, State, Upstream};
+use settings::Config;
 
-use crate::{Action, Dispatcher, Job, JobId, Outcome, Target};
+use crate::{
+    Action, Dispatcher, JobId, Outcome,
+    fixtures::{config, job},
+};
 
 const ID: JobId = JobId(1);
 
@@ -14,50 +17,26 @@
     Outcome::Failed,
 ];
 
-fn config() -> Config {
-    let upstream = |name: &str| Upstream {
-        name: name.to_owned(),
-        kind: Kind::Model,
-        address: "127.0.0.1:1".parse().unwrap(),
-        region: "costa".to_owned(),
-        zone: "costa-norte".to_owned(),
-        models: vec!["faucet".to_owned()],
-        service: String::new(),
-        slots: 1,
-        honours: Honours {
-            resume: true,
-            ..Honours::default()
-        },
-        state: State::Live,
-    };
-    Config {
-        upstreams: vec![upstream("a"), upstream("b"), upstream("c")],
-        ..Config::default()
-    }
-}
-
-fn job(idempotent: bool) -> Job {
-    Job {
-        id: ID,
-        account: "one".into(),
-        class: "any".into(),
-        tier: 0,
-        target: Target::Model("faucet".into()),
-        prompt_tokens: 10,
-        max_tokens: 10,
-        body_bytes: 100,
-        prefix_hash: 0,
-        deadline_us: 1_000_000,
-        idempotent,
+/// Returns a configuration with three engines of one slot that resume.
+fn resuming_config() -> Config {
+    let mut config = config(1);
+    let mut third = config.upstreams[0].clone();
+    "c".clone_into(&mut third.name);
+    config.upstreams.push(third);
+    for upstream in &mut config.upstreams {
+        upstream.honours.resume = true;
     }
+    config
 }
 
 /// Ends up to two attempts, then lets the deadline pass; returns what the refusal says.
 fn refused_run(idempotent: bool, outcomes: &[Outcome]) -> (Run, bool) {
     let mut dispatcher = Dispatcher::default();
     let mut actions = Vec::new();
-    dispatcher.configure(0, &config(), &mut actions);
-    dispatcher.submit(0, job(idempotent), &mut actions);
+    dispatcher.configure(0, &resuming_config(), &mut actions);
+    let mut job = job(ID.0, 0);
+    job.idempotent = idempotent;
+    dispatcher.submit(0, job, &mut actions);
     let mut may_have_run = false;
     for (now_us, &outcome) in (1..).zip(outcomes) {
         let started = actions
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -14,6 +14,8 @@
 mod dispatch;
 mod dispatcher;
 mod entry;
+#[cfg(test)]
+mod fixtures;
 mod group;
 #[cfg(test)]
 mod holds_complete_tests;
