--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -125,6 +125,7 @@
             requests_in_flight: 1_000_000,
             tokens_in_flight: 1_000_000_000_000,
             weight,
+            tier: None,
         });
         let zones = self.zones();
         let upstreams = (0..engines).map(|index| {
@@ -144,6 +145,8 @@
                     fencing: false,
                 },
                 state: State::Live,
+                engine: None,
+                started_ms: None,
             }
         });
         let mut config = Config {
@@ -151,7 +154,7 @@
             classes,
             accounts: accounts.collect(),
             upstreams: upstreams.collect(),
-            services: Vec::new(),
+            ..Config::default()
         };
         config.sort();
         config
--- a/crates/bench/src/world/requests.rs
+++ b/crates/bench/src/world/requests.rs
@@ -1,6 +1,6 @@
 //! Requests at a daemon.
 
-use sched::{Job, JobId, Target};
+use sched::{Job, JobId, Rules, Target};
 
 use crate::{
     deployment::{ACCOUNTS, MODEL},
@@ -74,6 +74,8 @@
             prefix_hash: wanted.prefix,
             deadline_us: self.fates[request].sent_us + CLIENT_US + class.max_wait_ms * 1_000,
             idempotent: true,
+            prompt: [].into(),
+            rules: Rules::default(),
         }
     }
 
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -9,7 +9,7 @@
         types::{Payload, State},
     },
 };
-use sched::{Job, JobId, Target};
+use sched::{Job, JobId, Rules, Target};
 use wire::{Assembler, Form, Request};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -94,6 +94,8 @@
         prefix_hash: xxh3_64(parsed.prefix().as_bytes()),
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: true,
+        prompt: [].into(),
+        rules: Rules::default(),
     };
     let progress = Progress::new(class, shared.clock.now_us());
     let handle = shared.submit(job);
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -5,7 +5,7 @@
 use code::Code;
 use ntex::{
     http::header::{self, HeaderName, HeaderValue},
-    util::{Bytes, BytesMut},
+    util::Bytes,
     web::{HttpRequest, types::Payload},
 };
 use settings::{Account, Class};
@@ -24,14 +24,26 @@
     request: &HttpRequest,
     payload: &mut Payload,
 ) -> Result<Bytes, Refusal> {
-    let max_bytes = shared.host.body_max_bytes;
+    read_body_within(shared, request, payload, shared.host.body_max_bytes).await
+}
+
+/// Reads a body of at most this many bytes.
+pub(crate) async fn read_body_within<B>(
+    shared: &Shared,
+    request: &HttpRequest,
+    payload: &mut Payload,
+    max_bytes: usize,
+) -> Result<B, Refusal>
+where
+    B: From<Vec<u8>>,
+{
     let length = request.headers().get(header::CONTENT_LENGTH);
     let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if length.is_some_and(|length| length > max_bytes) {
         return Err(Code::BodyTooLarge.into());
     }
     let read = async {
-        let mut body = BytesMut::new();
+        let mut body = Vec::with_capacity(length.unwrap_or(0));
         while let Some(chunk) = payload.recv().await {
             let chunk = chunk.map_err(|_| Refusal::new(Code::BadRequest))?;
             if body.len() + chunk.len() > max_bytes {
@@ -39,7 +51,7 @@
             }
             body.extend_from_slice(&chunk);
         }
-        Ok(body.freeze())
+        Ok(B::from(body))
     };
     let limit = Duration::from_millis(shared.host.receive_max_ms);
     tokio::time::timeout(limit, read)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,21 +6,26 @@
 
 mod admin;
 mod attempt;
+pub mod border;
 mod calls;
 mod claimed;
 mod clock;
 mod completions;
 mod core;
+mod directory;
 mod follow;
 mod grants;
 mod handle;
 mod input;
 mod loads;
+mod logs;
 mod models;
 mod peers;
 mod progress;
 mod refusal;
 mod relay;
+mod routed;
+mod run;
 mod running;
 mod services;
 mod shared;
@@ -29,4 +34,9 @@
 mod start;
 mod view;
 
-pub use self::{running::Running, start::Daemon};
+pub use self::{
+    logs::set_up_logs,
+    run::{read_host, run},
+    running::Running,
+    start::{Daemon, Platform},
+};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,13 +1,10 @@
 //! Router daemon of one host.
 
-use std::{fs, path::PathBuf};
+use std::path::PathBuf;
 
-use daemon::Daemon;
-use eyre::{Result, WrapErr as _, eyre};
+use daemon::{Daemon, read_host, run, set_up_logs};
+use eyre::Result;
 use gumdrop::Options;
-use log::info;
-use settings::Host;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Command line of the daemon.
 #[derive(Debug, Options)]
@@ -24,27 +21,8 @@
 
 #[ntex::main]
 async fn main() -> Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let args = Args::parse_args_default_or_exit();
-    let path = args.settings.display().to_string();
-    let text = fs::read_to_string(&args.settings).wrap_err_with(|| path.clone())?;
-    let host = Host::parse(&text).map_err(|problems| {
-        let lines: Vec<String> = problems
-            .iter()
-            .map(|problem| problem.in_file(&path))
-            .collect();
-        eyre!(lines.join("\n"))
-    })?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let running = Daemon::new(host).start().await?;
-    tokio::select! {
-        _ = terminate.recv() => info!("daemon: SIGTERM"),
-        _ = interrupt.recv() => info!("daemon: SIGINT"),
-    }
-    tokio::select! {
-        () = running.stop() => Ok(()),
-        _ = terminate.recv() => Err(eyre!("second signal, stopped at once")),
-        _ = interrupt.recv() => Err(eyre!("second signal, stopped at once")),
-    }
+    set_up_logs();
+    let host = read_host(&args.settings)?;
+    run(Daemon::new(host), &args.settings).await
 }
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -42,7 +42,7 @@
 
     /// Returns whether the connection is closed: a part of the body may be unread, or the host stops.
     /// Without the header a client would reuse the connection and lose its next request.
-    const fn closes_connection(&self) -> bool {
+    pub(crate) const fn closes_connection(&self) -> bool {
         matches!(
             self.code,
             Code::BodyTooLarge | Code::Draining | Code::SlowSender
--- /dev/null
+++ b/crates/daemon/src/routed/serve.rs
@@ -0,0 +1,242 @@
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use code::Code;
+use link::{HeaderMap, Links, header::HeaderValue};
+use log::info;
+use ntex::web::{
+    HttpRequest, HttpResponse,
+    types::{Payload, State},
+};
+use sched::{Job, Rules, Target};
+use settings::{CallerLimits, Route};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    call::{Call, remove_connection_headers},
+    reply, stream, whole,
+};
+use crate::{
+    border::CallerHead,
+    input::{discard_body, read_body_within},
+    refusal::Refusal,
+    shared::Shared,
+    view::View,
+};
+
+/// Time for which a refusal without an estimate asks callers to wait: a configuration or an upstream
+/// is usually there by then.
+const RETRY_AFTER_MS: u64 = 300;
+
+/// Time after which callers of a host that stops reach another one; their next connection does.
+const DRAINING_RETRY_MS: u64 = 20;
+
+/// Rejections after which a request is given up; each one takes a round trip.
+const REJECTIONS_MAX: u32 = 3;
+
+/// Serves a routed request.
+pub(crate) async fn serve(
+    request: HttpRequest,
+    mut payload: Payload,
+    shared: State<Arc<Shared>>,
+    links: State<Rc<Links>>,
+) -> HttpResponse {
+    let arrived = Instant::now();
+    let mut headers = headers_of(&request);
+    let head = shared.dialect().read(&headers);
+    let result = match head {
+        Ok(head) => {
+            remove_connection_headers(&mut headers);
+            let request_id = head.request_id.clone();
+            let answered = answer(
+                &request,
+                headers,
+                head,
+                &mut payload,
+                &shared,
+                &links,
+                arrived,
+            )
+            .await;
+            answered.map_err(|refusal| (refusal, request_id))
+        }
+        Err(malformed) => {
+            let refusal = Refusal::new(Code::BadRequest).with_detail(&malformed.0);
+            Err((refusal, String::new()))
+        }
+    };
+    match result {
+        Ok(response) => response,
+        Err((refusal, request_id)) => {
+            discard_body(&shared, &mut payload).await;
+            info!(
+                "caller: refused request={request_id} code={} retry_after_ms={} waited_ms={} detail={:?}",
+                refusal.code,
+                refusal.retry_after_ms,
+                arrived.elapsed().as_millis(),
+                refusal.detail
+            );
+            shared
+                .metrics
+                .refused(refusal.code.number(), refusal.code.name());
+            reply::refuse(&shared, &refusal, &request_id)
+        }
+    }
+}
+
+async fn answer(
+    request: &HttpRequest,
+    headers: HeaderMap,
+    head: CallerHead,
+    payload: &mut Payload,
+    shared: &Arc<Shared>,
+    links: &Rc<Links>,
+    arrived: Instant,
+) -> Result<HttpResponse, Refusal> {
+    let view = shared.view.load_full();
+    if view.config.version == 0 {
+        return Err(Refusal::new(Code::NoConfig).with_retry_after_ms(RETRY_AFTER_MS));
+    }
+    if shared.is_closing() {
+        return Err(Refusal::new(Code::Draining).with_retry_after_ms(DRAINING_RETRY_MS));
+    }
+    let limits = view.config.caller_limits.unwrap_or_default();
+    check_headers(&headers, &limits)?;
+    let body: Bytes = read_body_within(shared, request, payload, limits.body_max_bytes).await?;
+    let host = headers.get("host").and_then(|host| host.to_str().ok());
+    let host = host.unwrap_or_default();
+    let route = view
+        .config
+        .route(host, request.path())
+        .ok_or_else(|| Refusal::new(Code::UnknownPath))?;
+    let account = account_of(&view, route, &head)?;
+    let id = shared.next_id();
+    let job = job(&view, route, account.as_ref(), &head, id, body.len())?;
+    let call = call(request, headers, head, route, &job, account, body, arrived);
+    info!(
+        "caller: accepted request={} job={} route={} account={} tier={} version={} left_ms={} prompt_tokens={}",
+        call.request_id,
+        id.0,
+        call.route,
+        call.account.as_deref().unwrap_or("-"),
+        job.tier,
+        view.config.version,
+        call.until.saturating_duration_since(arrived).as_millis(),
+        job.prompt_tokens
+    );
+    let mut job = job;
+    let left = call.until.saturating_duration_since(Instant::now());
+    job.deadline_us = shared.clock.now_us() + u64::try_from(left.as_micros()).unwrap_or(u64::MAX);
+    let handle = shared.submit(job);
+    drop(view);
+    if call.kind.is_stream() {
+        stream::serve(shared, links, call, handle, request.io().cloned()).await
+    } else {
+        whole::serve(shared, links, &call, handle).await
+    }
+}
+
+/// Copies the headers of a request to the form that goes to upstreams.
+fn headers_of(request: &HttpRequest) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(request.headers().len() + 6);
+    for (name, value) in request.headers() {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+            headers.append(name.clone(), value);
+        }
+    }
+    headers
+}
+
+fn check_headers(headers: &HeaderMap, limits: &CallerLimits) -> Result<(), Refusal> {
+    // Two characters separate name and value, two end the line.
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum();
+    if bytes > limits.header_max_bytes {
+        return Err(Code::HeadersTooLarge.into());
+    }
+    Ok(())
+}
+
+/// Returns the client account of a request; none on a public route or without accounts.
+fn account_of(view: &View, route: &Route, head: &CallerHead) -> Result<Option<Arc<str>>, Refusal> {
+    if route.public || view.config.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = head.api_key.as_deref();
+    let account = key.and_then(|key| view.account_of_key(key));
+    let account = account.ok_or(Code::UnknownKey)?;
+    Ok(Some(account.name.as_str().into()))
+}
+
+fn job(
+    view: &View,
+    route: &Route,
+    account: Option<&Arc<str>>,
+    head: &CallerHead,
+    id: sched::JobId,
+    body_bytes: usize,
+) -> Result<Job, Refusal> {
+    let number = xxh3_64(head.request_id.as_bytes());
+    let service = route
+        .service(number)
+        .ok_or_else(|| Refusal::new(Code::NoUpstream).with_retry_after_ms(RETRY_AFTER_MS))?;
+    let own_tier = account
+        .and_then(|name| view.config.account(name))
+        .and_then(|account| account.tier);
+    let prompt_tokens = head.prompt.iter().map(|part| part.tokens).sum();
+    Ok(Job {
+        id,
+        account: account.cloned().unwrap_or_else(|| "".into()),
+        class: route.name.as_str().into(),
+        tier: own_tier.unwrap_or(route.tier),
+        target: Target::Service(service.into()),
+        prompt_tokens,
+        max_tokens: head.output_tokens_max,
+        body_bytes: body_bytes as u64,
+        prefix_hash: 0,
+        deadline_us: 0,
+        idempotent: route.kind.is_repeatable(),
+        prompt: head.prompt.clone(),
+        rules: Rules {
+            attempts_max: route.attempts_max,
+            rejections_max: REJECTIONS_MAX,
+            retries_errors: route.kind.is_repeatable(),
+            preemptable: false,
+        },
+    })
+}
+
+#[expect(clippy::too_many_arguments, reason = "gathers the parts of one value")]
+fn call(
+    request: &HttpRequest,
+    headers: HeaderMap,
+    head: CallerHead,
+    route: &Route,
+    job: &Job,
+    account: Option<Arc<str>>,
+    body: Bytes,
+    arrived: Instant,
+) -> Call {
+    let timeout = Duration::from_millis(route.timeout_ms);
+    let limit = head
+        .deadline
+        .map_or(timeout, |deadline| deadline.min(timeout));
+    let target = request.uri().path_and_query();
+    Call {
+        request_id: head.request_id,
+        route: route.name.clone(),
+        kind: route.kind,
+        method: request.method().clone(),
+        target: target.map_or_else(|| request.path().to_owned(), ToString::to_string),
+        headers,
+        body,
+        account,
+        tier: job.tier,
+        has_prompt: !job.prompt.is_empty(),
+        arrived,
+        until: arrived + limit,
+    }
+}
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -52,6 +52,12 @@
         self.admin_listen
     }
 
+    /// Returns the settings that the daemon was started with.
+    #[must_use]
+    pub fn host(&self) -> &settings::Host {
+        &self.shared.host
+    }
+
     /// Returns whether the daemon takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -70,8 +76,14 @@
     pub async fn stop(self) {
         self.shared.set_draining();
         info!("drain: started");
-        let limit = Duration::from_millis(self.shared.host.drain_max_ms);
-        let drained = tokio::time::timeout(limit, self.wait_idle()).await.is_ok();
+        let limit = self.shared.host.drain_max();
+        let least = tokio::time::sleep(Duration::from_millis(self.shared.host.drain_min_ms));
+        let idle = async {
+            // Callers that do not know of the stop yet are served meanwhile.
+            least.await;
+            self.wait_idle().await;
+        };
+        let drained = tokio::time::timeout(limit, idle).await.is_ok();
         info!(
             "drain: {}",
             if drained {
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -11,7 +11,7 @@
         types::{Payload, State},
     },
 };
-use sched::{Job, Outcome, Target};
+use sched::{Job, Outcome, Rules, Target};
 use settings::Service;
 use store::Table;
 
@@ -114,6 +114,8 @@
         prefix_hash: 0,
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: call.idempotent,
+        prompt: [].into(),
+        rules: Rules::default(),
     };
     let key = request.headers().get(IDEMPOTENCY_KEY);
     let (Some(key), false) = (key, call.idempotent) else {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
-    calls::Calls, clock::Clock, core::Core, follow::Releases, handle::JobHandle, peers::Peers,
-    view::View,
+    border::Dialect, calls::Calls, clock::Clock, core::Core, directory::Fleet, follow::Releases,
+    handle::JobHandle, peers::Peers, view::View,
 };
 
 /// State that all threads of a daemon share.
@@ -23,8 +23,11 @@
     pub(crate) releases: Releases,
     pub(crate) peers: Peers,
     draining: AtomicBool,
+    draining_since_us: AtomicU64,
     next_id: AtomicU64,
     pub(crate) metrics: Metrics,
+    pub(crate) fleet: Fleet,
+    dialect: Option<Arc<dyn Dialect>>,
     pub(crate) calls: Calls,
     /// Distinguishes this start of the daemon from all others in claims.
     start_nonce: u64,
@@ -43,8 +46,11 @@
             releases: Releases::default(),
             peers,
             draining: AtomicBool::new(false),
+            draining_since_us: AtomicU64::new(0),
             next_id: AtomicU64::new(1),
             metrics: Metrics::default(),
+            fleet: Fleet::default(),
+            dialect: None,
             calls: Calls::default(),
             start_nonce: rand::random(),
             queued: Notify::new(),
@@ -52,10 +58,34 @@
         }
     }
 
+    /// Sets the translation of routed requests.
+    pub(crate) fn with_dialect(mut self, dialect: Arc<dyn Dialect>) -> Self {
+        self.dialect = Some(dialect);
+        self
+    }
+
+    /// Returns the translation of routed requests.
+    ///
+    /// # Panics
+    ///
+    /// If there is none; routed requests are served only with one.
+    pub(crate) fn dialect(&self) -> &dyn Dialect {
+        let dialect = self.dialect.as_deref();
+        dialect.expect("routed requests are served only with a dialect")
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns whether the host stops for so long that the balancer must know: what still arrives
+    /// could not end in time.
+    pub(crate) fn is_closing(&self) -> bool {
+        let since_us = self.draining_since_us.load(Ordering::Acquire);
+        let drained_us = self.clock.now_us().saturating_sub(since_us);
+        self.is_draining() && drained_us >= self.host.drain_min_ms * 1_000
+    }
+
     /// Returns whether the host takes new work.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.view.load().config.version > 0
@@ -63,6 +93,8 @@
 
     /// Takes no new work from now on and announces it to the peers.
     pub(crate) fn set_draining(&self) {
+        let now_us = self.clock.now_us();
+        self.draining_since_us.store(now_us, Ordering::Release);
         self.draining.store(true, Ordering::Release);
         self.peers.leave(self.clock.now_us());
     }
@@ -138,6 +170,21 @@
     }
 }
 
+impl Shared {
+    /// Puts a configuration in force that is not older, with the upstreams as they are now.
+    pub(crate) fn replace_config(&self, config: Config) {
+        let view = Arc::new(View::new(config));
+        self.with_core(|now_us, core| {
+            core.act(now_us, |dispatcher, actions| {
+                dispatcher.configure(now_us, &view.config, actions);
+            });
+            self.peers
+                .with(|membership| membership.set_config_version(view.config.version));
+            self.view.store(view);
+        });
+    }
+}
+
 fn received_step(job: &Job) -> Step {
     let target = match &job.target {
         Target::Model(name) | Target::Service(name) => name.clone(),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -6,10 +6,12 @@
 };
 
 use eyre::Result;
+use link::{Links, Options};
 use log::info;
 use ntex::{
     SharedCfg,
     client::{Client, ClientBuilder, Connector},
+    http::HttpServiceConfig,
     time::Seconds,
     web::{self, App, HttpServer},
 };
@@ -18,12 +20,16 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
-    admin, completions,
+    admin,
+    border::{Dialect, Directory},
+    completions,
+    directory::{follow_config, follow_daemons, follow_upstreams},
     follow::follow_releases,
     grants::share_slots,
     loads::read_loads,
     models,
     peers::{Peers, exchange_datagrams, fetch_configs, follow_hosts, serve_config},
+    routed,
     running::Running,
     services::{self, ServiceLinks},
     shared::Shared,
@@ -52,16 +58,48 @@
 /// Pause between two looks at deadlines while jobs wait.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Pause between two looks for unused connections that have reached their end.
+const LINKS_PAUSE: Duration = Duration::from_secs(1);
+
+/// Unused connections of callers are kept for this long if the configuration does not say.
+const KEEP_ALIVE: Seconds = Seconds(75);
+
+/// Headers of a request have to arrive within this time.
+const HEADERS_MAX: Seconds = Seconds(10);
+
+/// Most bytes of a request's headers that the server itself takes.
+const HEADERS_MAX_BYTES: usize = 128 * 1024;
+
+/// Adapter to a platform: translation of requests, and the rows of its store, by a separate
+/// connection for each task that reads them.
+pub struct Platform {
+    /// Translation of routed requests.
+    pub dialect: Arc<dyn Dialect>,
+    /// Makes a connection to the store.
+    pub directory: Box<dyn Fn() -> Box<dyn Directory>>,
+}
+
 /// Daemon of one host.
 pub struct Daemon {
     host: Host,
+    platform: Option<Platform>,
 }
 
 impl Daemon {
     /// Creates a daemon from the settings of its host.
     #[must_use]
     pub const fn new(host: Host) -> Self {
-        Self { host }
+        Self {
+            host,
+            platform: None,
+        }
+    }
+
+    /// Serves routed requests of a platform, whose store holds the configuration.
+    #[must_use]
+    pub fn with_platform(mut self, platform: Platform) -> Self {
+        self.platform = Some(platform);
+        self
     }
 
     /// Starts serving inside the current ntex system.
@@ -73,13 +111,19 @@
         let (peer_listener, socket, peer_listen) = bind_peer(self.host.peer_listen)?;
         let socket = Arc::new(socket);
         let peers = Peers::new(&self.host, Arc::downgrade(&socket), peer_listen)?;
-        let shared = Arc::new(Shared::new(self.host, peers));
+        let mut shared = Shared::new(self.host, peers);
+        if let Some(platform) = &self.platform {
+            shared = shared.with_dialect(platform.dialect.clone());
+        }
+        let shared = Arc::new(shared);
         let host = &shared.host;
         let (listener, listen) = bind(host.listen)?;
         let (admin_listener, admin_listen) = bind(host.admin_listen)?;
-        let callers = serve_callers(&shared, listener)?;
+        let callers = match self.platform {
+            Some(_) => serve_routed(&shared, listener)?,
+            None => serve_callers(&shared, listener)?,
+        };
         let admin = serve_admin(&shared, admin_listener)?;
-        let table = store_client(&shared).await;
         info!(
             "daemon: {} serves callers at {listen}, operators at {admin_listen}, peers at {peer_listen}",
             host.name
@@ -93,13 +137,21 @@
             admin,
         );
         let (announce, announcements) = mpsc::channel(ANNOUNCEMENTS_MAX);
-        running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
-        running.spawn(follow_hosts(shared.clone(), Box::new(table)));
+        if let Some(platform) = self.platform {
+            let directory = platform.directory;
+            running.spawn(follow_config(shared.clone(), directory()));
+            running.spawn(follow_upstreams(shared.clone(), directory()));
+            running.spawn(follow_daemons(shared.clone(), directory()));
+        } else {
+            let table = store_client(&shared).await;
+            running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
+            running.spawn(follow_hosts(shared.clone(), Box::new(table)));
+            running.spawn(read_loads(shared.clone(), upstream_client().await));
+            running.spawn(share_slots(shared.clone()));
+        }
         running.spawn(exchange_datagrams(shared.clone(), socket, announce));
         running.spawn(serve_config(shared.clone(), peer_listener));
         running.spawn(fetch_configs(shared.clone(), announcements));
-        running.spawn(read_loads(shared.clone(), upstream_client().await));
-        running.spawn(share_slots(shared.clone()));
         running.spawn(tick(shared));
         Ok(running)
     }
@@ -158,6 +210,38 @@
     Ok(server)
 }
 
+/// Serves the routed requests of a platform.
+fn serve_routed(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
+    let workers = shared.host.workers;
+    let shared = shared.clone();
+    let config = HttpServiceConfig::new()
+        .set_keepalive(KEEP_ALIVE)
+        .set_client_timeout(HEADERS_MAX)
+        .set_max_buf_size(HEADERS_MAX_BYTES);
+    let server = HttpServer::new(async move || {
+        let links = Links::new(Options::default());
+        let expiring = Rc::downgrade(&links);
+        ntex::rt::spawn(async move {
+            while let Some(links) = expiring.upgrade() {
+                links.close_expired();
+                drop(links);
+                tokio::time::sleep(LINKS_PAUSE).await;
+            }
+        });
+        App::new()
+            .state(shared.clone())
+            .state(links)
+            .default_service(web::to(routed::serve))
+    })
+    .config(SharedCfg::new("CALLERS").add(config))
+    .workers(workers)
+    .shutdown_timeout(CLOSE_MAX)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
 fn serve_admin(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
     let shared = shared.clone();
     let server = HttpServer::new(async move || {
--- /dev/null
+++ b/crates/link/src/connection.rs
@@ -0,0 +1,121 @@
+use std::{
+    future::poll_fn,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::{Body as _, Frame, Incoming},
+    client::conn::http1,
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    time::{Duration, timeout},
+};
+
+use crate::{LinkError, Options};
+
+/// Pause between two probes of a silent connection; the least that the system allows.
+const KEEPALIVE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Largest head of an answer.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// Open connection.
+pub(crate) struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: Pin<Box<Driver>>,
+    closed: bool,
+}
+
+/// Call that failed; a call that was not sent is given back.
+pub(crate) enum Failed {
+    NotSent(Box<Request<Full<Bytes>>>),
+    Lost(String),
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr, options: &Options) -> Result<Self, LinkError> {
+        let not_sent = |detail: String| LinkError::NotSent(detail);
+        let stream = timeout(options.connect_max, TcpStream::connect(address)).await;
+        let stream = stream
+            .map_err(|_| not_sent("connect timed out".to_owned()))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        let socket = SockRef::from(&stream);
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_PAUSE)
+            .with_interval(KEEPALIVE_PAUSE)
+            .with_retries(3);
+        let set = socket
+            .set_tcp_nodelay(true)
+            .and_then(|()| socket.set_tcp_keepalive(&keepalive))
+            .and_then(|()| socket.set_tcp_user_timeout(Some(options.silence_max)));
+        set.map_err(|error| not_sent(error.to_string()))?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_MAX_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        Ok(Self {
+            sender,
+            driver: Box::pin(driver),
+            closed: false,
+        })
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failed> {
+        let mut sent = pin!(self.sender.try_send_request(request));
+        let (driver, closed) = (&mut self.driver, &mut self.closed);
+        let result = poll_fn(|context| {
+            drive(driver, closed, context);
+            sent.as_mut().poll(context)
+        })
+        .await;
+        result.map_err(|mut error| match error.take_message() {
+            Some(request) => Failed::NotSent(Box::new(request)),
+            None => Failed::Lost(error.error().to_string()),
+        })
+    }
+
+    /// Reads the next part of an answer's body.
+    pub(crate) async fn next(
+        &mut self,
+        body: &mut Incoming,
+    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let (driver, closed) = (&mut self.driver, &mut self.closed);
+        poll_fn(|context| {
+            drive(driver, closed, context);
+            Pin::new(&mut *body).poll_frame(context)
+        })
+        .await
+    }
+
+    /// Returns whether another call can be sent: nothing arrived unasked and nothing is in flight.
+    pub(crate) async fn is_reusable(&mut self) -> bool {
+        let (driver, closed) = (&mut self.driver, &mut self.closed);
+        poll_fn(|context| {
+            drive(driver, closed, context);
+            Poll::Ready(())
+        })
+        .await;
+        !self.closed && self.sender.is_ready()
+    }
+}
+
+fn drive(driver: &mut Pin<Box<Driver>>, closed: &mut bool, context: &mut Context<'_>) {
+    if !*closed && driver.as_mut().poll(context).is_ready() {
+        *closed = true;
+    }
+}
--- a/crates/release/src/diff_tests.rs
+++ b/crates/release/src/diff_tests.rs
@@ -46,6 +46,7 @@
                 name,
                 answer_max_ms: 1,
                 non_idempotent: Vec::new(),
+                engine: None,
             }];
         }
         next
--- a/crates/route/benches/choose.rs
+++ b/crates/route/benches/choose.rs
@@ -20,6 +20,8 @@
         slots: 32,
         honours: Honours::default(),
         state: State::Live,
+        engine: None,
+        started_ms: None,
     };
     let mut config = Config {
         version: 1,
@@ -42,6 +44,8 @@
         output_tokens: 200,
         body_bytes: 4_000,
         prefix_hash,
+        parts: &[],
+        job: 0,
         resume: false,
         avoid: None,
     };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,6 +7,8 @@
 mod cohort;
 mod departures;
 mod ending;
+mod engine_load;
+mod engine_state;
 mod fit;
 mod group;
 mod hedge_budget;
@@ -15,6 +17,7 @@
 mod load;
 mod member;
 mod need;
+mod part_cache;
 mod pending;
 mod pick;
 mod place;
@@ -22,6 +25,7 @@
 #[cfg(test)]
 mod pool_fuzz_tests;
 mod prefix_table;
+mod prompt_part;
 mod ratio;
 mod seat;
 mod standing;
@@ -30,6 +34,7 @@
 mod tests;
 
 pub use self::{
-    ending::Ending, hedge_budget::HedgeBudget, load::Load, need::Need, pick::Pick, place::Place,
-    pool::Pool, standing::Standing, target::Target,
+    ending::Ending, engine_load::EngineLoad, hedge_budget::HedgeBudget, load::Load, need::Need,
+    pick::Pick, place::Place, pool::Pool, prompt_part::PromptPart, standing::Standing,
+    target::Target,
 };
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -3,7 +3,9 @@
 use settings::{State, Upstream};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Load, cohort::Cohort, pending::Pending, ratio::Ratio, seat::Seat};
+use crate::{
+    Load, cohort::Cohort, engine_state::EngineState, pending::Pending, ratio::Ratio, seat::Seat,
+};
 
 /// Waiting time over the expected one from which an awaited first token counts as slow.
 const SILENCE_RATIO: f64 = 3.0;
@@ -104,6 +106,8 @@
     pub jitter: f64,
     /// Slow-down at the last judgement.
     pub slowdown: f64,
+    /// Work and cache, if it is a model engine.
+    pub engine: EngineState,
     failures: u32,
     failed_us: u64,
     begun_before: u32,
@@ -136,6 +140,7 @@
             failing_until_us: 0,
             jitter: 0.0,
             slowdown: 1.0,
+            engine: EngineState::default(),
             failures: 0,
             failed_us: 0,
             begun_before: 0,
@@ -149,7 +154,8 @@
 
     /// Takes up new settings; what was observed at another address is forgotten.
     pub fn set_settings(&mut self, settings: &Upstream) {
-        if self.settings.address != settings.address {
+        let restarted = self.settings.started_ms != settings.started_ms;
+        if self.settings.address != settings.address || restarted {
             let old = std::mem::replace(self, Self::new(settings));
             self.outstanding = old.outstanding;
             self.share = old.share;
--- a/crates/route/src/need.rs
+++ b/crates/route/src/need.rs
@@ -1,4 +1,4 @@
-use crate::Target;
+use crate::{PromptPart, Target};
 
 /// What the choice of an upstream takes into account.
 #[derive(Debug, Clone, Copy)]
@@ -15,6 +15,10 @@
     pub body_bytes: u64,
     /// Hash of the prompt's prefix; 0 for none.
     pub prefix_hash: u64,
+    /// Parts of the prompt in order, for engines whose cache is known; empty if it has none.
+    pub parts: &'a [PromptPart],
+    /// Number of the job, by which its first token and end are told.
+    pub job: u64,
     /// Whether the upstream has to continue a begun answer.
     pub resume: bool,
     /// Upstream of the failed attempt before, used only if there is no other.
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -7,4 +7,6 @@
     pub upstream: Arc<str>,
     /// Whether the upstream orders its own queue by priority.
     pub honours_priority: bool,
+    /// Prompt tokens that the upstream reads before the first token: of this job and those ahead.
+    pub work_tokens: u32,
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod judgement;
 mod layout;
+mod placement;
 
 /// Upstreams in force, what this daemon runs on each and how each behaved.
 ///
--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -50,6 +50,12 @@
             self.members[index].probe_due_us = now_us.saturating_add(PROBE_US);
             return Some(self.take(now_us, index, need));
         }
+        if !need.parts.is_empty() {
+            let index = self.best_engine(now_us, group, need)?;
+            let since_probe = &mut self.groups[group].since_probe;
+            *since_probe = since_probe.saturating_add(1);
+            return Some(self.take(now_us, index, need));
+        }
         let avoided = need.avoid.and_then(|name| self.hide(group, name));
         let best = self.best(now_us, group, need);
         if let Some(index) = avoided {
@@ -220,12 +226,17 @@
 
     fn take(&mut self, now_us: u64, index: usize, need: &Need<'_>) -> Pick {
         self.picks += 1;
+        let work_tokens = if need.parts.is_empty() {
+            f64::from(need.prompt_tokens)
+        } else {
+            self.note_prompt(now_us, index, need)
+        };
         let member = &mut self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
         member.outstanding += 1;
         member.pending.push(Pending {
             sent_us: now_us,
-            expected_us: cohort.first_token.predict(f64::from(need.prompt_tokens)),
+            expected_us: cohort.first_token.predict(work_tokens),
         });
         let bits = xxh3_64_with_seed(&self.picks.to_le_bytes(), self.seed ^ member.id);
         member.jitter = 0.5 + 0.5 * unit(bits);
@@ -236,6 +247,7 @@
         let pick = Pick {
             upstream: member.name.clone(),
             honours_priority: member.settings.honours.priority,
+            work_tokens: whole(work_tokens),
         };
         self.rekey(now_us, index);
         pick
@@ -248,6 +260,16 @@
     (bits >> 11) as f64 / (1_u64 << 53) as f64
 }
 
+/// Rounds a sum of tokens.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float that is too large becomes the largest integer"
+)]
+const fn whole(tokens: f64) -> u32 {
+    tokens as u32
+}
+
 fn cheaper(a: Option<Candidate>, b: Option<Candidate>) -> Option<Candidate> {
     match (a, b) {
         (Some(a), Some(b)) => Some(if b.cost_us < a.cost_us { b } else { a }),
--- a/crates/route/src/pool/layout.rs
+++ b/crates/route/src/pool/layout.rs
@@ -135,6 +135,7 @@
             group.ring.sort_unstable();
             group.lanes.iter_mut().for_each(Lane::build);
         }
+        self.keep_engines_for_short();
     }
 }
 
--- a/crates/route/src/pool_fuzz_tests.rs
+++ b/crates/route/src/pool_fuzz_tests.rs
@@ -281,6 +281,8 @@
                     tier,
                     body_bytes,
                     prefix_hash,
+                    parts: &[],
+                    job: 0,
                     resume,
                     avoid: avoid_name,
                     ..base
--- a/crates/route/src/tests.rs
+++ b/crates/route/src/tests.rs
@@ -17,6 +17,8 @@
         slots: 32,
         honours: Honours::default(),
         state: State::Live,
+        engine: None,
+        started_ms: None,
     }
 }
 
@@ -49,6 +51,8 @@
         output_tokens: 100,
         body_bytes: 2_000,
         prefix_hash: 0,
+        parts: &[],
+        job: 0,
         resume: false,
         avoid: None,
     }
--- a/crates/sched/benches/decision.rs
+++ b/crates/sched/benches/decision.rs
@@ -3,7 +3,7 @@
 use std::{hint::black_box, sync::Arc};
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
-use sched::{Action, Dispatcher, Job, JobId, Outcome, Target};
+use sched::{Action, Dispatcher, Job, JobId, Outcome, Rules, Target};
 use settings::{Account, Class, Config, Honours, Kind, State, Upstream};
 
 const ACCOUNTS: usize = 440;
@@ -25,6 +25,8 @@
             ..Honours::default()
         },
         state: State::Live,
+        engine: None,
+        started_ms: None,
     };
     let account = |index: usize| Account {
         name: format!("account-{index:03}"),
@@ -35,6 +37,7 @@
         requests_in_flight: u32::MAX,
         tokens_in_flight: u64::MAX,
         weight: 1,
+        tier: None,
     };
     let class = |tier: u8| Class {
         name: format!("class-{tier}"),
@@ -105,6 +108,8 @@
             prefix_hash: self.next,
             deadline_us: u64::MAX / 2,
             idempotent: true,
+            prompt: [].into(),
+            rules: Rules::default(),
         };
         self.actions.clear();
         self.dispatcher.submit(0, job, &mut self.actions);
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -72,6 +72,8 @@
             output_tokens: entry.expected_tokens,
             body_bytes: entry.job.body_bytes,
             prefix_hash: entry.job.prefix_hash,
+            parts: &entry.job.prompt,
+            job: entry.job.id.0,
             resume: entry.tokens > 0,
             avoid: entry.avoid.as_deref(),
         };
@@ -98,10 +100,11 @@
             started_us: now_us,
             last_us: now_us,
             tokens: 0,
+            work_tokens: pick.work_tokens,
             reserved: turn.reserved,
         });
         if entry.attempt == 1 {
-            self.budget.start(now_us);
+            self.topology.lanes[turn.lane].budget.start(now_us);
         }
         self.topology.lanes[turn.lane].note_start(turn.tier);
         let group = self.topology.lanes[turn.lane].group;
@@ -127,7 +130,7 @@
         let long_key = (entry.item.tier, entry.level(), id.0);
         let lane = &self.topology.lanes[entry.item.lane];
         let resumable = lane.resumable;
-        let preemptable = entry.job.idempotent && (entry.tokens == 0 || resumable);
+        let preemptable = entry.job.is_preemptable() && (entry.tokens == 0 || resumable);
         let group = lane.group;
         let upstream = running.upstream.clone();
         let group = &mut self.topology.groups[group];
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -1,9 +1,9 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use code::{Code, Run};
-use limit::{Allowance, Limits, RetryBudget};
+use limit::{Allowance, Limits};
 use queue::{Lengths, Queue, TIERS};
-use route::{Ending, Load, Place, Pool, Standing};
+use route::{Ending, EngineLoad, Load, Place, Pool, Standing};
 use settings::Config;
 
 use crate::{
@@ -26,7 +26,6 @@
     pub(crate) queue_max: usize,
     pub(crate) lengths: Lengths,
     pub(crate) limits: Limits,
-    pub(crate) budget: RetryBudget,
     pub(crate) pool: Pool,
     pub(crate) topology: Topology,
     arrivals: u64,
@@ -177,10 +176,11 @@
         let first = running.tokens == 0;
         running.last_us = now_us;
         running.tokens = running.tokens.saturating_add(count);
-        let prompt_tokens = entry.job.prompt_tokens;
+        let work_tokens = running.work_tokens;
         if first {
             self.pool
-                .first_token(now_us, &running.upstream, elapsed_us, prompt_tokens);
+                .first_token(now_us, &running.upstream, elapsed_us, work_tokens);
+            self.pool.prompt_read(now_us, &running.upstream, id.0);
         } else {
             self.pool
                 .tokens(now_us, &running.upstream, elapsed_us, count);
@@ -303,6 +303,17 @@
         self.jobs.len()
     }
 
+    /// Returns this daemon's own work on each engine that has some, sorted by name.
+    #[must_use]
+    pub fn engine_loads(&self) -> Vec<(Arc<str>, EngineLoad)> {
+        self.pool.engine_loads()
+    }
+
+    /// Sets the work of all other daemons on an engine, as they told it.
+    pub fn set_foreign_load(&mut self, now_us: u64, upstream: &str, load: EngineLoad) {
+        self.pool.set_foreign_load(now_us, upstream, load);
+    }
+
     /// Returns how this daemon judges each upstream.
     #[must_use]
     pub fn standings(&self) -> Vec<Standing> {
@@ -331,6 +342,7 @@
         let entry = self.jobs.get_mut(&id)?;
         let running = entry.running.take()?;
         let upstream = &running.upstream;
+        self.pool.prompt_ended(upstream, id.0, ending);
         if running.tokens > 0 {
             self.pool.end_started(now_us, upstream, ending);
         } else {
@@ -415,7 +427,6 @@
             queue_max: QUEUE_MAX,
             lengths: Lengths::default(),
             limits: Limits::default(),
-            budget: RetryBudget::default(),
             pool: Pool::default(),
             topology: Topology::default(),
             arrivals: 0,
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -21,7 +21,10 @@
     pub(crate) item: Item,
     pub(crate) running: Option<Running>,
     pub(crate) attempt: u32,
+    /// Failed attempts that may have run.
     pub(crate) failures: u32,
+    /// Attempts that were not sent or rejected.
+    pub(crate) rejections: u32,
     /// Tokens that the caller has.
     pub(crate) tokens: u32,
     /// Expected length of the whole answer.
@@ -60,6 +63,7 @@
             running: None,
             attempt: 0,
             failures: 0,
+            rejections: 0,
             tokens: 0,
             expected_tokens: expected,
             expected_long: typical > LONG_TOKENS,
--- a/crates/sched/src/fixtures.rs
+++ b/crates/sched/src/fixtures.rs
@@ -2,7 +2,7 @@
 
 use settings::{Config, Honours, Kind, State, Upstream};
 
-use crate::{Job, JobId, Target};
+use crate::{Job, JobId, Rules, Target};
 
 /// Returns a configuration with the engines `a` and `b`.
 pub(crate) fn config(slots: u32) -> Config {
@@ -17,6 +17,8 @@
         slots,
         honours: Honours::default(),
         state: State::Live,
+        engine: None,
+        started_ms: None,
     };
     Config {
         upstreams: vec![upstream("a"), upstream("b")],
@@ -38,5 +40,7 @@
         prefix_hash: 0,
         deadline_us: 1_000_000,
         idempotent: true,
+        prompt: [].into(),
+        rules: Rules::default(),
     }
 }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 
-use route::Target;
+use route::{PromptPart, Target};
+
+use crate::Rules;
 
 /// Identifier of a job inside one daemon, growing with every job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,4 +33,15 @@
     pub deadline_us: u64,
     /// Whether the job may be sent again after an attempt that may have run.
     pub idempotent: bool,
+    /// Parts of the prompt in order, for engines whose cache is known; empty otherwise.
+    pub prompt: Arc<[PromptPart]>,
+    /// What the dispatcher may do with it.
+    pub rules: Rules,
+}
+
+impl Job {
+    /// Returns whether an attempt may be cancelled for other work.
+    pub(crate) const fn is_preemptable(&self) -> bool {
+        self.idempotent && self.rules.preemptable
+    }
 }
--- a/crates/sched/src/lane.rs
+++ b/crates/sched/src/lane.rs
@@ -1,3 +1,4 @@
+use limit::RetryBudget;
 use queue::{TIERS, Variant};
 use route::Target;
 
@@ -16,6 +17,8 @@
     /// Variants by tier that found no room since the last slot became free.
     pub(crate) full: [u8; TIERS],
     pub(crate) running: u32,
+    /// Bound on retries, of each model and service by itself.
+    pub(crate) budget: RetryBudget,
     /// Time for which an attempt holds its slot.
     pub(crate) hold_us: Mean,
     /// Time for which an attempt holds its slot, for each token of service, in 1/16 us.
@@ -32,6 +35,7 @@
             resumable: false,
             full: [0; TIERS],
             running: 0,
+            budget: RetryBudget::default(),
             hold_us: Mean::default(),
             token_time: Mean::default(),
             higher_permille: [0; TIERS],
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -33,6 +33,7 @@
 mod preempt;
 mod reason;
 mod retry;
+mod rules;
 mod running;
 #[cfg(test)]
 mod tests;
@@ -45,5 +46,6 @@
     job::{Job, JobId},
     outcome::Outcome,
     reason::Reason,
+    rules::Rules,
 };
-pub use route::{Load, Place, Standing, Target};
+pub use route::{EngineLoad, Load, Place, PromptPart, Standing, Target};
--- a/crates/sched/src/oracle.rs
+++ b/crates/sched/src/oracle.rs
@@ -6,7 +6,7 @@
 use route::Need;
 use settings::{Class, Config, Honours, Kind, State, Upstream};
 
-use crate::{Action, Dispatcher, Job, JobId, Outcome, Reason, Target};
+use crate::{Action, Dispatcher, Job, JobId, Outcome, Reason, Rules, Target};
 
 /// Bound on waiting jobs, small so that it is reached.
 pub(crate) const QUEUE_MAX: usize = 6;
@@ -327,6 +327,8 @@
                 output_tokens: 0,
                 body_bytes: tracked.job.body_bytes,
                 prefix_hash: tracked.job.prefix_hash,
+                parts: &[],
+                job: 0,
                 resume: tracked.tokens > 0,
                 avoid: None,
             };
@@ -423,6 +425,8 @@
             ..Honours::default()
         },
         state: State::Live,
+        engine: None,
+        started_ms: None,
     };
     Config {
         classes: vec![class(0, 0), class(1, 20), class(2, 10)],
@@ -444,5 +448,7 @@
         prefix_hash: 0,
         deadline_us: wait_ms * 1_000,
         idempotent,
+        prompt: [].into(),
+        rules: Rules::default(),
     }
 }
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -5,9 +5,6 @@
 
 use crate::{Action, Dispatcher, JobId, Outcome, Reason, admission::RETRY_AFTER_MS};
 
-/// Failed attempts of one job; preemptions don't count.
-const FAILURES_MAX: u32 = 3;
-
 impl Dispatcher {
     /// Queues a job again after a failed attempt, or refuses it.
     pub(crate) fn retry_or_refuse(
@@ -20,24 +17,35 @@
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
-        entry.failures += 1;
+        let rejected = matches!(outcome, Outcome::NotSent | Outcome::Rejected);
+        if rejected {
+            entry.rejections += 1;
+        } else {
+            entry.failures += 1;
+        }
         if matches!(outcome, Outcome::LostMidStream { .. } | Outcome::Failed) {
             entry.run = Run::Yes;
         } else if outcome == Outcome::LostBeforeAnswer {
             entry.note_run();
         }
-        let resumable = self.topology.lanes[entry.item.lane].resumable;
+        let (job, rules) = (&entry.job, entry.job.rules);
+        let lane = &mut self.topology.lanes[entry.item.lane];
+        let resumable = lane.resumable;
         let repeatable = match outcome {
             Outcome::NotSent | Outcome::Rejected => true,
-            Outcome::LostBeforeAnswer => entry.job.idempotent,
-            Outcome::LostMidStream { resumable } => entry.job.idempotent && resumable,
-            Outcome::Complete | Outcome::Failed => false,
+            Outcome::LostBeforeAnswer => job.idempotent,
+            Outcome::LostMidStream { resumable } => job.idempotent && resumable,
+            Outcome::Failed => job.idempotent && rules.retries_errors,
+            Outcome::Complete => false,
         } && (entry.tokens == 0 || resumable);
+        let used_up = entry.failures >= rules.attempts_max
+            || rejected && entry.rejections >= rules.rejections_max;
         let reason = if !repeatable {
             Reason::NotRepeatable
-        } else if entry.failures >= FAILURES_MAX {
+        } else if used_up {
             Reason::AttemptsUsed
-        } else if !self.budget.retry(now_us) {
+        } else if outcome != Outcome::NotSent && !lane.budget.retry(now_us) {
+            // What was not sent costs the upstreams nothing.
             Reason::RetryBudget
         } else {
             self.requeue(now_us, id);
--- a/crates/sched/src/running.rs
+++ b/crates/sched/src/running.rs
@@ -7,6 +7,8 @@
     pub(crate) started_us: u64,
     /// Time of the last token, or of the start.
     pub(crate) last_us: u64,
+    /// Prompt tokens that the upstream reads before the first token.
+    pub(crate) work_tokens: u32,
     /// Tokens of this attempt.
     pub(crate) tokens: u32,
     /// Whether it runs on the share reserved for its tier.
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -2,7 +2,8 @@
 use sha2::{Digest as _, Sha256};
 
 use crate::{
-    Account, Class, Document, Kind, Problem, Service, Upstream, api_key::hex, rules, shapes,
+    Account, CallerLimits, Class, Document, Kind, Problem, Route, Service, Upstream, api_key::hex,
+    rules, shapes,
 };
 
 /// Fleet configuration of one version; every list is sorted by name.
@@ -19,6 +20,12 @@
     pub upstreams: Vec<Upstream>,
     /// Plain services.
     pub services: Vec<Service>,
+    /// Routes, sorted by host name and path prefix.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<Route>,
+    /// Bounds on callers of routes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
 }
 
 impl Config {
@@ -59,6 +66,8 @@
         self.accounts.sort_by(|a, b| a.name.cmp(&b.name));
         self.upstreams.sort_by(|a, b| a.name.cmp(&b.name));
         self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.routes
+            .sort_by(|a, b| (&a.host, &a.path_prefix).cmp(&(&b.host, &b.path_prefix)));
     }
 
     /// Returns the class of this name.
@@ -97,6 +106,19 @@
         index.ok().map(|index| &self.services[index])
     }
 
+    /// Returns the route of a host name with the longest prefix of the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
+        let mut prefixes = ends.map(|end| &path[..end]);
+        prefixes.find_map(|prefix| {
+            let found = self.routes.binary_search_by(|route| {
+                (route.host.as_str(), route.path_prefix.as_str()).cmp(&(host, prefix))
+            });
+            found.ok().map(|index| &self.routes[index])
+        })
+    }
+
     /// Returns the names of all models in force, sorted and without repeats.
     #[must_use]
     pub fn models(&self) -> Vec<&str> {
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -1,8 +1,11 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Document, PeerKey, Problem, rules, shapes};
+use crate::{Document, PeerKey, Problem, ZonePlace, rules, shapes};
+
+/// Time left for the last bytes to leave before the process is killed.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
 
 /// Settings of one host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +27,24 @@
     pub store: SocketAddr,
     /// Keys between daemons, the signing key first.
     pub peer_keys: Vec<PeerKey>,
+    /// Address for metrics alone, beside the one for operators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics_listen: Option<SocketAddr>,
+    /// Peer addresses of daemons to ask before the list of hosts is known; they may be stale.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seeds: Vec<SocketAddr>,
+    /// Region of each availability zone; a zone that is missing is in the host's own region.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<ZonePlace>,
+    /// Shortest planned stop: callers go on sending until the balancer has noticed.
+    #[serde(default)]
+    pub drain_min_ms: u64,
+    /// Time after the signal to stop at which the process is killed; bounds the planned stop if set.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stop_grace_s: Option<u64>,
+    /// Retries for each hundred requests of a service.
+    #[serde(default = "default_retry_percent")]
+    pub retry_percent: u64,
     /// Threads that serve callers.
     #[serde(default = "default_workers")]
     pub workers: usize,
@@ -53,12 +74,34 @@
     pub fn parse(text: &str) -> Result<Self, Vec<Problem>> {
         Document::parse(text)?.read(&shapes::HOST, rules::check_host)
     }
+
+    /// Returns the longest planned stop.
+    #[must_use]
+    pub fn drain_max(&self) -> Duration {
+        let limit = Duration::from_millis(self.drain_max_ms);
+        self.stop_grace_s.map_or(limit, |grace_s| {
+            let grace = Duration::from_secs(grace_s);
+            limit.min(grace.saturating_sub(KILL_MARGIN))
+        })
+    }
+
+    /// Returns the region of an availability zone.
+    #[must_use]
+    pub fn region_of(&self, zone: &str) -> &str {
+        let place = self.zones.iter().find(|place| place.zone == zone);
+        place.map_or(&self.region, |place| &place.region)
+    }
 }
 
 const fn default_workers() -> usize {
     2
 }
 
+/// A tenth more load does not tip over a service that has any room left.
+const fn default_retry_percent() -> u64 {
+    10
+}
+
 /// 8 MiB hold a long manual or a few photos.
 const fn default_body_bytes() -> usize {
     8 * 1024 * 1024
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -21,39 +21,51 @@
 
 mod account;
 mod api_key;
+mod caller_limits;
 mod class;
 mod config;
 mod document;
+mod engine;
 mod field;
 mod honours;
 mod host;
 mod limits;
 mod peer_key;
 mod problem;
+mod request_kind;
+mod route;
 mod rules;
 mod service;
 mod shape;
 pub mod shapes;
+mod share;
 mod state;
 mod suggest;
 #[cfg(test)]
 mod tests;
 mod upstream;
+mod zone_place;
 
 pub use self::{
     account::Account,
     api_key::hash_api_key,
+    caller_limits::CallerLimits,
     class::Class,
     config::Config,
     document::Document,
+    engine::Engine,
     field::Field,
     honours::Honours,
     host::Host,
     peer_key::PeerKey,
     problem::Problem,
+    request_kind::RequestKind,
+    route::Route,
     rules::check_config_value,
     service::{Rule, Service},
     shape::Shape,
+    share::Share,
     state::State,
     upstream::{Kind, Upstream},
+    zone_place::ZonePlace,
 };
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -26,6 +26,13 @@
 pub(crate) const TOKENS_IN_FLIGHT: Range = 1..=1_000_000_000;
 pub(crate) const WEIGHT: Range = 1..=1_000;
 
+/// Domain names have at most 253 characters.
+pub(crate) const HOST_LENGTH: Range = 1..=253;
+pub(crate) const SHARE_WEIGHT: Range = 0..=1_000_000;
+pub(crate) const ATTEMPTS_MAX: Range = 1..=16;
+/// Engines hold up to some hundred million tokens.
+pub(crate) const CACHE_TOKENS: Range = 1..=1_000_000_000;
+pub(crate) const RETRY_PERCENT: Range = 0..=100;
 pub(crate) const SLOTS: Range = 1..=65_536;
 pub(crate) const ANSWER_MAX_MS: Range = 1..=3_600_000;
 
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::Engine;
+
 /// Plain service that several upstreams provide.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -11,6 +13,9 @@
     /// Calls that may not be repeated.
     #[serde(default)]
     pub non_idempotent: Vec<Rule>,
+    /// Sizes of its engines, if it is served by model engines.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<Engine>,
 }
 
 impl Service {
@@ -23,7 +28,7 @@
     ///
     /// let rule = Rule { method: "POST".into(), path_prefix: "/reservations".into() };
     /// let service =
-    ///     Service { name: "inventory".into(), answer_max_ms: 5_000, non_idempotent: vec![rule] };
+    ///     Service { name: "inventory".into(), answer_max_ms: 5_000, non_idempotent: vec![rule], engine: None };
     /// assert!(service.is_non_idempotent("POST", "/reservations"));
     /// assert!(!service.is_non_idempotent("GET", "/reservations/7"));
     /// ```
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -26,6 +26,7 @@
     Field::required("requests_in_flight", Shape::Number(l::REQUESTS_IN_FLIGHT)),
     Field::required("tokens_in_flight", Shape::Number(l::TOKENS_IN_FLIGHT)),
     Field::optional("weight", Shape::Number(l::WEIGHT)),
+    Field::optional("tier", Shape::Number(l::TIER)),
 ]);
 
 const HONOURS: Shape = Shape::Object(&[
@@ -47,8 +48,15 @@
     Field::required("slots", Shape::Number(l::SLOTS)),
     Field::optional("honours", HONOURS),
     Field::optional("state", Shape::OneOf(&["live", "leaving"])),
+    Field::optional("engine", ENGINE),
+    Field::optional("started_ms", Shape::Number(l::ANY)),
 ]);
 
+const ENGINE: Shape = Shape::Object(&[Field::required(
+    "cache_tokens",
+    Shape::Number(l::CACHE_TOKENS),
+)]);
+
 const RULE: Shape = Shape::Object(&[
     Field::required(
         "method",
@@ -62,6 +70,37 @@
     Field::required("name", NAME),
     Field::required("answer_max_ms", Shape::Number(l::ANSWER_MAX_MS)),
     Field::optional("non_idempotent", Shape::List(0, &RULE)),
+    Field::optional("engine", ENGINE),
+]);
+
+const SHARE: Shape = Shape::Object(&[
+    Field::required("service", NAME),
+    Field::required("weight", Shape::Number(l::SHARE_WEIGHT)),
+]);
+
+/// Form of a [`Route`](crate::Route).
+pub const ROUTE: Shape = Shape::Object(&[
+    Field::required("name", NAME),
+    Field::required("host", Shape::Text(l::HOST_LENGTH)),
+    Field::required("path_prefix", Shape::Text(l::PATH_LENGTH)),
+    Field::required(
+        "kind",
+        Shape::OneOf(&["idempotent", "non_idempotent", "stream", "resumable_stream"]),
+    ),
+    Field::required("timeout_ms", Shape::Number(l::ANSWER_MAX_MS)),
+    Field::required("target_ms", Shape::Number(l::ANSWER_MAX_MS)),
+    Field::optional("event_gap_ms", Shape::Number(0..=*l::TOKEN_GAP_MS.end())),
+    Field::required("tier", Shape::Number(l::TIER)),
+    Field::required("attempts_max", Shape::Number(l::ATTEMPTS_MAX)),
+    Field::optional("public", Shape::Bool),
+    Field::required("shares", Shape::List(1, &SHARE)),
+]);
+
+const CALLER_LIMITS: Shape = Shape::Object(&[
+    Field::required("header_max_bytes", Shape::Number(l::BODY_MAX_BYTES)),
+    Field::required("body_max_bytes", Shape::Number(l::BODY_MAX_BYTES)),
+    Field::required("header_max_ms", Shape::Number(l::RECEIVE_MAX_MS)),
+    Field::required("idle_max_ms", Shape::Number(l::RECEIVE_MAX_MS)),
 ]);
 
 /// Form of a [`Config`](crate::Config).
@@ -71,6 +110,8 @@
     Field::required("accounts", Shape::List(0, &ACCOUNT)),
     Field::required("upstreams", Shape::List(0, &UPSTREAM)),
     Field::required("services", Shape::List(0, &SERVICE)),
+    Field::optional("routes", Shape::List(0, &ROUTE)),
+    Field::optional("caller_limits", CALLER_LIMITS),
 ]);
 
 const PEER_KEY: Shape = Shape::Object(&[
@@ -78,6 +119,11 @@
     Field::required("secret_hex", Shape::Hex(l::SECRET_LENGTH)),
 ]);
 
+const ZONE: Shape = Shape::Object(&[
+    Field::required("zone", NAME),
+    Field::required("region", NAME),
+]);
+
 /// Form of a [`Host`](crate::Host).
 pub const HOST: Shape = Shape::Object(&[
     Field::required("name", NAME),
@@ -88,6 +134,12 @@
     Field::required("peer_listen", Shape::Address),
     Field::required("store", Shape::Address),
     Field::required("peer_keys", Shape::List(1, &PEER_KEY)),
+    Field::optional("metrics_listen", Shape::Address),
+    Field::optional("drain_min_ms", Shape::Number(l::DRAIN_MAX_MS)),
+    Field::optional("stop_grace_s", Shape::Number(l::DRAIN_MAX_MS)),
+    Field::optional("retry_percent", Shape::Number(l::RETRY_PERCENT)),
+    Field::optional("seeds", Shape::List(0, &Shape::Address)),
+    Field::optional("zones", Shape::List(0, &ZONE)),
     Field::optional("workers", Shape::Number(l::WORKERS)),
     Field::optional("body_max_bytes", Shape::Number(l::BODY_MAX_BYTES)),
     Field::optional("receive_max_ms", Shape::Number(l::RECEIVE_MAX_MS)),
--- a/crates/settings/src/upstream.rs
+++ b/crates/settings/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Honours, State};
+use crate::{Engine, Honours, State};
 
 /// Back end to which requests are routed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +32,12 @@
     /// Whether the upstream takes new work.
     #[serde(default)]
     pub state: State,
+    /// Sizes of an engine, by which long prompts are placed; without them only slots count.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<Engine>,
+    /// Unix time of its start, if it tells; another one means that it has forgotten everything.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
 }
 
 /// Kind of an upstream.
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -32,6 +32,7 @@
             requests_in_flight: 10_000,
             tokens_in_flight: 100_000_000,
             weight: 1,
+            tier: None,
         }],
         upstreams: engines
             .iter()
@@ -45,7 +46,9 @@
                 method: "POST".to_owned(),
                 path_prefix: "/reservations".to_owned(),
             }],
+            engine: None,
         }],
+        ..Config::default()
     };
     config.upstreams.extend(
         services
@@ -73,6 +76,12 @@
             id: 1,
             secret_hex: "00112233445566778899aabbccddeeff".to_owned(),
         }],
+        metrics_listen: None,
+        seeds: Vec::new(),
+        zones: Vec::new(),
+        drain_min_ms: 0,
+        stop_grace_s: None,
+        retry_percent: 10,
         workers: 2,
         body_max_bytes: 1 << 20,
         receive_max_ms: 5_000,
@@ -120,5 +129,7 @@
         slots: 16,
         honours: Honours::default(),
         state: State::Live,
+        engine: None,
+        started_ms: None,
     }
 }
