--- a/crates/daemon/src/directory/fleet.rs
+++ b/crates/daemon/src/directory/fleet.rs
@@ -20,7 +20,9 @@
 
 impl Fleet {
     /// Puts a configuration in force if it is newer; returns whether it was.
-    pub(crate) fn offer_config(&self, shared: &Shared, config: Config, source: &str) -> bool {
+    ///
+    /// The upstreams that a peer passes on with it count only while the store was never read.
+    pub(crate) fn offer_config(&self, shared: &Shared, mut config: Config, source: &str) -> bool {
         // Held while the configuration is put in force, so that two offers can't swap places.
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let in_force = known.config.as_ref().map_or(0, |config| config.version);
@@ -33,6 +35,10 @@
             config.routes.len(),
             config.accounts.len()
         );
+        let upstreams = std::mem::take(&mut config.upstreams);
+        if known.roster.upstreams().is_empty() {
+            known.roster.take(shared.clock.now_us(), upstreams);
+        }
         known.config = Some(config);
         shared.replace_config(known.merged());
         true
--- a/crates/daemon/src/peers/fetch.rs
+++ b/crates/daemon/src/peers/fetch.rs
@@ -1,7 +1,7 @@
 use std::{sync::Arc, time::Duration};
 
 use eyre::{Result, ensure};
-use log::{debug, info};
+use log::{debug, info, warn};
 use peer::Frame;
 use tokio::{net::TcpStream, sync::mpsc::Receiver, time::timeout};
 
@@ -38,7 +38,7 @@
         let fetched = timeout(FETCH_MAX, fetch(&shared, &announcement)).await;
         match fetched.unwrap_or_else(|limit| Err(limit.into())) {
             Ok(Some(value)) => {
-                if shared.releases.offer(&shared, &value) {
+                if take_up(&shared, &value, peer) {
                     info!("release: took up what {peer} passed on");
                 }
             }
@@ -48,6 +48,20 @@
     }
 }
 
+/// Puts a fetched configuration in force if it is whole and newer.
+fn take_up(shared: &Shared, value: &str, peer: &str) -> bool {
+    if !shared.is_routed() {
+        return shared.releases.offer(shared, value);
+    }
+    match serde_json::from_str(value) {
+        Ok(config) => shared.fleet.offer_config(shared, config, peer),
+        Err(error) => {
+            warn!("config: ignored what {peer} passed on: {error}");
+            false
+        }
+    }
+}
+
 async fn fetch(shared: &Shared, announcement: &Announcement) -> Result<Option<String>> {
     let keys = &shared.peers.keys;
     let mut stream = TcpStream::connect(announcement.address).await?;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -64,6 +64,11 @@
         self
     }
 
+    /// Returns whether the daemon serves routed requests of a platform.
+    pub(crate) const fn is_routed(&self) -> bool {
+        self.dialect.is_some()
+    }
+
     /// Returns the translation of routed requests.
     ///
     /// # Panics
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -8,7 +8,7 @@
 //! - The delay for short answers that run beside a long prompt. Some engines of each region are
 //!   kept for short prompts; both kinds use the others' engines when that is faster all the same.
 //! - Where a prompt's shared part is cached. Rendezvous hashing gives each shared part the same
-//!   home engine in every daemon of a region, so that it is read once and no messages are needed.
+//!   home engine in every daemon, so that it is read once and no messages are needed.
 
 use std::sync::Arc;
 
@@ -19,14 +19,22 @@
 
 /// Cost of distance: round trip, and the price of traffic between zones and regions expressed as
 /// the delay that callers value alike.
-const DISTANCE_US: [f64; DISTANCES] = [0.0, 8_000.0, 180_000.0];
+const DISTANCE_US: [f64; DISTANCES] = [0.0, 8_000.0, 100_000.0];
 
 /// Chance that the home of a shared part keeps it although this daemon did not send it there.
 const HOME_CHANCE: f64 = 0.6;
 
+/// Cost of reading a shared token on one more engine, beside the time that it takes: it uses memory
+/// that another part could use, and time that other prompts need.
+const COPY_US: f64 = 60.0;
+
+/// Part of that cost on the engine that is next in line after the home, so that copies of a part in
+/// great demand gather on few engines.
+const SECOND_HOME: f64 = 0.6;
+
 /// Cost of a long prompt on an engine that is kept for short ones, and the reverse.
 const LONG_AMONG_SHORT_US: f64 = 900_000.0;
-const SHORT_AMONG_LONG_US: f64 = 120_000.0;
+const SHORT_AMONG_LONG_US: f64 = 400_000.0;
 
 /// Part of the reading time by which a short answer beside it counts as delayed.
 const DELAY_WEIGHT: f64 = 0.25;
@@ -40,6 +48,13 @@
 /// One engine in this many is kept for short prompts.
 const SHORT_ENGINES_DIVISOR: usize = 4;
 
+/// Engines on which a shared part of a prompt is kept.
+#[derive(Debug, Clone, Copy, Default)]
+struct Homes {
+    first: Option<usize>,
+    second: Option<usize>,
+}
+
 impl Pool {
     /// Chooses the engine of a group for a prompt; `None` if none can take it.
     pub(super) fn best_engine(&self, now_us: u64, group: usize, need: &Need<'_>) -> Option<usize> {
@@ -54,7 +69,7 @@
         need: &Need<'_>,
         sound: bool,
     ) -> Option<usize> {
-        let home = self.home(group, need.parts);
+        let homes = self.homes(group, need.parts);
         let members = self.groups[group].lanes.iter().enumerate();
         let members = members.flat_map(|(lane, entry)| {
             entry
@@ -69,7 +84,7 @@
             if !fit || sound && (member.ejected || member.is_failing(now_us)) {
                 continue;
             }
-            let cost_us = self.placement_cost_us(now_us, need, index, distance, home);
+            let cost_us = self.placement_cost_us(now_us, need, index, distance, homes);
             if best.is_none_or(|(least_us, _)| cost_us < least_us) {
                 best = Some((cost_us, index));
             }
@@ -83,7 +98,7 @@
         need: &Need<'_>,
         index: usize,
         distance: usize,
-        home: Option<usize>,
+        homes: Homes,
     ) -> f64 {
         let member = &self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
@@ -91,16 +106,20 @@
         let work = member.engine.work(now_us, token_us);
         let all_tokens: u32 = need.parts.iter().map(|part| part.tokens).sum();
         let unread_tokens = member.engine.cache.unread_tokens(need.parts);
+        let own_tokens = need.parts.last().map_or(0, |part| part.tokens);
+        let shared = f64::from(unread_tokens.saturating_sub(own_tokens));
         let mut unread = f64::from(unread_tokens);
-        if home == Some(index) {
-            let own = need.parts.last().map_or(0, |part| part.tokens);
-            let shared = unread_tokens.saturating_sub(own);
-            unread -= HOME_CHANCE * f64::from(shared);
+        let mut copy_us = COPY_US * shared;
+        if homes.first == Some(index) {
+            unread -= HOME_CHANCE * shared;
+            copy_us = 0.0;
+        } else if homes.second == Some(index) {
+            copy_us *= SECOND_HOME;
         }
         let work_tokens = work.ahead_tokens(need.tier) + unread;
         let slowdown = member.slowdown.max(1.0);
         let mut cost_us = cohort.first_token.predict(work_tokens) * slowdown;
-        cost_us += DISTANCE_US[distance];
+        cost_us += DISTANCE_US[distance] + copy_us;
         cost_us += BATCH_US * (work.running + f64::from(member.outstanding)) * slowdown;
         cost_us += DELAY_WEIGHT * unread * token_us * work.short_running;
         let short = all_tokens <= SHORT_TOKENS;
@@ -115,16 +134,31 @@
         cost_us + member.jitter * JITTER_US
     }
 
-    /// Returns the engine of this region that is the home of a prompt's last shared part.
-    fn home(&self, group: usize, parts: &[PromptPart]) -> Option<usize> {
-        let shared = parts.len().checked_sub(2).map(|index| parts[index])?;
-        let ring = self.groups[group].ring.iter();
-        let sound = ring.filter(|&&(_, index)| {
-            let member = &self.members[index as usize];
-            member.is_usable() && !member.engine.keeps_short
-        });
-        let home = sound.max_by_key(|&&(id, _)| xxh3_64_with_seed(&shared.id.to_le_bytes(), id));
-        home.map(|&(_, index)| index as usize)
+    /// Returns the engines that are the first and second home of a prompt's last shared part.
+    ///
+    /// They are the same for every daemon: reading a part once more takes longer than the way to
+    /// another region.
+    fn homes(&self, group: usize, parts: &[PromptPart]) -> Homes {
+        let mut homes = Homes::default();
+        let Some(shared) = parts.len().checked_sub(2).map(|index| parts[index]) else {
+            return homes;
+        };
+        let (mut first, mut second) = (0, 0);
+        let lanes = self.groups[group].lanes.iter();
+        for index in lanes.flat_map(Lane::members).map(|&index| index as usize) {
+            let member = &self.members[index];
+            if !member.is_live() || member.engine.keeps_short {
+                continue;
+            }
+            let rank = xxh3_64_with_seed(&shared.id.to_le_bytes(), member.id);
+            if rank > first {
+                (second, homes.second) = (first, homes.first);
+                (first, homes.first) = (rank, Some(index));
+            } else if rank > second {
+                (second, homes.second) = (rank, Some(index));
+            }
+        }
+        homes
     }
 
     /// Chooses the engines of each region that are kept for short prompts.
