--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod loads;
 mod logs;
 mod models;
+mod peer_loads;
 mod peers;
 mod progress;
 mod refusal;
@@ -32,6 +33,7 @@
 mod sharing;
 mod sse_body;
 mod start;
+mod tell_loads;
 mod view;
 
 pub use self::{
--- /dev/null
+++ b/crates/daemon/src/peer_loads_tests.rs
@@ -0,0 +1,23 @@
+use sched::EngineLoad;
+
+use super::{LOADS_MAX_US, PeerLoads};
+
+fn running(running: u32) -> EngineLoad {
+    EngineLoad {
+        running,
+        ..EngineLoad::default()
+    }
+}
+
+/// Guards against counting what a daemon told before, and what one told that is gone.
+#[test]
+fn counts_the_last_word_of_each_live_daemon() {
+    let mut loads = PeerLoads::default();
+    loads.take(0, "b", &[(7, running(3)), (2, running(1))]);
+    loads.take(1, "a", &[(7, running(5))]);
+    assert_eq!(loads.on(7), running(8));
+    loads.take(2, "b", &[(2, running(4))]);
+    assert_eq!((loads.on(7), loads.on(2)), (running(5), running(4)));
+    loads.expire(1 + LOADS_MAX_US);
+    assert_eq!((loads.on(7), loads.on(2)), (running(0), running(4)));
+}
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::{AbortHandle, abortable};
-use log::info;
+use log::{debug, info};
 use ntex::{rt::JoinHandle, server::Server};
 
 use crate::shared::Shared;
@@ -9,6 +9,9 @@
 /// Pause between two looks at the jobs in flight during a planned stop.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time for the last bytes of answers to leave, after all work in flight has ended.
+const CLOSE_MAX: Duration = Duration::from_millis(400);
+
 /// Running daemon.
 pub struct Running {
     pub(crate) shared: Arc<Shared>,
@@ -92,7 +95,13 @@
                 "cut off by its deadline"
             }
         );
-        self.callers.stop(drained).await;
+        // Idle connections that callers keep open would hold the server for much longer.
+        if tokio::time::timeout(CLOSE_MAX, self.callers.stop(drained))
+            .await
+            .is_err()
+        {
+            debug!("drain: callers keep idle connections open");
+        }
         self.admin.stop(false).await;
         for (handle, joined) in self.tasks {
             handle.abort();
--- a/crates/daemon/src/sharing.rs
+++ b/crates/daemon/src/sharing.rs
@@ -1,10 +1,12 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use grant::{Budget, Demand, Grants, Holder, Home, Peer, Plan};
-use sched::JobId;
+use sched::{EngineLoad, JobId};
 use serde::{Deserialize, Serialize};
 use settings::{Config, Kind, State};
 
+use crate::peer_loads::PeerLoads;
+
 /// Message between the holder and the home of grants, the payload of a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -12,6 +14,8 @@
     Demand(Demand),
     /// Answer of a home.
     Grants(Grants),
+    /// Sender's own work on engines, by the hash of their names.
+    Loads(Vec<(u64, EngineLoad)>),
 }
 
 /// This daemon's part in sharing upstream slots: it holds grants, and is the home of some.
@@ -23,6 +27,8 @@
     home: Home,
     planned: Option<(u64, Vec<Peer>)>,
     running: BTreeMap<JobId, (Arc<str>, u8)>,
+    /// Work of the other daemons on engines.
+    pub(crate) peer_loads: PeerLoads,
 }
 
 impl Sharing {
@@ -35,6 +41,7 @@
             home: Home::new(host, epoch),
             planned: None,
             running: BTreeMap::new(),
+            peer_loads: PeerLoads::default(),
         }
     }
 
@@ -106,6 +113,10 @@
                 self.holder.grants(now_us, from, grants);
                 None
             }
+            Message::Loads(loads) => {
+                self.peer_loads.take(now_us, from, loads);
+                None
+            }
         }
     }
 
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -33,6 +33,7 @@
     running::Running,
     services::{self, ServiceLinks},
     shared::Shared,
+    tell_loads::tell_loads,
 };
 
 /// Time limit of one call to the table service.
@@ -142,6 +143,7 @@
             running.spawn(follow_config(shared.clone(), directory()));
             running.spawn(follow_upstreams(shared.clone(), directory()));
             running.spawn(follow_daemons(shared.clone(), directory()));
+            running.spawn(tell_loads(shared.clone()));
         } else {
             let table = store_client(&shared).await;
             running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -15,7 +15,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Pool;
-use crate::{Ending, EngineLoad, Need, PromptPart, engine_state::SHORT_TOKENS, group::DISTANCES};
+use crate::{
+    Ending, EngineLoad, Need, PromptPart, engine_state::SHORT_TOKENS, group::DISTANCES, lane::Lane,
+};
 
 /// Cost of distance: round trip, and the price of traffic between zones and regions expressed as
 /// the delay that callers value alike.
@@ -26,7 +28,7 @@
 
 /// Cost of reading a shared token on one more engine, beside the time that it takes: it uses memory
 /// that another part could use, and time that other prompts need.
-const COPY_US: f64 = 60.0;
+const COPY_US: f64 = 600.0;
 
 /// Part of that cost on the engine that is next in line after the home, so that copies of a part in
 /// great demand gather on few engines.
@@ -45,8 +47,8 @@
 /// Largest difference by chance, so that daemons order equal engines differently.
 const JITTER_US: f64 = 1_000.0;
 
-/// One engine in this many is kept for short prompts.
-const SHORT_ENGINES_DIVISOR: usize = 4;
+/// One engine in this many of a region is kept for short prompts, rounded to the nearest number.
+const SHORT_ENGINES_DIVISOR: usize = 6;
 
 /// Engines on which a shared part of a prompt is kept.
 #[derive(Debug, Clone, Copy, Default)]
@@ -181,7 +183,9 @@
                 .collect();
             engines.sort_unstable();
             for region in engines.chunk_by(|a, b| a.0 == b.0) {
-                for &(_, _, index) in &region[..region.len() / SHORT_ENGINES_DIVISOR] {
+                for &(_, _, index) in
+                    &region[..(region.len() + SHORT_ENGINES_DIVISOR / 2) / SHORT_ENGINES_DIVISOR]
+                {
                     self.members[index as usize].engine.keeps_short = true;
                 }
             }
@@ -236,6 +240,14 @@
         loads.filter(|(_, load)| !load.is_idle()).collect()
     }
 
+    /// Returns the names of the engines whose work is known, sorted.
+    #[must_use]
+    pub fn engines(&self) -> Vec<Arc<str>> {
+        let members = self.members.iter();
+        let engines = members.filter(|member| member.settings.engine.is_some());
+        engines.map(|member| member.name.clone()).collect()
+    }
+
     /// Sets the work of all other daemons on an engine, as they told it.
     pub fn set_foreign_load(&mut self, now_us: u64, upstream: &str, load: EngineLoad) {
         if let Some(index) = self.index(upstream) {
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -309,6 +309,12 @@
         self.pool.engine_loads()
     }
 
+    /// Returns the names of the engines whose work is known, sorted.
+    #[must_use]
+    pub fn engines(&self) -> Vec<Arc<str>> {
+        self.pool.engines()
+    }
+
     /// Sets the work of all other daemons on an engine, as they told it.
     pub fn set_foreign_load(&mut self, now_us: u64, upstream: &str, load: EngineLoad) {
         self.pool.set_foreign_load(now_us, upstream, load);
