perf(platform): read the list of upstreams as often as their leaving has to be noticed

A planned stop ends a second before the kill: three processes were killed at the end of the grace time.

Tests of placement on simulated time: one home for a part, a subject in great demand, short beside long, a crashed engine, work of others.

--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -12,8 +12,9 @@
 const RETRY_MS: u64 = 200;
 const RETRY_MAX_MS: u64 = 800;
 
-/// Pause between two reads of the list of daemons.
-const DAEMONS_PAUSE: Duration = Duration::from_secs(10);
+/// Longest pause between two reads of the list of daemons; what one of them reads the others learn
+/// from it.
+const DAEMONS_PAUSE: Duration = Duration::from_secs(20);
 
 /// Whether a dependency answers, logged when it changes.
 struct Reach {
@@ -71,7 +72,7 @@
             Ok(listed) => {
                 reach.note_success();
                 shared.fleet.offer_upstreams(&shared, listed);
-                sleep(spread(shared.host.store_poll_ms)).await;
+                sleep(spread(shared.host.upstream_poll_ms())).await;
             }
             Err(error) => {
                 shared.fleet.note_failure();
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -95,14 +95,11 @@
                 "cut off by its deadline"
             }
         );
-        // Idle connections that callers keep open would hold the server for much longer.
-        if tokio::time::timeout(CLOSE_MAX, self.callers.stop(drained))
-            .await
-            .is_err()
-        {
+        // Idle connections that callers keep open would hold the servers for much longer.
+        let stop = futures::future::join(self.callers.stop(drained), self.admin.stop(false));
+        if tokio::time::timeout(CLOSE_MAX, stop).await.is_err() {
             debug!("drain: callers keep idle connections open");
         }
-        self.admin.stop(false).await;
         for (handle, joined) in self.tasks {
             handle.abort();
             let _ = joined.await;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,8 @@
 mod ending;
 mod engine_load;
 mod engine_state;
+#[cfg(test)]
+mod engine_tests;
 mod fit;
 mod group;
 mod hedge_budget;
@@ -21,6 +23,8 @@
 mod pending;
 mod pick;
 mod place;
+#[cfg(test)]
+mod placement_tests;
 mod pool;
 #[cfg(test)]
 mod pool_fuzz_tests;
--- /dev/null
+++ b/crates/route/src/placement_tests.rs
@@ -0,0 +1,185 @@
+//! Patterns of load on model engines, played by several daemons that do not tell each other anything.
+
+use std::collections::BTreeSet;
+
+use settings::{Config, Engine, Honours, Kind, State, Upstream};
+
+use crate::{Ending, EngineLoad, Need, Place, Pool, PromptPart, Target};
+
+/// Prompt tokens that an engine of these tests reads in a millisecond.
+const TOKENS_PER_MS: u64 = 50;
+
+fn engines(count: usize) -> Vec<Upstream> {
+    let places = [("costa", "norte"), ("costa", "sur"), ("sierra", "centro")];
+    let engine = |index: usize| {
+        let (region, zone) = places[index % places.len()];
+        Upstream {
+            name: format!("engine-{index:02}"),
+            kind: Kind::Service,
+            address: ([127, 0, 0, 1], 1).into(),
+            region: region.to_owned(),
+            zone: zone.to_owned(),
+            models: Vec::new(),
+            service: "faucet".to_owned(),
+            slots: 64,
+            honours: Honours::default(),
+            state: State::Live,
+            engine: Some(Engine {
+                cache_tokens: 600_000,
+            }),
+            started_ms: None,
+        }
+    };
+    (0..count).map(engine).collect()
+}
+
+fn pools(engines: &[Upstream]) -> Vec<Pool> {
+    let mut config = Config {
+        version: 1,
+        upstreams: engines.to_vec(),
+        ..Config::default()
+    };
+    config.sort();
+    let places = [("costa", "norte"), ("costa", "sur"), ("sierra", "centro")];
+    let pools = (0..6).map(|index| {
+        let (region, zone) = places[index % places.len()];
+        let mut pool = Pool::new(Place::new(region, zone)).with_seed(index as u64);
+        pool.configure(0, &config);
+        pool
+    });
+    pools.collect()
+}
+
+/// Returns the prompt of a request about one of many subjects, whose own part is new.
+fn prompt(subject: u64, request: u64) -> [PromptPart; 2] {
+    [
+        PromptPart {
+            id: subject,
+            tokens: 13_000,
+        },
+        PromptPart {
+            id: 1_000_000 + request,
+            tokens: 3_000,
+        },
+    ]
+}
+
+fn choose(pool: &mut Pool, now_us: u64, job: u64, parts: &[PromptPart]) -> Option<String> {
+    let target = Target::Service("faucet".into());
+    let need = Need {
+        target: &target,
+        tier: 1,
+        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        output_tokens: 100,
+        body_bytes: 17_000,
+        prefix_hash: 0,
+        parts,
+        job,
+        resume: false,
+        avoid: None,
+    };
+    pool.choose(now_us, &need)
+        .map(|pick| pick.upstream.as_ref().to_owned())
+}
+
+/// Notes that an attempt went as an engine of these tests answers it.
+fn answer(pool: &mut Pool, now_us: u64, upstream: &str, job: u64, tokens: u32) {
+    let elapsed_us = u64::from(tokens) * 1_000 / TOKENS_PER_MS;
+    pool.first_token(now_us, upstream, elapsed_us, tokens);
+    pool.prompt_read(now_us, upstream, job);
+    pool.prompt_ended(upstream, job, Ending::Complete);
+    pool.end_started(now_us, upstream, Ending::Complete);
+}
+
+/// Guards against reading a shared part on one engine after the other: calm traffic about many
+/// subjects, arriving at all daemons in turn.
+#[test]
+fn each_shared_part_is_read_on_one_engine() {
+    let mut pools = pools(&engines(12));
+    let mut read = BTreeSet::new();
+    for request in 0..600 {
+        let now_us = request * 50_000;
+        let (subject, daemon) = (request * 7 % 40, (request % 6) as usize);
+        let parts = prompt(subject, request);
+        let engine = choose(&mut pools[daemon], now_us, request, &parts).unwrap();
+        read.insert((subject, engine.clone()));
+        answer(&mut pools[daemon], now_us, &engine, request, 3_000);
+    }
+    assert_eq!(read.len(), 40, "{read:?}");
+}
+
+/// Guards against a queue on one engine while others are idle: much of the traffic is about one
+/// subject.
+#[test]
+fn a_subject_in_great_demand_spreads_to_few_engines() {
+    let mut pool = pools(&engines(12)).remove(0);
+    let mut used = BTreeSet::new();
+    for request in 0..60 {
+        let parts = prompt(1, request);
+        used.insert(choose(&mut pool, 0, request, &parts).unwrap());
+    }
+    assert!((2..=6).contains(&used.len()), "{used:?}");
+}
+
+/// Guards against short prompts behind long ones: long prompts fill the engines while short ones
+/// arrive.
+#[test]
+fn short_prompts_keep_their_engines_while_long_ones_arrive() {
+    let mut pool = pools(&engines(12)).remove(0);
+    let mut long = BTreeSet::new();
+    for request in 0..8 {
+        long.insert(choose(&mut pool, 0, request, &prompt(request, request)).unwrap());
+    }
+    for request in 100..120 {
+        let short = [PromptPart {
+            id: 2_000_000 + request,
+            tokens: 1_000,
+        }];
+        let engine = choose(&mut pool, 0, request, &short).unwrap();
+        assert!(!long.contains(&engine), "{engine} reads long prompts");
+    }
+}
+
+/// Guards against trust in the cache of an engine that has crashed.
+#[test]
+fn a_crashed_engine_has_read_nothing() {
+    let mut pool = pools(&engines(1)).remove(0);
+    let parts = prompt(1, 1);
+    let engine = choose(&mut pool, 0, 1, &parts).unwrap();
+    pool.prompt_ended(&engine, 1, Ending::ConnectFailed);
+    pool.end_waiting(0, &engine, Ending::ConnectFailed, 0);
+    let target = Target::Service("faucet".into());
+    let need = Need {
+        target: &target,
+        tier: 1,
+        prompt_tokens: 16_000,
+        output_tokens: 100,
+        body_bytes: 17_000,
+        prefix_hash: 0,
+        parts: &parts,
+        job: 2,
+        resume: false,
+        avoid: None,
+    };
+    let pick = pool.choose(60_000_000, &need).unwrap();
+    assert_eq!(pick.work_tokens, 16_000);
+}
+
+/// Guards against a daemon that knows only its own work: the home of a subject is busy with the work
+/// of others.
+#[test]
+fn work_of_other_daemons_counts() {
+    let mut pool = pools(&engines(12)).remove(0);
+    let home = choose(&mut pool, 0, 1, &prompt(1, 1)).unwrap();
+    answer(&mut pool, 1_000, &home, 1, 16_000);
+    let busy = EngineLoad {
+        unread_tokens: [0, 2_000_000, 0],
+        ..EngineLoad::default()
+    };
+    pool.set_foreign_load(2_000, &home, busy);
+    let other = choose(&mut pool, 2_000, 2, &prompt(1, 2)).unwrap();
+    assert_ne!(other, home);
+    let far_later_us = 120_000_000;
+    let again = choose(&mut pool, far_later_us, 3, &prompt(9, 3));
+    assert!(again.is_some());
+}
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -5,7 +5,7 @@
 use crate::{Document, PeerKey, Problem, ZonePlace, rules, shapes};
 
 /// Time left for the last bytes to leave before the process is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
+const KILL_MARGIN: Duration = Duration::from_secs(1);
 
 /// Settings of one host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +36,10 @@
     /// Region of each availability zone; a zone that is missing is in the host's own region.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub zones: Vec<ZonePlace>,
+    /// Time after which a leaving upstream must get no new work; bounds the pause between two reads
+    /// of the list of upstreams if set.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving_max_ms: Option<u64>,
     /// Shortest planned stop: callers go on sending until the balancer has noticed.
     #[serde(default)]
     pub drain_min_ms: u64,
@@ -75,6 +79,16 @@
         Document::parse(text)?.read(&shapes::HOST, rules::check_host)
     }
 
+    /// Returns the mean pause between two reads of the list of upstreams.
+    ///
+    /// Of the time in which a leaving upstream must be noticed, a quarter is left for a slow read, or
+    /// for a second one after a failure.
+    #[must_use]
+    pub fn upstream_poll_ms(&self) -> u64 {
+        let longest_ms = self.leaving_max_ms.map(|leaving_ms| leaving_ms * 6 / 10);
+        self.store_poll_ms.min(longest_ms.unwrap_or(u64::MAX))
+    }
+
     /// Returns the longest planned stop.
     #[must_use]
     pub fn drain_max(&self) -> Duration {
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -135,6 +135,7 @@
     Field::required("store", Shape::Address),
     Field::required("peer_keys", Shape::List(1, &PEER_KEY)),
     Field::optional("metrics_listen", Shape::Address),
+    Field::optional("leaving_max_ms", Shape::Number(l::DRAIN_MAX_MS)),
     Field::optional("drain_min_ms", Shape::Number(l::DRAIN_MAX_MS)),
     Field::optional("stop_grace_s", Shape::Number(l::DRAIN_MAX_MS)),
     Field::optional("retry_percent", Shape::Number(l::RETRY_PERCENT)),
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -79,6 +79,7 @@
         metrics_listen: None,
         seeds: Vec::new(),
         zones: Vec::new(),
+        leaving_max_ms: None,
         drain_min_ms: 0,
         stop_grace_s: None,
         retry_percent: 10,
