--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -61,6 +61,12 @@
         &self.shared.host
     }
 
+    /// Returns the version of the configuration in force, 0 before the first one.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        self.shared.view.load().config.version
+    }
+
     /// Returns whether the daemon takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/crates/daemon/tests/routed.rs
@@ -0,0 +1,223 @@
+//! Routed requests against upstreams that refuse, break off, stay silent or fail.
+
+use std::time::Duration;
+
+use settings::{RequestKind, State};
+use tokio::time::{Instant, sleep};
+
+mod routed_support;
+
+use routed_support::{Fixture, KEY, Scripted, Step, config};
+
+const OK: &[Step] = &[Step::Send(
+    "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok",
+)];
+const NOT_RUN: &[Step] = &[Step::Send(
+    "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+)];
+const FAILED: &[Step] = &[Step::Send(
+    "HTTP/1.1 500 Internal Server Error\r\nx-id: r1\r\ncontent-length: 3\r\n\r\nbad",
+)];
+const LOST: &[Step] = &[Step::Close];
+const OTHER: &[Step] = &[Step::Send(
+    "HTTP/1.1 200 OK\r\nx-id: r0\r\ncontent-length: 2\r\n\r\nno",
+)];
+const SHORT: &[Step] = &[
+    Step::Send("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 9\r\n\r\nok"),
+    Step::Close,
+];
+const SILENT: &[Step] = &[Step::Wait(Duration::from_secs(30))];
+
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const FIRST_HALF: &[Step] = &[
+    Step::Send(STREAM_HEAD),
+    Step::Send("f\r\nid: 1\ndata: a\n\n\r\n"),
+    Step::Send("6\r\nid: 2\n\r\n"),
+    Step::Close,
+];
+const SECOND_HALF: &[Step] = &[
+    Step::Send(STREAM_HEAD),
+    Step::Send("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"),
+];
+const STALLED: &[Step] = &[
+    Step::Send(STREAM_HEAD),
+    Step::Send("f\r\nid: 1\ndata: a\n\n\r\n"),
+    Step::Wait(Duration::from_secs(30)),
+];
+
+fn status(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).and_then(|word| word.parse().ok());
+    status.unwrap_or_else(|| panic!("no answer: {answer:?}"))
+}
+
+fn key() -> String {
+    format!("x-key: {KEY}\r\n")
+}
+
+/// Guards against a request that is repeated although it may have run, and against a status that
+/// says it has not run.
+#[ntex::test]
+async fn what_may_have_run_is_repeated_only_if_the_route_allows_it() {
+    use RequestKind::{Idempotent, NonIdempotent, Stream};
+    let cases: [(&str, RequestKind, &'static [&'static [Step]], u16, usize); 11] = [
+        ("whole", NonIdempotent, &[OK], 200, 1),
+        ("rejected, then run", NonIdempotent, &[NOT_RUN, OK], 200, 2),
+        ("rejected always", NonIdempotent, &[NOT_RUN], 503, 3),
+        ("lost", NonIdempotent, &[LOST, OK], 502, 1),
+        (
+            "answer to another request",
+            NonIdempotent,
+            &[OTHER, OK],
+            502,
+            1,
+        ),
+        ("broken off", NonIdempotent, &[SHORT, OK], 502, 1),
+        ("failed", NonIdempotent, &[FAILED, OK], 500, 1),
+        ("lost, repeatable", Idempotent, &[LOST, OK], 200, 2),
+        ("failed, repeatable", Idempotent, &[FAILED, OK], 200, 2),
+        ("failed twice, repeatable", Idempotent, &[FAILED], 500, 2),
+        ("lost stream", Stream, &[LOST, OK], 502, 1),
+    ];
+    for (name, kind, scripts, expected, sends) in cases {
+        let upstream = Scripted::start(scripts).await;
+        let fixture = Fixture::start(kind, 10_000, &[&upstream]).await;
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), expected, "{name}: {answer}");
+        assert_eq!(upstream.seen(), sends, "{name}");
+        if expected == 500 {
+            assert!(answer.ends_with("bad"), "{name}: {answer}");
+        }
+        fixture.daemon.stop().await;
+    }
+}
+
+/// Guards against a request without a key, a forged one, an unknown path, and a key passed on.
+#[ntex::test]
+async fn only_what_the_configuration_allows_is_sent() {
+    let upstream = Scripted::start(&[OK]).await;
+    let fixture = Fixture::start(RequestKind::Idempotent, 10_000, &[&upstream]).await;
+    assert_eq!(status(&fixture.call("/stock/1", "").await), 401);
+    assert_eq!(
+        status(&fixture.call("/stock/1", "x-key: other\r\n").await),
+        401
+    );
+    assert_eq!(status(&fixture.call("/stocks/1", &key()).await), 404);
+    assert_eq!(upstream.seen(), 0);
+    assert_eq!(status(&fixture.call("/stock/a%20b?c=d", &key()).await), 200);
+    let head = upstream.heads.lock().unwrap()[0].clone();
+    assert!(
+        head.starts_with("GET /stock/a%20b?c=d HTTP/1.1\r\n"),
+        "{head}"
+    );
+    assert!(
+        !head.contains(KEY) && head.contains("x-to: parts-1"),
+        "{head}"
+    );
+    fixture.daemon.stop().await;
+}
+
+/// Guards against a continued stream with a missing or repeated event, and against a broken one that
+/// looks whole.
+#[ntex::test]
+async fn streams_continue_or_break_off_visibly() {
+    for (kind, continued) in [
+        (RequestKind::ResumableStream, true),
+        (RequestKind::Stream, false),
+    ] {
+        let upstream = Scripted::start(&[FIRST_HALF, SECOND_HALF]).await;
+        let fixture = Fixture::start(kind, 10_000, &[&upstream]).await;
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), 200, "{kind:?}: {answer}");
+        assert!(answer.contains("id: 1\ndata: a\n\n"), "{kind:?}: {answer}");
+        assert_eq!(
+            answer.matches("id: 2").count(),
+            usize::from(continued),
+            "{answer}"
+        );
+        assert_eq!(
+            answer.ends_with("0\r\n\r\n"),
+            continued,
+            "{kind:?}: {answer}"
+        );
+        if continued {
+            assert!(upstream.heads.lock().unwrap()[1].contains("x-after: 1"));
+        }
+        fixture.daemon.stop().await;
+    }
+}
+
+/// Guards against answers that are held beyond the route's timeout, before and after their begin.
+#[ntex::test]
+async fn the_timeout_of_a_route_ends_every_answer() {
+    let cases: [(&str, RequestKind, &'static [&'static [Step]], u16); 3] = [
+        ("silent", RequestKind::Idempotent, &[SILENT], 504),
+        ("silent stream", RequestKind::Stream, &[SILENT], 504),
+        ("stalled stream", RequestKind::Stream, &[STALLED], 200),
+    ];
+    for (name, kind, scripts, expected) in cases {
+        let upstream = Scripted::start(scripts).await;
+        let fixture = Fixture::start(kind, 300, &[&upstream]).await;
+        let began = Instant::now();
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), expected, "{name}: {answer}");
+        assert!(
+            !answer.ends_with("0\r\n\r\n") || expected != 200,
+            "{name}: {answer}"
+        );
+        // The target is half a second after the timeout; the rest is for a busy machine.
+        assert!(began.elapsed() < Duration::from_secs(10), "{name}");
+        fixture.daemon.stop().await;
+    }
+}
+
+/// Guards against an upstream that goes on working for a caller that has left, also while a stream
+/// pauses.
+#[ntex::test]
+async fn a_caller_that_leaves_ends_the_work() {
+    for scripts in [&[SILENT] as &'static [&'static [Step]], &[STALLED]] {
+        let upstream = Scripted::start(scripts).await;
+        let fixture = Fixture::start(RequestKind::Stream, 30_000, &[&upstream]).await;
+        let caller = fixture.send("/stock/1", &key()).await;
+        for _ in 0..2_000 {
+            if upstream.seen() > 0 {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        sleep(Duration::from_millis(100)).await;
+        drop(caller);
+        for _ in 0..2_000 {
+            if *upstream.left.lock().unwrap() > 0 {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(*upstream.left.lock().unwrap(), 1);
+        fixture.daemon.stop().await;
+    }
+}
+
+/// Guards against a configuration that goes back, and against work for an upstream that leaves.
+#[ntex::test]
+async fn configurations_and_leaving_upstreams_are_followed() {
+    let (first, second) = (Scripted::start(&[OK]).await, Scripted::start(&[OK]).await);
+    let fixture = Fixture::start(RequestKind::Idempotent, 10_000, &[&first, &second]).await;
+    {
+        let mut rows = fixture.rows.lock().unwrap();
+        rows.upstreams[0].state = State::Leaving;
+        let mut newer = config(7, RequestKind::Idempotent, 10_000);
+        newer.routes[0].path_prefix = "/new/".to_owned();
+        rows.config = Some(newer);
+    }
+    fixture.wait_for_version(7).await;
+    // An older version, as from a copy that lags, changes nothing.
+    fixture.rows.lock().unwrap().config = Some(config(3, RequestKind::Idempotent, 10_000));
+    sleep(Duration::from_millis(200)).await;
+    let seen = first.seen();
+    assert_eq!(status(&fixture.call("/stock/1", &key()).await), 404);
+    for _ in 0..8 {
+        assert_eq!(status(&fixture.call("/new/1", &key()).await), 200);
+    }
+    assert_eq!((first.seen(), second.seen()), (seen, 8));
+    fixture.daemon.stop().await;
+}
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -1,1 +1,185 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::{Answer, LinkError, Links, Options};
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+/// What the other side does with one request.
+#[derive(Debug, Clone, Copy)]
+enum Reply {
+    /// Sends these bytes and keeps the connection.
+    Keep(&'static str),
+    /// Sends these bytes and closes the connection.
+    Close(&'static str),
+    /// Sends these bytes and resets the connection.
+    Reset(&'static str),
+}
+
+const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+async fn serve(listener: TcpListener, replies: Vec<Reply>) -> usize {
+    let mut connections = 0;
+    let mut open: Option<TcpStream> = None;
+    for reply in replies {
+        let mut stream = match open.take() {
+            Some(stream) => stream,
+            None => {
+                connections += 1;
+                listener.accept().await.unwrap().0
+            }
+        };
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            if stream.read(&mut byte).await.unwrap() == 0 {
+                // The caller closed the connection that the script kept; it opens another one.
+                stream = listener.accept().await.unwrap().0;
+                connections += 1;
+                continue;
+            }
+            request.push(byte[0]);
+        }
+        match reply {
+            Reply::Keep(bytes) => {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                open = Some(stream);
+            }
+            Reply::Close(bytes) => stream.write_all(bytes.as_bytes()).await.unwrap(),
+            Reply::Reset(bytes) => {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                socket2::SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
+            }
+        }
+    }
+    connections
+}
+
+fn request() -> Request<Full<Bytes>> {
+    let request = Request::builder()
+        .uri("/a")
+        .header("host", "upstream.example");
+    request.body(Full::default()).unwrap()
+}
+
+async fn read(links: &Rc<Links>, address: SocketAddr) -> Result<Bytes, LinkError> {
+    let mut answer: Answer = links.send(address, request(), MINUTE).await?;
+    answer.read(1_000).await
+}
+
+/// Runs calls one after the other against a script; returns their results and the connections.
+async fn play(replies: Vec<Reply>) -> (Vec<Result<Bytes, LinkError>>, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let links = Links::new(Options::default());
+    let calls = replies.len();
+    let served = serve(listener, replies);
+    let run = async {
+        let mut results = Vec::new();
+        for _ in 0..calls {
+            results.push(read(&links, address).await);
+            // Lets bytes that were not asked for arrive before the next call.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+        results
+    };
+    let (results, connections) = tokio::join!(run, served);
+    (results, connections)
+}
+
+/// Guards against a broken answer that looks whole, and against bytes on a kept connection that are
+/// taken for the answer to the next call.
+#[tokio::test]
+async fn answers_are_whole_or_lost() {
+    use Reply::{Close, Keep, Reset};
+    let extra = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\
+                 content-length: 5\r\n\r\nextra";
+    let cases: [(&str, Vec<Reply>, &[bool], usize); 8] = [
+        ("kept", vec![Keep(WHOLE), Keep(WHOLE)], &[true, true], 1),
+        ("closed", vec![Close(WHOLE), Close(WHOLE)], &[true, true], 2),
+        (
+            "extra answer",
+            vec![Keep(extra), Keep(WHOLE)],
+            &[true, true],
+            2,
+        ),
+        (
+            "no length",
+            vec![Close("HTTP/1.1 200 OK\r\n\r\nok")],
+            &[true],
+            1,
+        ),
+        (
+            "no length, reset",
+            vec![Reset("HTTP/1.1 200 OK\r\n\r\nok")],
+            &[false],
+            1,
+        ),
+        (
+            "short",
+            vec![Close("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok")],
+            &[false],
+            1,
+        ),
+        ("not an answer", vec![Close("what?\r\n\r\n")], &[false], 1),
+        (
+            "broken chunk",
+            vec![Close(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n5\r\nbr",
+            )],
+            &[false],
+            1,
+        ),
+    ];
+    for (name, replies, expected, connections) in cases {
+        let (results, opened) = play(replies).await;
+        for (result, &whole) in results.iter().zip(expected) {
+            match result {
+                Ok(body) => assert!(whole && *body == "ok", "{name}: {result:?}"),
+                Err(LinkError::Lost(_)) => assert!(!whole, "{name}: {result:?}"),
+                Err(LinkError::NotSent(_)) => panic!("{name}: {result:?}"),
+            }
+        }
+        assert_eq!(opened, connections, "{name}");
+    }
+}
+
+/// Guards against calling a request lost that never left this host.
+#[tokio::test]
+async fn a_refused_connection_has_sent_nothing() {
+    // Bound and not listening: connections are refused and no other program gets the port.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let links = Links::new(Options::default());
+    let result = read(&links, address).await;
+    assert!(matches!(result, Err(LinkError::NotSent(_))), "{result:?}");
+}
+
+/// Guards against an upstream that goes on working for a caller that has left.
+#[tokio::test]
+async fn a_dropped_call_closes_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let links = Links::new(Options::default());
+    let call = links.send(address, request(), MINUTE);
+    let closed = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await.map(|_| ())
+    };
+    let dropped = tokio::time::timeout(Duration::from_millis(200), call);
+    let (dropped, closed) = tokio::join!(dropped, tokio::time::timeout(MINUTE, closed));
+    assert!(dropped.is_err());
+    assert!(closed.is_ok());
+}
