fix(platform): leaving upstreams noticed in time after a lost read; ranks reach engines as they are

Attempts are logged with the work that decided them; metrics at an address of their own (deploy file).

--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -98,6 +98,7 @@
                     upstream: member.name.clone(),
                     attempt: entry.attempt,
                     priority: 0,
+                    work_tokens: 0,
                     reason: Reason::InTurn,
                 });
             }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -17,6 +17,8 @@
         upstream: Arc<str>,
         attempt: u32,
         priority: i32,
+        /// Prompt tokens that the upstream is expected to read before the first token.
+        work_tokens: u32,
     },
     /// Answer with this code; the job has ended.
     Refuse { code: Code, retry_after_ms: u64 },
@@ -117,6 +119,7 @@
             upstream,
             attempt,
             priority,
+            work_tokens,
             ..
         } => {
             let step = Step::Started {
@@ -128,6 +131,7 @@
                 upstream,
                 attempt,
                 priority,
+                work_tokens,
             };
             (Some(decision), step)
         }
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -108,6 +108,6 @@
 
 /// Returns a pause around a length, so that the reads of a fleet don't fall together.
 fn spread(pause_ms: u64) -> Duration {
-    let pause_ms = rand::rng().random_range(pause_ms * 3 / 4..=pause_ms * 5 / 4);
+    let pause_ms = rand::rng().random_range(pause_ms * 9 / 10..=pause_ms * 11 / 10);
     Duration::from_millis(pause_ms)
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -117,6 +117,7 @@
                 upstream,
                 attempt,
                 priority,
+                ..
             } => {
                 self.attempts = attempt;
                 self.shared.metrics.attempt(attempt);
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -3,6 +3,7 @@
 use link::{Answer, LinkError, Links};
 use log::info;
 use sched::Outcome;
+use tokio::time::Instant;
 
 use super::call::Call;
 use crate::{border::Verdict, shared::Shared};
@@ -75,6 +76,25 @@
     }
 }
 
+/// Logs and counts the start of an attempt.
+pub(super) fn note_start(
+    shared: &Shared,
+    call: &Call,
+    upstream: &str,
+    attempt: u32,
+    work_tokens: u32,
+) {
+    shared.metrics.attempt(attempt);
+    let now = Instant::now();
+    info!(
+        "attempt: started request={} upstream={upstream} attempt={attempt} tier={} work_tokens={work_tokens} waited_ms={} left_ms={}",
+        call.request_id,
+        call.tier,
+        now.duration_since(call.arrived).as_millis(),
+        call.until.saturating_duration_since(now).as_millis()
+    );
+}
+
 pub(super) fn note_failure(call: &Call, upstream: &str, detail: &str) {
     info!(
         "attempt: failed request={} upstream={upstream} waited_ms={} detail={detail:?}",
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -106,10 +106,11 @@
     let body: Bytes = read_body_within(shared, request, payload, limits.body_max_bytes).await?;
     let host = headers.get("host").and_then(|host| host.to_str().ok());
     let host = host.unwrap_or_default();
-    let route = view
-        .config
-        .route(host, request.path())
-        .ok_or_else(|| Refusal::new(Code::UnknownPath))?;
+    let route = view.config.route(host, request.path()).ok_or_else(|| {
+        let (path, version) = (request.path(), view.config.version);
+        let detail = format!("host {host} path {path} version {version}");
+        Refusal::new(Code::UnknownPath).with_detail(&detail)
+    })?;
     let account = account_of(&view, route, &head)?;
     let id = shared.next_id();
     let job = job(&view, route, account.as_ref(), &head, id, body.len())?;
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout_at;
 
 use super::{
-    attempt::{self, note_failure},
+    attempt::{self, note_failure, note_start},
     call::Call,
     events::Events,
     reply,
@@ -150,9 +150,12 @@
         loop {
             match self.handle.decision().await {
                 Decision::Start {
-                    upstream, attempt, ..
+                    upstream,
+                    attempt,
+                    work_tokens,
+                    ..
                 } => {
-                    self.shared.metrics.attempt(attempt);
+                    note_start(&self.shared, &self.call, &upstream, attempt, work_tokens);
                     *sent = true;
                     self.upstream = upstream;
                     match self.first().await {
--- a/crates/daemon/src/routed/whole.rs
+++ b/crates/daemon/src/routed/whole.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout_at;
 
 use super::{
-    attempt::{self, note_failure},
+    attempt::{self, note_failure, note_start},
     call::Call,
     reply,
 };
@@ -66,9 +66,12 @@
     loop {
         match handle.decision().await {
             Decision::Start {
-                upstream, attempt, ..
+                upstream,
+                attempt,
+                work_tokens,
+                ..
             } => {
-                shared.metrics.attempt(attempt);
+                note_start(shared, call, &upstream, attempt, work_tokens);
                 *sent = true;
                 match try_upstream(shared, links, call, upstream, attempt).await {
                     Ok(whole) if whole.status.is_server_error() && call.kind.is_repeatable() => {
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -20,6 +20,7 @@
     peer_listen: SocketAddr,
     callers: Server,
     admin: Server,
+    metrics: Option<Server>,
     tasks: Vec<(AbortHandle, JoinHandle<()>)>,
 }
 
@@ -31,6 +32,7 @@
         peer_listen: SocketAddr,
         callers: Server,
         admin: Server,
+        metrics: Option<Server>,
     ) -> Self {
         Self {
             shared,
@@ -39,6 +41,7 @@
             peer_listen,
             callers,
             admin,
+            metrics,
             tasks: Vec::new(),
         }
     }
@@ -102,7 +105,13 @@
             }
         );
         // Idle connections that callers keep open would hold the servers for much longer.
-        let stop = futures::future::join(self.callers.stop(drained), self.admin.stop(false));
+        let metrics = async {
+            if let Some(metrics) = &self.metrics {
+                metrics.stop(false).await;
+            }
+        };
+        let (callers, admin) = (self.callers.stop(drained), self.admin.stop(false));
+        let stop = futures::future::join3(callers, admin, metrics);
         if tokio::time::timeout(CLOSE_MAX, stop).await.is_err() {
             debug!("drain: callers keep idle connections open");
         }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,6 +15,9 @@
     handle::JobHandle, peers::Peers, view::View,
 };
 
+/// Lowest tier of the dispatcher; engines tell more ranks apart.
+const LAST_TIER: u8 = 2;
+
 /// State that all threads of a daemon share.
 pub(crate) struct Shared {
     pub(crate) host: Host,
@@ -131,7 +134,7 @@
         let received = received_step(&job);
         let waiting = self.with_core(|now_us, core| {
             core.journal.record(now_us, id.0, received);
-            core.register(id, job.tier, sender);
+            core.register(id, job.tier.min(LAST_TIER), sender);
             core.act(now_us, |dispatcher, actions| {
                 dispatcher.submit(now_us, job, actions);
             });
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -125,6 +125,10 @@
             None => serve_callers(&shared, listener)?,
         };
         let admin = serve_admin(&shared, admin_listener)?;
+        let metrics = match shared.host.metrics_listen {
+            Some(address) => Some(serve_metrics(&shared, bind(address)?.0)?),
+            None => None,
+        };
         info!(
             "daemon: {} serves callers at {listen}, operators at {admin_listen}, peers at {peer_listen}",
             host.name
@@ -136,6 +140,7 @@
             peer_listen,
             callers,
             admin,
+            metrics,
         );
         let (announce, announcements) = mpsc::channel(ANNOUNCEMENTS_MAX);
         if let Some(platform) = self.platform {
@@ -264,6 +269,21 @@
     Ok(server)
 }
 
+/// Serves the metrics alone, at an address that is open to more programs than the operators'.
+fn serve_metrics(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
+    let shared = shared.clone();
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(shared.clone())
+            .service(web::resource("/metrics").route(web::get().to(admin::metrics)))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
 /// Returns the client for upstreams; time limits are set for each request.
 async fn upstream_client() -> Client {
     ClientBuilder::new()
--- a/crates/daemon/tests/routed.rs
+++ b/crates/daemon/tests/routed.rs
@@ -28,6 +28,9 @@
 ];
 const SILENT: &[Step] = &[Step::Wait(Duration::from_secs(30))];
 
+/// Script of each request in turn.
+type Scripts = &'static [&'static [Step]];
+
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 const FIRST_HALF: &[Step] = &[
     Step::Send(STREAM_HEAD),
@@ -59,7 +62,7 @@
 #[ntex::test]
 async fn what_may_have_run_is_repeated_only_if_the_route_allows_it() {
     use RequestKind::{Idempotent, NonIdempotent, Stream};
-    let cases: [(&str, RequestKind, &'static [&'static [Step]], u16, usize); 11] = [
+    let cases: [(&str, RequestKind, Scripts, u16, usize); 11] = [
         ("whole", NonIdempotent, &[OK], 200, 1),
         ("rejected, then run", NonIdempotent, &[NOT_RUN, OK], 200, 2),
         ("rejected always", NonIdempotent, &[NOT_RUN], 503, 3),
@@ -149,7 +152,7 @@
 /// Guards against answers that are held beyond the route's timeout, before and after their begin.
 #[ntex::test]
 async fn the_timeout_of_a_route_ends_every_answer() {
-    let cases: [(&str, RequestKind, &'static [&'static [Step]], u16); 3] = [
+    let cases: [(&str, RequestKind, Scripts, u16); 3] = [
         ("silent", RequestKind::Idempotent, &[SILENT], 504),
         ("silent stream", RequestKind::Stream, &[SILENT], 504),
         ("stalled stream", RequestKind::Stream, &[STALLED], 200),
@@ -174,7 +177,7 @@
 /// pauses.
 #[ntex::test]
 async fn a_caller_that_leaves_ends_the_work() {
-    for scripts in [&[SILENT] as &'static [&'static [Step]], &[STALLED]] {
+    for scripts in [&[SILENT] as Scripts, &[STALLED]] {
         let upstream = Scripted::start(scripts).await;
         let fixture = Fixture::start(RequestKind::Stream, 30_000, &[&upstream]).await;
         let caller = fixture.send("/stock/1", &key()).await;
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -29,12 +29,11 @@
     let mut connections = 0;
     let mut open: Option<TcpStream> = None;
     for reply in replies {
-        let mut stream = match open.take() {
-            Some(stream) => stream,
-            None => {
-                connections += 1;
-                listener.accept().await.unwrap().0
-            }
+        let mut stream = if let Some(stream) = open.take() {
+            stream
+        } else {
+            connections += 1;
+            listener.accept().await.unwrap().0
         };
         let mut request = Vec::new();
         while !request.ends_with(b"\r\n\r\n") {
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -17,6 +17,8 @@
         attempt: u32,
         /// Priority for the engine, smaller runs earlier.
         priority: i32,
+        /// Prompt tokens that the upstream is expected to read before the first token of the answer.
+        work_tokens: u32,
         /// Why now and why there.
         reason: Reason,
     },
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -92,6 +92,7 @@
             upstream: pick.upstream.clone(),
             attempt: entry.attempt,
             priority: entry.priority(),
+            work_tokens: pick.work_tokens,
             reason,
         });
         let upstream = pick.upstream.clone();
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -81,11 +81,11 @@
 
     /// Returns the mean pause between two reads of the list of upstreams.
     ///
-    /// Of the time in which a leaving upstream must be noticed, a quarter is left for a slow read, or
-    /// for a second one after a failure.
+    /// Half of the time in which a leaving upstream must be noticed: the rest is for a read that gets
+    /// no answer and the next one.
     #[must_use]
     pub fn upstream_poll_ms(&self) -> u64 {
-        let longest_ms = self.leaving_max_ms.map(|leaving_ms| leaving_ms * 6 / 10);
+        let longest_ms = self.leaving_max_ms.map(|leaving_ms| leaving_ms / 2);
         self.store_poll_ms.min(longest_ms.unwrap_or(u64::MAX))
     }
 
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -15,6 +15,8 @@
 
 /// Three service tiers.
 pub(crate) const TIER: Range = 0..=2;
+/// Engines tell ten ranks apart.
+pub(crate) const RANK: Range = 0..=9;
 pub(crate) const FIRST_TOKEN_MS: Range = 1..=600_000;
 pub(crate) const TOKEN_GAP_MS: Range = 1..=60_000;
 pub(crate) const MAX_WAIT_MS: Range = 1..=3_600_000;
--- a/crates/settings/src/route.rs
+++ b/crates/settings/src/route.rs
@@ -21,7 +21,8 @@
     /// Longest gap between two events of a stream that callers expect; 0 if there is no target.
     #[serde(default)]
     pub event_gap_ms: u64,
-    /// Priority tier, 0 is the highest.
+    /// Rank of its requests in the engines' own queues, 0 is the highest and 9 the lowest. The router
+    /// has three tiers itself; ranks from 2 on share the last one.
     pub tier: u8,
     /// Upstreams that may run one request.
     pub attempts_max: u32,
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -26,7 +26,7 @@
     Field::required("requests_in_flight", Shape::Number(l::REQUESTS_IN_FLIGHT)),
     Field::required("tokens_in_flight", Shape::Number(l::TOKENS_IN_FLIGHT)),
     Field::optional("weight", Shape::Number(l::WEIGHT)),
-    Field::optional("tier", Shape::Number(l::TIER)),
+    Field::optional("tier", Shape::Number(l::RANK)),
 ]);
 
 const HONOURS: Shape = Shape::Object(&[
@@ -90,7 +90,7 @@
     Field::required("timeout_ms", Shape::Number(l::ANSWER_MAX_MS)),
     Field::required("target_ms", Shape::Number(l::ANSWER_MAX_MS)),
     Field::optional("event_gap_ms", Shape::Number(0..=*l::TOKEN_GAP_MS.end())),
-    Field::required("tier", Shape::Number(l::TIER)),
+    Field::required("tier", Shape::Number(l::RANK)),
     Field::required("attempts_max", Shape::Number(l::ATTEMPTS_MAX)),
     Field::optional("public", Shape::Bool),
     Field::required("shares", Shape::List(1, &SHARE)),
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -211,3 +211,24 @@
     sorted.accounts[0].weight = 2;
     assert_ne!(config.digest(), sorted.digest());
 }
+
+/// Guards against a list of upstreams that is read too late to notice a leaving one after a read
+/// without an answer: of 4 s, a pause of 3 s and a lost read of 1.5 s were too much.
+#[test]
+fn upstreams_are_read_twice_while_one_leaves() {
+    let mut host = crate::Host::parse(HOST_OF_POLLS).unwrap();
+    for (leaving_max_ms, expected_ms) in
+        [(None, 5_000), (Some(3_000), 1_500), (Some(20_000), 5_000)]
+    {
+        host.leaving_max_ms = leaving_max_ms;
+        assert_eq!(host.upstream_poll_ms(), expected_ms, "{leaving_max_ms:?}");
+    }
+    host.stop_grace_s = Some(8);
+    assert_eq!(host.drain_max(), std::time::Duration::from_secs(7));
+}
+
+const HOST_OF_POLLS: &str = r#"{
+    "name": "entry-1", "region": "costa", "zone": "norte", "store_poll_ms": 5000,
+    "listen": "127.0.0.1:1", "admin_listen": "127.0.0.1:2", "peer_listen": "127.0.0.1:3",
+    "store": "127.0.0.1:4", "peer_keys": [{"id": 1, "secret_hex": "00112233445566778899aabbccddeeff"}],
+}"#;
