--- a/crates/daemon/src/border/caller_head.rs
+++ b/crates/daemon/src/border/caller_head.rs
@@ -15,8 +15,6 @@
     pub prompt: Arc<[PromptPart]>,
     /// Longest answer in tokens, 0 if unknown.
     pub output_tokens_max: u32,
-    /// Whether the caller continues a stream that broke off.
-    pub resumes: bool,
 }
 
 /// Header that can't be read, for the refusal's text.
--- a/crates/daemon/src/routed/reply.rs
+++ b/crates/daemon/src/routed/reply.rs
@@ -1,3 +1,4 @@
+use code::Run;
 use link::{Answer, HeaderMap, StatusCode, header};
 use ntex::{
     http::{ResponseBuilder, header::HeaderValue},
@@ -6,7 +7,6 @@
 
 use super::call::remove_connection_headers;
 use crate::{refusal::Refusal, shared::Shared};
-use code::Run;
 
 /// Begins a caller's answer with the status and headers of an upstream's.
 pub(super) fn begin(shared: &Shared, status: StatusCode, headers: &HeaderMap) -> ResponseBuilder {
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -43,7 +43,6 @@
             deadline: wait.map(Duration::from_millis),
             prompt: [].into(),
             output_tokens_max: 0,
-            resumes: false,
         })
     }
 
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -30,9 +30,6 @@
     /// Address for metrics alone, beside the one for operators.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics_listen: Option<SocketAddr>,
-    /// Peer addresses of daemons to ask before the list of hosts is known; they may be stale.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub seeds: Vec<SocketAddr>,
     /// Region of each availability zone; a zone that is missing is in the host's own region.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub zones: Vec<ZonePlace>,
@@ -46,9 +43,6 @@
     /// Time after the signal to stop at which the process is killed; bounds the planned stop if set.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stop_grace_s: Option<u64>,
-    /// Retries for each hundred requests of a service.
-    #[serde(default = "default_retry_percent")]
-    pub retry_percent: u64,
     /// Threads that serve callers.
     #[serde(default = "default_workers")]
     pub workers: usize,
@@ -111,11 +105,6 @@
     2
 }
 
-/// A tenth more load does not tip over a service that has any room left.
-const fn default_retry_percent() -> u64 {
-    10
-}
-
 /// 8 MiB hold a long manual or a few photos.
 const fn default_body_bytes() -> usize {
     8 * 1024 * 1024
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -34,7 +34,6 @@
 pub(crate) const ATTEMPTS_MAX: Range = 1..=16;
 /// Engines hold up to some hundred million tokens.
 pub(crate) const CACHE_TOKENS: Range = 1..=1_000_000_000;
-pub(crate) const RETRY_PERCENT: Range = 0..=100;
 pub(crate) const SLOTS: Range = 1..=65_536;
 pub(crate) const ANSWER_MAX_MS: Range = 1..=3_600_000;
 
--- a/crates/settings/src/shapes.rs
+++ b/crates/settings/src/shapes.rs
@@ -138,8 +138,6 @@
     Field::optional("leaving_max_ms", Shape::Number(l::DRAIN_MAX_MS)),
     Field::optional("drain_min_ms", Shape::Number(l::DRAIN_MAX_MS)),
     Field::optional("stop_grace_s", Shape::Number(l::DRAIN_MAX_MS)),
-    Field::optional("retry_percent", Shape::Number(l::RETRY_PERCENT)),
-    Field::optional("seeds", Shape::List(0, &Shape::Address)),
     Field::optional("zones", Shape::List(0, &ZONE)),
     Field::optional("workers", Shape::Number(l::WORKERS)),
     Field::optional("body_max_bytes", Shape::Number(l::BODY_MAX_BYTES)),
