--- a/crates/daemon/src/border/hop.rs
+++ b/crates/daemon/src/border/hop.rs
@@ -10,7 +10,7 @@
     /// Client account, if the request had to name one.
     pub account: Option<&'a str>,
     /// Rank in an engine's own queue, 0 is the highest; `None` for a plain service.
-    pub tier: Option<u8>,
+    pub rank: Option<u8>,
     /// Last event that the caller has, if a stream is continued.
     pub resume_after: Option<&'a str>,
 }
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -87,9 +87,9 @@
     shared.metrics.attempt(attempt);
     let now = Instant::now();
     info!(
-        "attempt: started request={} upstream={upstream} attempt={attempt} tier={} work_tokens={work_tokens} waited_ms={} left_ms={}",
+        "attempt: started request={} upstream={upstream} attempt={attempt} rank={} work_tokens={work_tokens} waited_ms={} left_ms={}",
         call.request_id,
-        call.tier,
+        call.rank,
         now.duration_since(call.arrived).as_millis(),
         call.until.saturating_duration_since(now).as_millis()
     );
--- a/crates/daemon/src/routed/call.rs
+++ b/crates/daemon/src/routed/call.rs
@@ -32,7 +32,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) account: Option<Arc<str>>,
-    pub(super) tier: u8,
+    /// Rank in the engines' own queues.
+    pub(super) rank: u8,
     pub(super) has_prompt: bool,
     pub(super) arrived: Instant,
     /// Time by which the answer has to be whole: the caller's deadline or the route's timeout.
@@ -51,7 +52,7 @@
             upstream: &upstream.name,
             left: self.until.saturating_duration_since(Instant::now()),
             account: self.account.as_deref(),
-            tier: self.has_prompt.then_some(self.tier),
+            rank: self.has_prompt.then_some(self.rank),
             resume_after,
         };
         let mut headers = self.headers.clone();
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -32,6 +32,9 @@
 /// Time after which callers of a host that stops reach another one; their next connection does.
 const DRAINING_RETRY_MS: u64 = 20;
 
+/// Ranks of routes that are told apart inside the rank of a client account.
+const ROUTE_RANKS: u8 = 3;
+
 /// Rejections after which a request is given up; each one takes a round trip.
 const REJECTIONS_MAX: u32 = 3;
 
@@ -113,14 +116,18 @@
     })?;
     let account = account_of(&view, route, &head)?;
     let id = shared.next_id();
-    let job = job(&view, route, account.as_ref(), &head, id, body.len())?;
-    let call = call(request, headers, head, route, &job, account, body, arrived);
+    let job = job(route, account.as_ref(), &head, id, body.len())?;
+    let rank = rank_of(&view, route, account.as_ref());
+    let call = call(
+        request, headers, head, route, rank, &job, account, body, arrived,
+    );
     info!(
-        "caller: accepted request={} job={} route={} account={} tier={} version={} left_ms={} prompt_tokens={}",
+        "caller: accepted request={} job={} route={} account={} rank={} tier={} version={} left_ms={} prompt_tokens={}",
         call.request_id,
         id.0,
         call.route,
         call.account.as_deref().unwrap_or("-"),
+        call.rank,
         job.tier,
         view.config.version,
         call.until.saturating_duration_since(arrived).as_millis(),
@@ -172,8 +179,18 @@
     Ok(Some(account.name.as_str().into()))
 }
 
+/// Returns the rank of a request in the engines' own queues: by its client account first, then by
+/// its route.
+fn rank_of(view: &View, route: &Route, account: Option<&Arc<str>>) -> u8 {
+    let account = account.and_then(|name| view.config.account(name));
+    let account_rank = account.and_then(|account| account.tier).unwrap_or(0);
+    let route_rank = route.tier.min(ROUTE_RANKS - 1);
+    account_rank
+        .saturating_mul(ROUTE_RANKS)
+        .saturating_add(route_rank)
+}
+
 fn job(
-    view: &View,
     route: &Route,
     account: Option<&Arc<str>>,
     head: &CallerHead,
@@ -184,15 +201,12 @@
     let service = route
         .service(number)
         .ok_or_else(|| Refusal::new(Code::NoUpstream).with_retry_after_ms(RETRY_AFTER_MS))?;
-    let own_tier = account
-        .and_then(|name| view.config.account(name))
-        .and_then(|account| account.tier);
     let prompt_tokens = head.prompt.iter().map(|part| part.tokens).sum();
     Ok(Job {
         id,
         account: account.cloned().unwrap_or_else(|| "".into()),
         class: route.name.as_str().into(),
-        tier: own_tier.unwrap_or(route.tier),
+        tier: route.tier,
         target: Target::Service(service.into()),
         prompt_tokens,
         max_tokens: head.output_tokens_max,
@@ -216,6 +230,7 @@
     headers: HeaderMap,
     head: CallerHead,
     route: &Route,
+    rank: u8,
     job: &Job,
     account: Option<Arc<str>>,
     body: Bytes,
@@ -235,7 +250,7 @@
         headers,
         body,
         account,
-        tier: job.tier,
+        rank,
         has_prompt: !job.prompt.is_empty(),
         arrived,
         until: arrived + limit,
--- a/crates/daemon/tests/routed.rs
+++ b/crates/daemon/tests/routed.rs
@@ -224,3 +224,31 @@
     assert_eq!((first.seen(), second.seen()), (seen, 8));
     fixture.daemon.stop().await;
 }
+
+/// Guards against urgent kinds of a client account that engines preempt for its bulky ones: the
+/// account's rank goes first, then the route's.
+#[ntex::test]
+async fn the_rank_of_the_account_goes_before_the_routes() {
+    for (account, route, expected) in [
+        (None, 1, 1),
+        (Some(0), 2, 2),
+        (Some(1), 0, 3),
+        (Some(1), 7, 5),
+    ] {
+        let upstream = Scripted::start(&[OK]).await;
+        let fixture = Fixture::start(RequestKind::Idempotent, 10_000, &[&upstream]).await;
+        let mut ranked = config(2, RequestKind::Idempotent, 10_000);
+        ranked.accounts[0].tier = account;
+        ranked.routes[0].tier = route;
+        fixture.rows.lock().unwrap().config = Some(ranked);
+        fixture.wait_for_version(2).await;
+        let prompt = format!("{}x-prompt: 1\r\n", key());
+        assert_eq!(status(&fixture.call("/stock/1", &prompt).await), 200);
+        let head = upstream.heads.lock().unwrap()[0].clone();
+        assert!(
+            head.contains(&format!("x-rank: {expected}\r\n")),
+            "{account:?} {route}: {head}"
+        );
+        fixture.daemon.stop().await;
+    }
+}
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -12,6 +12,7 @@
 };
 use futures::future::{LocalBoxFuture, pending};
 use link::{HeaderMap, StatusCode};
+use sched::PromptPart;
 use settings::{
     Account, Config, Honours, Kind, RequestKind, Route, Share, State, Upstream, hash_api_key,
 };
@@ -36,12 +37,14 @@
     fn read(&self, headers: &HeaderMap) -> Result<CallerHead, Malformed> {
         let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
         let id = text("x-id").ok_or_else(|| Malformed("x-id".to_owned()))?;
+        let part = PromptPart { id: 1, tokens: 100 };
+        let prompt = text("x-prompt").map_or_else(Vec::new, |_| vec![part]);
         let wait = text("x-wait-ms").and_then(|wait| wait.parse().ok());
         Ok(CallerHead {
             request_id: id.to_owned(),
             api_key: text("x-key").map(str::to_owned),
             deadline: wait.map(Duration::from_millis),
-            prompt: [].into(),
+            prompt: prompt.into(),
             output_tokens_max: 0,
         })
     }
@@ -49,6 +52,9 @@
     fn forward(&self, headers: &mut HeaderMap, hop: &Hop<'_>) {
         headers.remove("x-key");
         headers.insert("x-to", hop.upstream.parse().unwrap());
+        if let Some(rank) = hop.rank {
+            headers.insert("x-rank", rank.to_string().parse().unwrap());
+        }
         if let Some(event) = hop.resume_after {
             headers.insert("x-after", event.parse().unwrap());
         }
--- a/crates/settings/src/account.rs
+++ b/crates/settings/src/account.rs
@@ -21,7 +21,7 @@
     /// Weight in the fair order inside a tier.
     #[serde(default = "default_weight")]
     pub weight: u32,
-    /// Rank of all its requests on routes, in place of the route's own.
+    /// Rank of all its requests on routes, which goes before the route's own.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tier: Option<u8>,
 }
