fix(daemon): deliver the events before a break of a stream

Cause: closing the connection drops what is queued, so a break right behind an event left the caller without any answer. Ruled out: the upstream stand-in (it had sent everything) and the cut of whole events (the log shows the event passed on).

--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -1,4 +1,4 @@
-use std::{io, rc::Rc, sync::Arc};
+use std::{io, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use code::{Code, Run};
@@ -21,6 +21,9 @@
 /// Largest error answer to a stream's request.
 const ERROR_MAX_BYTES: usize = 1024 * 1024;
 
+/// Time for the events before a break to leave, since closing the connection drops what is queued.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
 /// Stream of events from one or more upstreams to a caller; dropping it cancels its job.
 struct Relay {
     shared: Arc<Shared>,
@@ -128,6 +131,7 @@
                 Err(code) => {
                     relay.note_end(code.name());
                     if let Some(caller) = caller {
+                        tokio::time::sleep(FLUSH_TIME).await;
                         caller.terminate();
                     }
                     Some((Err(io::Error::other(code.name())), (None, None)))
--- a/crates/daemon/tests/routed.rs
+++ b/crates/daemon/tests/routed.rs
@@ -38,6 +38,12 @@
     Step::Send("6\r\nid: 2\n\r\n"),
     Step::Close,
 ];
+const AT_ONCE: &[Step] = &[
+    Step::Send(
+        "HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n6\r\nid: 2\n\r\n",
+    ),
+    Step::Close,
+];
 const SECOND_HALF: &[Step] = &[
     Step::Send(STREAM_HEAD),
     Step::Send("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"),
@@ -149,6 +155,21 @@
     }
 }
 
+/// Guards against events that are lost with a stream that breaks off right behind them: the caller
+/// got no answer at all when both arrived together.
+#[ntex::test]
+async fn events_before_a_break_are_delivered() {
+    for _ in 0..20 {
+        let upstream = Scripted::start(&[AT_ONCE]).await;
+        let fixture = Fixture::start(RequestKind::Stream, 10_000, &[&upstream]).await;
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert!(answer.contains("id: 1\ndata: a\n\n"), "{answer}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+        fixture.daemon.stop().await;
+    }
+}
+
 /// Guards against answers that are held beyond the route's timeout, before and after their begin.
 #[ntex::test]
 async fn the_timeout_of_a_route_ends_every_answer() {
