feat(batch): share memory between running sequences and parts, preempt by priority

The platform's engines keep prompts part by part, let running requests and cached parts share one memory and preempt the newest of the least urgent sequences. The model kept one prefix and no memory.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Batch`] runs sequences in steps. A step prefills a bounded number of prompt tokens and gives
 //! every prefilled sequence one token; its duration grows with both. Waiting sequences are ordered
-//! by priority where the engine honours it. The model does no I/O: the engine stand-in and the
+//! by priority where the engine honours it; running sequences and cached parts of prompts can share one
+//! memory, from which the newest of the least urgent sequences is preempted. The model does no I/O: the engine stand-in and the
 //! decision bench both drive it.
 //!
 //! ```
@@ -17,7 +18,7 @@
 //! ```
 
 mod model;
-mod prefix_cache;
+mod part_cache;
 mod profile;
 mod sequence;
 #[cfg(test)]
@@ -25,7 +26,7 @@
 
 pub use self::{
     model::{Batch, Event},
-    prefix_cache::PrefixCache,
+    part_cache::PartCache,
     profile::Profile,
     sequence::Sequence,
 };
--- a/crates/batch/src/model.rs
+++ b/crates/batch/src/model.rs
@@ -1,4 +1,4 @@
-use crate::{PrefixCache, Profile, Sequence};
+use crate::{PartCache, Profile, Sequence};
 
 /// What a step produced for one sequence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,27 +18,28 @@
 #[derive(Debug, Clone)]
 pub struct Batch {
     profile: Profile,
-    cache: PrefixCache,
+    cache: PartCache,
     waiting: Vec<Sequence>,
     running: Vec<Sequence>,
     slowdown_percent: u64,
     generated_tokens: u64,
     prefilled_tokens: u64,
+    preemptions: u64,
 }
 
 impl Batch {
     /// Creates an idle engine.
     #[must_use]
     pub const fn new(profile: Profile) -> Self {
-        let cache = PrefixCache::new(profile.cache_tokens);
         Self {
             profile,
-            cache,
+            cache: PartCache::new(),
             waiting: Vec::new(),
             running: Vec::new(),
             slowdown_percent: 100,
             generated_tokens: 0,
             prefilled_tokens: 0,
+            preemptions: 0,
         }
     }
 
@@ -47,6 +48,12 @@
         self.slowdown_percent = percent;
     }
 
+    /// Returns the speed and size.
+    #[must_use]
+    pub const fn profile(&self) -> &Profile {
+        &self.profile
+    }
+
     /// Returns the number of running sequences.
     #[must_use]
     pub const fn running(&self) -> usize {
@@ -77,6 +84,18 @@
         self.prefilled_tokens
     }
 
+    /// Returns how often a running sequence had to make room for another one.
+    #[must_use]
+    pub const fn preemptions(&self) -> u64 {
+        self.preemptions
+    }
+
+    /// Returns the tokens in memory that can't be evicted.
+    #[must_use]
+    pub fn held_tokens(&self) -> u64 {
+        self.cache.held_tokens() + self.private_tokens()
+    }
+
     /// Adds a sequence to the waiting ones.
     pub fn add(&mut self, sequence: Sequence) {
         let index = if self.profile.honours_priority {
@@ -90,20 +109,24 @@
 
     /// Removes a sequence and returns whether it was there.
     pub fn cancel(&mut self, id: u64) -> bool {
-        let before = self.waiting.len() + self.running.len();
+        let before = self.waiting.len();
         self.waiting.retain(|sequence| sequence.id != id);
-        self.running.retain(|sequence| sequence.id != id);
-        before != self.waiting.len() + self.running.len()
+        let running = self.running.iter().position(|sequence| sequence.id == id);
+        if let Some(index) = running {
+            let sequence = self.running.remove(index);
+            self.cache.release(&sequence.parts);
+        }
+        running.is_some() || before != self.waiting.len()
     }
 
     /// Removes all sequences and the cache, as a crash does.
     pub fn clear(&mut self) {
         self.waiting.clear();
         self.running.clear();
-        self.cache = PrefixCache::new(self.profile.cache_tokens);
+        self.cache = PartCache::new();
     }
 
-    /// Runs one step, appends its events and returns its duration.
+    /// Runs one step, appends its events and returns its duration in microseconds.
     pub fn step(&mut self, events: &mut Vec<Event>) -> u64 {
         self.admit();
         let mut chunk_tokens = self.profile.prefill_chunk_tokens;
@@ -133,25 +156,101 @@
         }
         self.generated_tokens += decoding;
         self.prefilled_tokens += prefilled_tokens;
-        self.running
-            .retain(|sequence| sequence.generated_tokens < sequence.output_tokens);
+        let cache = &mut self.cache;
+        self.running.retain(|sequence| {
+            let runs = sequence.generated_tokens < sequence.output_tokens;
+            if !runs {
+                cache.release(&sequence.parts);
+            }
+            runs
+        });
+        self.make_room();
         let step_us = self.profile.step_us
             + self.profile.step_us_per_sequence * decoding
-            + self.profile.prefill_us_per_token * prefilled_tokens;
+            + self.profile.prefill_ns_per_token * prefilled_tokens / 1_000;
         step_us * self.slowdown_percent / 100
     }
 
     fn admit(&mut self) {
-        let free = self.profile.slots.saturating_sub(self.running.len());
-        let count = free.min(self.waiting.len());
-        for mut sequence in self.waiting.drain(..count) {
-            if sequence.prefix_tokens > 0 {
-                let cached = self.cache.hit(sequence.prefix).min(sequence.prefix_tokens);
-                // The last prompt token is always computed, as it yields the first output token.
-                sequence.left_prompt_tokens = sequence.prompt_tokens.saturating_sub(cached).max(1);
-                self.cache.insert(sequence.prefix, sequence.prefix_tokens);
+        while let Some(first) = self.waiting.first() {
+            let full = self.running.len() >= self.profile.slots || !self.fits(first);
+            if full {
+                if self.preempt_for(first.priority) {
+                    continue;
+                }
+                return;
             }
+            let mut sequence = self.waiting.remove(0);
+            let cached_tokens = self.cache.cached_tokens(&sequence.parts);
+            // The last prompt token is always computed, as it yields the next output token.
+            let left_tokens = sequence.read_tokens().saturating_sub(cached_tokens);
+            sequence.left_prompt_tokens = left_tokens.max(1);
+            self.cache.hold(&sequence.parts);
             self.running.push(sequence);
+            self.make_room();
+        }
+    }
+
+    /// Returns whether a sequence fits into memory beside those that run.
+    fn fits(&self, sequence: &Sequence) -> bool {
+        let Some(memory_tokens) = self.profile.memory_tokens else {
+            return true;
+        };
+        let wanted_tokens = u64::from(sequence.read_tokens());
+        // One that is alone is let in: one that never fits is refused by the engine before.
+        self.running.is_empty() || self.held_tokens() + wanted_tokens <= memory_tokens
+    }
+
+    /// Preempts a sequence for a more urgent one, and returns whether there was one.
+    fn preempt_for(&mut self, priority: i32) -> bool {
+        let mut running = self.running.iter();
+        self.profile.preempts
+            && running.any(|sequence| sequence.priority > priority)
+            && self.preempt()
+    }
+
+    /// Evicts unused parts, then preempts sequences, until the memory is large enough.
+    fn make_room(&mut self) {
+        let Some(memory_tokens) = self.profile.memory_tokens else {
+            self.cache.shrink(self.profile.cache_tokens);
+            return;
+        };
+        loop {
+            let private_tokens = self.private_tokens();
+            self.cache
+                .shrink(memory_tokens.saturating_sub(private_tokens));
+            if self.cache.used_tokens() + private_tokens <= memory_tokens
+                || self.running.len() <= 1
+                || !self.preempt()
+            {
+                return;
+            }
         }
     }
+
+    /// Puts the newest of the least urgent running sequences back; what it generated is kept and read
+    /// in again.
+    fn preempt(&mut self) -> bool {
+        let newest = self.running.iter().enumerate();
+        let newest = newest.max_by_key(|(index, sequence)| (sequence.priority, *index));
+        let Some((index, _)) = newest else {
+            return false;
+        };
+        let sequence = self.running.remove(index);
+        self.cache.release(&sequence.parts);
+        self.preemptions += 1;
+        self.add(sequence);
+        true
+    }
+
+    /// Returns the tokens of running sequences that are not parts in the cache.
+    fn private_tokens(&self) -> u64 {
+        let running = self.running.iter();
+        running
+            .map(|sequence| {
+                let parts_tokens: u32 = sequence.parts.iter().map(|&(_, tokens)| tokens).sum();
+                u64::from(sequence.read_tokens().saturating_sub(parts_tokens))
+            })
+            .sum()
+    }
 }
--- /dev/null
+++ b/crates/batch/src/part_cache.rs
@@ -0,0 +1,94 @@
+use std::collections::VecDeque;
+
+/// Cached part of a prompt.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    id: u64,
+    tokens: u32,
+    /// Running sequences with this part; it stays while there are any.
+    users: u32,
+}
+
+/// Bounded cache of parts of prompts, least recently used first out.
+#[derive(Debug, Clone, Default)]
+pub struct PartCache {
+    used_tokens: u64,
+    /// Least recently used first.
+    entries: VecDeque<Entry>,
+}
+
+impl PartCache {
+    /// Creates an empty cache.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            used_tokens: 0,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Returns the tokens of all cached parts.
+    #[must_use]
+    pub const fn used_tokens(&self) -> u64 {
+        self.used_tokens
+    }
+
+    /// Returns the tokens of the parts that running sequences use.
+    #[must_use]
+    pub fn held_tokens(&self) -> u64 {
+        let held = self.entries.iter().filter(|entry| entry.users > 0);
+        held.map(|entry| u64::from(entry.tokens)).sum()
+    }
+
+    /// Returns the cached tokens at the start of a prompt: a part counts if all before it are cached.
+    #[must_use]
+    pub fn cached_tokens(&self, parts: &[(u64, u32)]) -> u32 {
+        let cached = parts.iter().map_while(|&(id, tokens)| {
+            let entry = self.entries.iter().find(|entry| entry.id == id);
+            entry.map(|entry| entry.tokens.min(tokens))
+        });
+        cached.sum()
+    }
+
+    /// Adds the parts of a prompt that begins to run and marks them as used and held.
+    pub fn hold(&mut self, parts: &[(u64, u32)]) {
+        for &(id, tokens) in parts {
+            let entry = match self.entries.iter().position(|entry| entry.id == id) {
+                Some(index) => self.entries.remove(index),
+                None => None,
+            };
+            let mut entry = entry.unwrap_or_else(|| {
+                self.used_tokens += u64::from(tokens);
+                Entry {
+                    id,
+                    tokens,
+                    users: 0,
+                }
+            });
+            entry.users += 1;
+            self.entries.push_back(entry);
+        }
+    }
+
+    /// Lets go of the parts of a prompt that no longer runs; they stay cached.
+    pub fn release(&mut self, parts: &[(u64, u32)]) {
+        for &(id, _) in parts {
+            if let Some(entry) = self.entries.iter_mut().find(|entry| entry.id == id) {
+                entry.users = entry.users.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Evicts parts that nobody holds until at most `tokens` are used or no such part is left.
+    pub fn shrink(&mut self, tokens: u64) {
+        let mut used_tokens = self.used_tokens;
+        self.entries.retain(|entry| {
+            let evict = used_tokens > tokens && entry.users == 0;
+            if evict {
+                used_tokens -= u64::from(entry.tokens);
+            }
+            !evict
+        });
+        self.used_tokens = used_tokens;
+    }
+}
--- a/crates/batch/src/profile.rs
+++ b/crates/batch/src/profile.rs
@@ -8,11 +8,15 @@
     /// Part of a step for each running sequence.
     pub step_us_per_sequence: u64,
     /// Part of a step for each prefilled prompt token.
-    pub prefill_us_per_token: u64,
+    pub prefill_ns_per_token: u64,
     /// Prompt tokens that one step prefills at most.
     pub prefill_chunk_tokens: u32,
-    /// Prompt tokens that the prefix cache holds.
+    /// Prompt tokens that the cache of parts holds, where running sequences don't share its memory.
     pub cache_tokens: u64,
+    /// Tokens that running sequences and cached parts share; `None` if only the cache is bounded.
+    pub memory_tokens: Option<u64>,
+    /// Whether urgent sequences take the slots of less urgent ones.
+    pub preempts: bool,
     /// Whether waiting sequences are ordered by priority.
     pub honours_priority: bool,
 }
@@ -24,9 +28,11 @@
             slots: 32,
             step_us: 10_000,
             step_us_per_sequence: 500,
-            prefill_us_per_token: 100,
+            prefill_ns_per_token: 100_000,
             prefill_chunk_tokens: 256,
             cache_tokens: 200_000,
+            memory_tokens: None,
+            preempts: false,
             honours_priority: true,
         }
     }
--- a/crates/batch/src/sequence.rs
+++ b/crates/batch/src/sequence.rs
@@ -7,10 +7,8 @@
     pub priority: i32,
     /// Prompt tokens.
     pub prompt_tokens: u32,
-    /// Leading prompt tokens that may be cached.
-    pub prefix_tokens: u32,
-    /// Identifier of that prefix.
-    pub prefix: u64,
+    /// Identifiers and tokens of the parts of the prompt that may be cached, in order from its start.
+    pub parts: Vec<(u64, u32)>,
     /// Tokens of the answer.
     pub output_tokens: u32,
     /// Prompt tokens still to prefill.
@@ -27,8 +25,7 @@
             id,
             priority: 0,
             prompt_tokens: 1,
-            prefix_tokens: 0,
-            prefix: 0,
+            parts: Vec::new(),
             output_tokens: 1,
             left_prompt_tokens: 1,
             generated_tokens: 0,
@@ -50,11 +47,10 @@
         self
     }
 
-    /// Sets the leading part of the prompt that may be cached.
+    /// Sets the parts of the prompt that may be cached, in order from its start.
     #[must_use]
-    pub const fn with_prefix(mut self, prefix: u64, prefix_tokens: u32) -> Self {
-        self.prefix = prefix;
-        self.prefix_tokens = prefix_tokens;
+    pub fn with_parts(mut self, parts: &[(u64, u32)]) -> Self {
+        self.parts = parts.to_vec();
         self
     }
 
@@ -64,4 +60,9 @@
         self.output_tokens = output_tokens;
         self
     }
+
+    /// Returns the tokens that have to be in memory before the next token: prompt and answer so far.
+    pub(crate) const fn read_tokens(&self) -> u32 {
+        self.prompt_tokens + self.generated_tokens
+    }
 }
--- a/crates/batch/src/tests.rs
+++ b/crates/batch/src/tests.rs
@@ -37,7 +37,7 @@
     let sequence = |id| {
         Sequence::new(id)
             .with_prompt_tokens(2_000)
-            .with_prefix(7, 1_900)
+            .with_parts(&[(7, 1_900)])
     };
     batch.add(sequence(1));
     let (cold_us, _) = run(&mut batch);
@@ -58,3 +58,91 @@
         assert_eq!(id, first);
     }
 }
+
+/// Guards against a part that counts as cached although one before it has to be read again.
+#[test]
+fn part_counts_only_behind_cached_ones() {
+    let mut batch = Batch::new(Profile::default());
+    batch.add(
+        Sequence::new(1)
+            .with_prompt_tokens(3_000)
+            .with_parts(&[(1, 1_000), (2, 2_000)]),
+    );
+    run(&mut batch);
+    for (parts, prefilled_tokens) in [
+        ([(1, 1_000), (2, 2_000)], 1),
+        ([(1, 1_000), (3, 2_000)], 2_000),
+        ([(4, 1_000), (2, 2_000)], 3_000),
+    ] {
+        let before = batch.prefilled_tokens();
+        batch.add(
+            Sequence::new(2)
+                .with_prompt_tokens(3_000)
+                .with_parts(&parts),
+        );
+        run(&mut batch);
+        assert_eq!(batch.prefilled_tokens() - before, prefilled_tokens);
+    }
+}
+
+/// Guards against running sequences and cached parts that together outgrow the memory, and against
+/// tokens that a preempted sequence loses or repeats.
+#[test]
+fn preempts_newest_of_least_urgent_when_memory_is_full() {
+    let profile = Profile {
+        memory_tokens: Some(1_000),
+        preempts: true,
+        ..Profile::default()
+    };
+    let mut batch = Batch::new(profile);
+    for (id, priority) in [(1, 0), (2, 5), (3, 5)] {
+        batch.add(
+            Sequence::new(id)
+                .with_priority(priority)
+                .with_prompt_tokens(300)
+                .with_parts(&[(id, 300)])
+                .with_output_tokens(200),
+        );
+    }
+    let mut events = Vec::new();
+    while !batch.is_idle() {
+        batch.step(&mut events);
+        assert!(batch.held_tokens() <= 1_000, "{}", batch.held_tokens());
+    }
+    assert!(batch.preemptions() > 0);
+    let indexes = |of| {
+        let events = events.iter();
+        let events =
+            events.filter_map(move |&Event::Token { id, index, .. }| (id == of).then_some(index));
+        events.collect::<Vec<u32>>()
+    };
+    for id in 1..=3 {
+        assert_eq!(indexes(id), (0..200).collect::<Vec<u32>>(), "sequence {id}");
+    }
+    let last_of = |of| {
+        let mut events = events.iter();
+        events.rposition(|&Event::Token { id, .. }| id == of)
+    };
+    assert!(last_of(1) < last_of(2) && last_of(2) < last_of(3));
+}
+
+/// Guards against an urgent sequence that waits for a slot of a less urgent one.
+#[test]
+fn urgent_sequence_takes_the_slot_of_a_less_urgent_one() {
+    let profile = Profile {
+        slots: 1,
+        preempts: true,
+        ..Profile::default()
+    };
+    let mut batch = Batch::new(profile);
+    batch.add(Sequence::new(1).with_priority(5).with_output_tokens(10));
+    let mut events = Vec::new();
+    batch.step(&mut events);
+    batch.add(Sequence::new(2).with_priority(0));
+    while !batch.is_idle() {
+        batch.step(&mut events);
+    }
+    let ids: Vec<u64> = events.iter().map(|&Event::Token { id, .. }| id).collect();
+    assert_eq!(ids[..3], [1, 2, 1]);
+    assert_eq!(ids.len(), 11);
+}
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -53,7 +53,7 @@
     let slots = u64::from(SLOTS);
     let step_us = profile.step_us + profile.step_us_per_sequence * slots;
     let token_us = float(step_us) / float(slots);
-    let prompt_us = mix.prompt.mean(&mut rng) * float(profile.prefill_us_per_token);
+    let prompt_us = mix.prompt.mean(&mut rng) * float(profile.prefill_ns_per_token) / 1_000.0;
     1e6 / (mix.output.mean(&mut rng) * token_us + prompt_us)
 }
 
--- a/crates/bench/src/world/engines.rs
+++ b/crates/bench/src/world/engines.rs
@@ -32,11 +32,14 @@
         }
         let wanted = &self.requests[self.jobs[job].request];
         let prefix_tokens = self.classes[wanted.class].prefix_tokens;
-        let sequence = Sequence::new(attempt as u64)
+        let mut sequence = Sequence::new(attempt as u64)
             .with_priority(priority)
             .with_prompt_tokens(wanted.prompt_tokens + base)
-            .with_prefix(wanted.prefix, prefix_tokens.min(wanted.prompt_tokens))
             .with_output_tokens((wanted.output_tokens.saturating_sub(base)).max(1));
+        if prefix_tokens > 0 {
+            let tokens = prefix_tokens.min(wanted.prompt_tokens);
+            sequence = sequence.with_parts(&[(wanted.prefix, tokens)]);
+        }
         self.engines[engine].batch.add(sequence);
         self.step(engine);
     }
