--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -1,8 +1,12 @@
-//! Demonstration inside one process: stand-ins, three daemons and the Grifo Común mix.
+//! Demonstration: stand-ins, three daemons and the Grifo Común mix.
 //!
-//! Prints a table and, as its last line, `demo: ok` or what went wrong.
+//! With `--platform` the daemons are processes on a stand-in of the users' platform; otherwise all run
+//! inside this process. Prints a table and, as its last line, `demo: ok` or what went wrong.
 
 mod fleet;
+mod on_platform;
+
+use std::{env, path::PathBuf};
 
 use eyre::{Result, eyre};
 use gumdrop::Options;
@@ -24,12 +28,36 @@
     mix: String,
     #[options(help = "seed", default = "1")]
     seed: u64,
+    #[options(help = "on a stand-in of the users' platform; mix: grifo-comun or fnf-rotas")]
+    platform: bool,
+    #[options(
+        help = "factor on the rates with --platform",
+        default = "1.0",
+        no_short
+    )]
+    load: f64,
+    #[options(help = "run one daemon; used by --platform", no_short)]
+    daemon: bool,
 }
 
+/// Environment variable with the path of a daemon's settings.
+const SETTINGS: &str = "FIREFLYLEVER_SETTINGS";
+
 #[ntex::main]
 async fn main() -> Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
     let args = Args::parse_args_default_or_exit();
+    if args.daemon {
+        daemon::set_up_logs();
+        let settings = env::var_os(SETTINGS).ok_or_else(|| eyre!("{SETTINGS} is not set"))?;
+        return platform::serve(&PathBuf::from(settings)).await;
+    }
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error")).init();
+    if args.platform {
+        let seconds = args.seconds.clamp(1, 600);
+        on_platform::play(&args.mix, seconds, args.load, args.seed).await?;
+        println!("demo: ok");
+        return Ok(());
+    }
     let mix = Mix::by_name(&args.mix).ok_or_else(|| eyre!("no mix {}", args.mix))?;
     let plan = Plan::draw(&mix, args.rate, args.seconds.clamp(1, 600), args.seed);
     let fleet = Fleet::start().await?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,26 +1,54 @@
-use std::{fmt, time::Duration};
+use std::{
+    fmt,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
+use emulator::{Fault, Hosts, Mood, Operator, Store};
 use eyre::Result;
 use rand::{Rng, RngExt as _};
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep_until};
 
-use crate::{
-    daemons::Daemons,
-    proxy::Harm,
-    store::{Mood, Store},
-    upstream::Upstreams,
-};
+use crate::{proxy::Harm, upstreams::Upstreams};
 
 /// Longest pause between two faults.
 const PAUSE_MAX_MS: u64 = 400;
 
+/// How the store misbehaves in turn.
+const MOODS: [Mood; 6] = [
+    Mood::Busy,
+    Mood::Silent,
+    Mood::Forgetful,
+    Mood::Slow(Duration::from_millis(300)),
+    Mood::LosesAnswers,
+    Mood::TurnsAway,
+];
+
+/// How upstreams misbehave in turn.
+const FAULTS: [Fault; 11] = [
+    Fault::Garbled,
+    Fault::Truncated,
+    Fault::Unframed,
+    Fault::Extra,
+    Fault::Early,
+    Fault::Silent,
+    Fault::Resets,
+    Fault::LosesAnswers,
+    Fault::Fails,
+    Fault::BreaksStreams,
+    Fault::LooksIll,
+];
+
 /// One thing that happens.
 #[derive(Debug, Clone, Copy)]
 enum Event {
     Signal(usize, Signal),
     Restart(usize),
     Harm(usize, Harm),
+    Upstream(usize, Fault),
+    /// An engine loses its requests and its memory.
+    Forget(usize),
     Store(Mood),
     Config,
 }
@@ -35,6 +63,7 @@
 pub struct Counts {
     signals: u32,
     harms: u32,
+    upstreams: u32,
     moods: u32,
     configs: u32,
 }
@@ -51,7 +80,7 @@
             at += Duration::from_millis(rng.random_range(20..=PAUSE_MAX_MS));
             let end = at + Duration::from_millis(rng.random_range(100..=1_500));
             let (daemon, upstream) = (rng.random_range(0..daemons), rng.random_range(0..upstreams));
-            let (begin, after) = match rng.random_range(0..10) {
+            let (begin, after) = match rng.random_range(0..13) {
                 0 => (Event::Signal(daemon, Signal::TERM), Event::Restart(daemon)),
                 1 => (Event::Signal(daemon, Signal::KILL), Event::Restart(daemon)),
                 2 => (
@@ -64,12 +93,16 @@
                     let begin = Event::Harm(upstream, harms[number - 4]);
                     (begin, Event::Harm(upstream, Harm::None))
                 }
-                8 => {
-                    let moods = [Mood::Busy, Mood::Silent, Mood::Forgetful];
-                    let mood = moods[rng.random_range(0..moods.len())];
+                8..=9 => {
+                    let mood = MOODS[rng.random_range(0..MOODS.len())];
                     (Event::Store(mood), Event::Store(Mood::Sound))
                 }
-                _ => (Event::Config, Event::Config),
+                10..=11 => {
+                    let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+                    let begin = Event::Upstream(upstream, fault);
+                    (begin, Event::Upstream(upstream, Fault::None))
+                }
+                _ => (Event::Config, Event::Forget(upstream)),
             };
             events.push((at, begin));
             events.push((end, after));
@@ -81,9 +114,10 @@
     /// Plays the faults.
     pub async fn play(
         &self,
-        daemons: &mut Daemons,
+        hosts: &mut Hosts,
         upstreams: &Upstreams,
         store: &Store,
+        operator: &Mutex<Operator>,
     ) -> Result<Counts> {
         let begin = Instant::now();
         let mut counts = Counts::default();
@@ -92,20 +126,26 @@
             match event {
                 Event::Signal(daemon, signal) => {
                     counts.signals += 1;
-                    daemons.signal(daemon, signal)?;
+                    hosts.signal(daemon, signal)?;
                 }
-                Event::Restart(daemon) => daemons.restart_if_ended(daemon)?,
+                Event::Restart(daemon) => hosts.restart_if_ended(daemon)?,
                 Event::Harm(upstream, harm) => {
                     counts.harms += 1;
                     upstreams.harm(upstream, harm);
                 }
+                Event::Upstream(upstream, fault) => {
+                    counts.upstreams += 1;
+                    upstreams.set_fault(upstream, fault);
+                }
+                Event::Forget(upstream) => upstreams.forget(upstream),
                 Event::Store(mood) => {
                     counts.moods += 1;
                     store.set_mood(mood);
                 }
                 Event::Config => {
                     counts.configs += 1;
-                    store.change_config();
+                    let mut operator = operator.lock().unwrap_or_else(PoisonError::into_inner);
+                    operator.renew_routes();
                 }
             }
         }
@@ -117,8 +157,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} signals, {} changes of proxies, {} of the store, {} configurations",
-            self.signals, self.harms, self.moods, self.configs
+            "{} signals, {} changes of proxies, {} of upstreams, {} of the store, {} configurations",
+            self.signals, self.harms, self.upstreams, self.moods, self.configs
         )
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,9 +1,10 @@
 //! Randomized fault soak.
 //!
-//! Runs the real daemon as several processes on loopback, between callers, upstreams and a store of
-//! its own, and injects faults from outside: signals to the daemons, a proxy before each upstream that
-//! delays, resets, cuts one way or falls silent, and a store that refuses or does not answer. Faults
-//! come in series and overlap. Meanwhile and at the end it checks what callers and upstreams saw:
+//! Runs the real daemon as several processes on loopback, between callers, upstreams and the store of
+//! crate `emulator`, and injects faults from outside: signals to the daemons, a proxy before each
+//! upstream that delays, resets, cuts one way or falls silent, upstreams that answer garbled, late,
+//! twice or never, and a store that refuses, forgets, loses answers or does not answer. Faults come in
+//! series and overlap. Meanwhile and at the end it checks what callers and upstreams saw:
 //!
 //! - a request that may not be repeated runs at most once;
 //! - a request that was refused as not run has not run and never runs;
@@ -13,22 +14,25 @@
 //!
 //! `soak --seed 7 --seconds 20` plays one seed; `--seeds 50` plays as many from there on.
 
-mod caller;
-mod daemons;
 mod faults;
-mod http;
-mod ledger;
 mod proxy;
-mod store;
-mod upstream;
+mod sheet;
+mod upstreams;
+mod versions;
 
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
+use emulator::{Day, Hosts, Ledger, Mood, Operator, Program, Store, StoreSpec};
 use eyre::{Result, ensure};
 use gumdrop::Options;
 use rand::{SeedableRng as _, rngs::StdRng};
+use tokio::time::sleep;
 
-use crate::{daemons::Daemons, faults::Faults, ledger::Ledger, store::Store, upstream::Upstreams};
+use crate::{faults::Faults, upstreams::Upstreams, versions::Versions};
 
 /// Command line of the soak.
 #[derive(Debug, Options)]
@@ -43,8 +47,8 @@
     seconds: u64,
     #[options(help = "daemons", default = "3")]
     daemons: usize,
-    #[options(help = "callers at a time", default = "12")]
-    callers: usize,
+    #[options(help = "requests a second", default = "150")]
+    rate: f64,
     #[options(
         help = "folder for the daemons' settings and logs",
         default = "target/soak"
@@ -52,6 +56,9 @@
     folder: PathBuf,
 }
 
+/// Name of the daemon's program, which is built beside this one.
+const PROGRAM: &str = "fireflylever-edge";
+
 /// Time for the daemons to find store, upstreams and each other.
 const WARM_UP: Duration = Duration::from_secs(3);
 
@@ -59,8 +66,17 @@
 /// within 2.2 s, an ejected upstream is tried again within some seconds.
 const RECOVERY: Duration = Duration::from_secs(8);
 
-/// Requests that have to be served after the recovery.
-const LAST_REQUESTS: usize = 30;
+/// Time for stopped and paused daemons to come back after the last fault.
+const HEALING: Duration = Duration::from_secs(6);
+
+/// Time of the requests after the recovery, all of which have to be served.
+const LAST: Duration = Duration::from_secs(2);
+
+/// Factor on their rate.
+const LAST_LOAD: f64 = 0.1;
+
+/// Tells their identifiers apart from those before.
+const LAST_SEED: u64 = 1 << 32;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<()> {
@@ -83,26 +99,50 @@
 async fn play(args: &Args, seed: u64) -> Result<String> {
     let mut rng = StdRng::seed_from_u64(seed);
     let ledger = Arc::new(Ledger::default());
-    let store = Store::start().await?;
-    let upstreams = Upstreams::start(&store, &ledger).await?;
+    let store = Store::start(StoreSpec::default()).await?;
+    let sheet = sheet::sheet(args.rate);
+    let operator = Arc::new(Mutex::new(Operator::new(&store, &sheet)));
+    let upstreams = Upstreams::start(&sheet, &store, &ledger).await?;
     let folder = args.folder.join(format!("seed-{seed}"));
-    let mut daemons = Daemons::start(&folder, args.daemons, &store)?;
-    tokio::time::sleep(WARM_UP).await;
-    let callers = caller::start(args.callers, &daemons.addresses(), &ledger, &store, seed);
+    let program = Program::beside(PROGRAM)?;
+    let mut hosts = Hosts::start(program, &folder, args.daemons, store.address)?;
+    sleep(WARM_UP).await;
+    let addresses = hosts.addresses();
+    let watched = Versions {
+        daemons: addresses.clone(),
+        operator: operator.clone(),
+        ledger: ledger.clone(),
+    };
+    let watch = tokio::spawn(watched.watch());
     let length = Duration::from_secs(args.seconds);
     let faults = Faults::new(&mut rng, length, args.daemons, upstreams.count());
-    let counts = faults.play(&mut daemons, &upstreams, &store).await?;
-    daemons.heal().await?;
+    let day = Day::new(&sheet, &addresses, &ledger, &operator).with_seed(seed);
+    let day = tokio::spawn(async move { day.play(length + HEALING + RECOVERY).await });
+    let counts = faults
+        .play(&mut hosts, &upstreams, &store, &operator)
+        .await?;
     upstreams.heal();
-    store.heal();
-    tokio::time::sleep(RECOVERY).await;
-    callers.stop().await;
-    let served = caller::serve_last(LAST_REQUESTS, &daemons.addresses(), &ledger, &store).await;
-    daemons.stop().await?;
+    store.set_mood(Mood::Sound);
+    hosts.heal().await?;
+    let report = day.await?;
+    // At a tenth of the rate, without leaving or returning, everything has to be served.
+    let last = Day::new(&sheet, &addresses, &ledger, &operator)
+        .with_load(LAST_LOAD)
+        .with_leaving(0.0)
+        .with_attempts(1)
+        .with_seed(seed + LAST_SEED);
+    let last = last.play(LAST).await;
+    watch.abort();
+    hosts.kill().await?;
     let summary = ledger.check()?;
     ensure!(
-        served == LAST_REQUESTS,
-        "{served} of {LAST_REQUESTS} requests served after the faults"
+        last.served() == last.owed() && last.owed() > 0,
+        "{} of {} requests served after the faults\n{last}",
+        last.served(),
+        last.owed()
     );
-    Ok(format!("{summary}, {counts}"))
+    let (served, owed) = (report.served(), report.owed());
+    Ok(format!(
+        "{summary}, {served} of {owed} owed served, {counts}"
+    ))
 }
--- /dev/null
+++ b/crates/soak/src/sheet.rs
@@ -0,0 +1,57 @@
+use batch::Profile;
+use emulator::{Kind, Mix, Prompt, Sheet};
+
+/// Engine that takes about 5 ms for an event, so that streams last long enough to be broken.
+const PROFILE: Profile = Profile {
+    slots: 8,
+    step_us: 5_000,
+    step_us_per_sequence: 200,
+    prefill_ns_per_token: 10_000,
+    prefill_chunk_tokens: 256,
+    cache_tokens: 20_000,
+    memory_tokens: Some(20_000),
+    honours_priority: true,
+    preempts: true,
+};
+
+/// Returns one kind of request for each promise; `calls_per_s` is their sum.
+pub fn sheet(calls_per_s: f64) -> Sheet {
+    let plain = |name, kind| Mix {
+        name,
+        service: "parts",
+        kind,
+        rank: 1,
+        per_s: calls_per_s / 3.0,
+        prompt: None,
+        events: 1,
+        aim_ms: 500,
+        gap_ms: 0,
+        deadline_ms: 4_000,
+    };
+    Sheet {
+        name: "soak",
+        mixes: vec![
+            plain("once", Kind::Once),
+            plain("again", Kind::Again),
+            Mix {
+                service: "assistant",
+                prompt: Some(Prompt {
+                    subjects: 4,
+                    shared_tokens: 400,
+                    own_tokens: 100,
+                }),
+                events: 6,
+                ..plain("stream", Kind::Stream)
+            },
+        ],
+        engine_service: "assistant",
+        engines: 2,
+        profile: PROFILE,
+        event_tokens: 2,
+        plain_service: "parts",
+        plain_upstreams: 3,
+        plain_slots: 8,
+        plain_work_ms: 15,
+        accounts: 4,
+    }
+}
