--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -4,7 +4,7 @@
 };
 
 use code::Code;
-use sched::{Action, Job, JobId, Load, Outcome, Reason};
+use sched::{Action, EngineLoad, Job, JobId, Load, Outcome, Reason};
 use settings::Config;
 
 use crate::scheduler::Scheduler;
@@ -177,4 +177,10 @@
     fn queued(&self, _tier: u8) -> usize {
         self.queue.len()
     }
+
+    fn engine_loads(&self) -> Vec<(Arc<str>, EngineLoad)> {
+        Vec::new()
+    }
+
+    fn set_foreign_load(&mut self, _: u64, _: &str, _: EngineLoad) {}
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -13,6 +13,7 @@
 mod check;
 mod class_mix;
 mod daemon;
+mod day;
 mod deployment;
 mod engine;
 mod event;
@@ -40,7 +41,13 @@
 use eyre::{Result, eyre};
 use gumdrop::Options as _;
 
-use crate::{options::Options, scenario::Scenario, setup::Setup, world::World};
+use crate::{
+    day::{Day, DaySetup, Trouble},
+    options::Options,
+    scenario::Scenario,
+    setup::Setup,
+    world::World,
+};
 
 fn main() -> Result<()> {
     let options = Options::parse_args_default_or_exit();
@@ -48,6 +55,10 @@
         print!("{}", table::all());
         return Ok(());
     }
+    if let Some(trouble) = Trouble::by_name(&options.scenario) {
+        print!("{}", Day::new(DaySetup::new(trouble, &options)).run());
+        return Ok(());
+    }
     let scenario: Scenario = options
         .scenario
         .parse()
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -11,7 +11,11 @@
 pub(crate) struct Options {
     #[options(help = "print this help")]
     pub(crate) help: bool,
-    #[options(free, required, help = "scenario, or `all` for the table of targets")]
+    #[options(
+        free,
+        required,
+        help = "scenario, `day`, `day-crest` or `day-crash` for the users' sheets, or `all` for the table of targets"
+    )]
     pub(crate) scenario: String,
     #[options(no_short, help = "seed of all random numbers", default = "1")]
     pub(crate) seed: u64,
--- a/crates/bench/src/scheduler.rs
+++ b/crates/bench/src/scheduler.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use sched::{Action, Dispatcher, Job, JobId, Load, Outcome};
+use sched::{Action, Dispatcher, EngineLoad, Job, JobId, Load, Outcome};
 use settings::Config;
 
 /// Decisions of one daemon: the dispatcher, or a baseline.
@@ -16,6 +16,10 @@
     fn report(&mut self, now_us: u64, upstream: &Arc<str>, load: &Load, actions: &mut Vec<Action>);
     fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>);
     fn queued(&self, tier: u8) -> usize;
+    /// Returns the own work on engines.
+    fn engine_loads(&self) -> Vec<(Arc<str>, EngineLoad)>;
+    /// Takes in the work of the other daemons on an engine.
+    fn set_foreign_load(&mut self, now_us: u64, upstream: &str, load: EngineLoad);
 }
 
 impl Scheduler for Dispatcher {
@@ -62,4 +66,12 @@
     fn queued(&self, tier: u8) -> usize {
         self.queued(tier)
     }
+
+    fn engine_loads(&self) -> Vec<(Arc<str>, EngineLoad)> {
+        self.engine_loads()
+    }
+
+    fn set_foreign_load(&mut self, now_us: u64, upstream: &str, load: EngineLoad) {
+        self.set_foreign_load(now_us, upstream, load);
+    }
 }
--- a/crates/bench/src/timeline.rs
+++ b/crates/bench/src/timeline.rs
@@ -3,25 +3,32 @@
     collections::BinaryHeap,
 };
 
-use crate::event::Event;
-
 /// Events in order of time, and in order of insertion at the same time.
-#[derive(Debug, Default)]
-pub(crate) struct Timeline {
-    heap: BinaryHeap<Reverse<Entry>>,
+#[derive(Debug)]
+pub(crate) struct Timeline<E> {
+    heap: BinaryHeap<Reverse<Entry<E>>>,
     inserted: u64,
 }
 
 #[derive(Debug)]
-struct Entry {
+struct Entry<E> {
     at_us: u64,
     sequence: u64,
-    event: Event,
+    event: E,
+}
+
+impl<E> Default for Timeline<E> {
+    fn default() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            inserted: 0,
+        }
+    }
 }
 
-impl Timeline {
+impl<E> Timeline<E> {
     /// Adds an event.
-    pub(crate) fn add(&mut self, at_us: u64, event: Event) {
+    pub(crate) fn add(&mut self, at_us: u64, event: E) {
         self.inserted += 1;
         self.heap.push(Reverse(Entry {
             at_us,
@@ -31,28 +38,28 @@
     }
 
     /// Removes the next event and returns it with its time.
-    pub(crate) fn next(&mut self) -> Option<(u64, Event)> {
+    pub(crate) fn next(&mut self) -> Option<(u64, E)> {
         let Reverse(entry) = self.heap.pop()?;
         Some((entry.at_us, entry.event))
     }
 }
 
-impl Ord for Entry {
+impl<E> Ord for Entry<E> {
     fn cmp(&self, other: &Self) -> Ordering {
         (self.at_us, self.sequence).cmp(&(other.at_us, other.sequence))
     }
 }
 
-impl PartialOrd for Entry {
+impl<E> PartialOrd for Entry<E> {
     fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
         Some(self.cmp(other))
     }
 }
 
-impl PartialEq for Entry {
+impl<E> PartialEq for Entry<E> {
     fn eq(&self, other: &Self) -> bool {
         self.sequence == other.sequence
     }
 }
 
-impl Eq for Entry {}
+impl<E> Eq for Entry<E> {}
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -68,7 +68,7 @@
     budgets: Vec<Budget>,
     classes: [ClassMix; 3],
     now_us: u64,
-    timeline: Timeline,
+    timeline: Timeline<Event>,
     network: Network,
     daemons: Vec<Daemon>,
     engines: Vec<Engine>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,7 +20,6 @@
 mod loads;
 mod logs;
 mod models;
-mod peer_loads;
 mod peers;
 mod progress;
 mod refusal;
--- a/crates/daemon/src/sharing.rs
+++ b/crates/daemon/src/sharing.rs
@@ -1,12 +1,10 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use grant::{Budget, Demand, Grants, Holder, Home, Peer, Plan};
-use sched::{EngineLoad, JobId};
+use sched::{EngineLoad, JobId, PeerLoads};
 use serde::{Deserialize, Serialize};
 use settings::{Config, Kind, State};
 
-use crate::peer_loads::PeerLoads;
-
 /// Message between the holder and the home of grants, the payload of a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Message {
--- a/crates/demo/src/on_platform.rs
+++ b/crates/demo/src/on_platform.rs
@@ -4,19 +4,13 @@
     time::Duration,
 };
 
-use emulator::{
-    Day, Engine, Hosts, Ledger, Operator, Program, Sheet, Store, StoreSpec, Upstream, UpstreamSpec,
-    Work,
-};
+use emulator::{Day, Engine, Hosts, Ledger, Operator, Program, Sheet, Store, StoreSpec, Upstream};
 use eyre::{Result, ensure, eyre};
 use tokio::time::sleep;
 
 /// Daemons of the demonstration, as on the first two sites.
 const DAEMONS: usize = 6;
 
-/// Bytes of a plain answer, from the users' sheets.
-const BODY_BYTES: usize = 800;
-
 /// Time for the daemons to find the store, the upstreams and each other; on the first two sites
 /// traffic starts after 10 s.
 const WARM_UP: Duration = Duration::from_secs(4);
@@ -30,7 +24,9 @@
     let ledger = Arc::new(Ledger::default());
     let store = Store::start(StoreSpec::default()).await?;
     let operator = Arc::new(Mutex::new(Operator::new(&store, &sheet)));
-    let upstreams = start_upstreams(&sheet, &store, &ledger)?;
+    let specs = sheet.upstreams().into_iter();
+    let upstreams = specs.map(|spec| Upstream::start(spec, &store, &ledger));
+    let upstreams: Vec<Upstream> = upstreams.collect::<Result<_>>()?;
     let program = Program {
         path: env::current_exe()?,
         args: vec!["--daemon".to_owned()],
@@ -60,30 +56,6 @@
     Ok(())
 }
 
-fn start_upstreams(sheet: &Sheet, store: &Store, ledger: &Arc<Ledger>) -> Result<Vec<Upstream>> {
-    let engine = Work::Engine {
-        profile: sheet.profile.clone(),
-        event_tokens: sheet.event_tokens,
-    };
-    let plain = Work::Plain {
-        work_ms: sheet.plain_work_ms,
-        body_bytes: BODY_BYTES,
-    };
-    let engines = (0..sheet.engines).map(|number| {
-        let id = format!("engine-{number}");
-        UpstreamSpec::new(&id, sheet.engine_service, engine.clone())
-    });
-    let plain = (0..sheet.plain_upstreams).map(|number| {
-        let id = format!("plain-{number}");
-        let spec = UpstreamSpec::new(&id, sheet.plain_service, plain.clone());
-        spec.with_slots(sheet.plain_slots, sheet.plain_slots as usize)
-    });
-    let started = engines
-        .chain(plain)
-        .map(|spec| Upstream::start(spec, store, ledger));
-    started.collect()
-}
-
 #[expect(clippy::cast_precision_loss, reason = "counts of one demonstration")]
 fn as_float(count: u64) -> f64 {
     count as f64
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,7 @@
 mod member;
 mod need;
 mod part_cache;
+mod peer_loads;
 mod pending;
 mod pick;
 mod place;
@@ -39,6 +40,6 @@
 
 pub use self::{
     ending::Ending, engine_load::EngineLoad, hedge_budget::HedgeBudget, load::Load, need::Need,
-    pick::Pick, place::Place, pool::Pool, prompt_part::PromptPart, standing::Standing,
-    target::Target,
+    peer_loads::PeerLoads, pick::Pick, place::Place, pool::Pool, prompt_part::PromptPart,
+    standing::Standing, target::Target,
 };
--- a/crates/daemon/src/peer_loads.rs
+++ b/crates/route/src/peer_loads.rs
@@ -1,10 +1,10 @@
-use sched::EngineLoad;
+use crate::EngineLoad;
 
 /// Age from which the work that a daemon told no longer counts: it has stopped or can't be reached.
 const LOADS_MAX_US: u64 = 3_000_000;
 
 /// Work of one daemon on engines.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct PeerLoad {
     peer: String,
     told_us: u64,
@@ -13,15 +13,15 @@
 }
 
 /// Work of the other daemons on engines, as they told it.
-#[derive(Debug, Default)]
-pub(crate) struct PeerLoads {
+#[derive(Debug, Clone, Default)]
+pub struct PeerLoads {
     /// Sorted by name.
     peers: Vec<PeerLoad>,
 }
 
 impl PeerLoads {
     /// Takes in what a daemon tells; what it told before no longer counts.
-    pub(crate) fn take(&mut self, now_us: u64, peer: &str, loads: &[(u64, EngineLoad)]) {
+    pub fn take(&mut self, now_us: u64, peer: &str, loads: &[(u64, EngineLoad)]) {
         let mut loads = loads.to_vec();
         loads.sort_unstable_by_key(|&(engine, _)| engine);
         let told = PeerLoad {
@@ -38,8 +38,9 @@
         }
     }
 
-    /// Returns the work of all other daemons on an engine.
-    pub(crate) fn on(&self, engine: u64) -> EngineLoad {
+    /// Returns the work of all other daemons on an engine, named by the hash of its name.
+    #[must_use]
+    pub fn on(&self, engine: u64) -> EngineLoad {
         let mut sum = EngineLoad::default();
         for peer in &self.peers {
             let found = peer
@@ -53,7 +54,7 @@
     }
 
     /// Forgets what was told too long ago.
-    pub(crate) fn expire(&mut self, now_us: u64) {
+    pub fn expire(&mut self, now_us: u64) {
         self.peers
             .retain(|peer| now_us < peer.told_us + LOADS_MAX_US);
     }
--- a/crates/daemon/src/peer_loads_tests.rs
+++ b/crates/route/src/peer_loads_tests.rs
@@ -1,6 +1,5 @@
-use sched::EngineLoad;
-
 use super::{LOADS_MAX_US, PeerLoads};
+use crate::EngineLoad;
 
 fn running(running: u32) -> EngineLoad {
     EngineLoad {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -48,4 +48,4 @@
     reason::Reason,
     rules::Rules,
 };
-pub use route::{EngineLoad, Load, Place, PromptPart, Standing, Target};
+pub use route::{EngineLoad, Load, PeerLoads, Place, PromptPart, Standing, Target};
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -80,7 +80,12 @@
     let mut lost = false;
     loop {
         let length = match from.read(&mut buffer).await {
-            Ok(0) | Err(_) => return,
+            Ok(0) => return,
+            Err(_) => {
+                // A reset stays one: an answer without a length would look whole otherwise.
+                let _ = to.as_ref().set_zero_linger();
+                return;
+            }
             Ok(length) => length,
         };
         let harm = *harm.lock().unwrap_or_else(PoisonError::into_inner);
@@ -88,6 +93,7 @@
             Harm::Delay => sleep(DELAY).await,
             Harm::Reset if answers => {
                 let _ = to.write_all(&buffer[..length / 2]).await;
+                let _ = to.as_ref().set_zero_linger();
                 return;
             }
             Harm::CutAnswers if answers => lost = true,
--- a/crates/soak/src/sheet.rs
+++ b/crates/soak/src/sheet.rs
@@ -52,6 +52,8 @@
         plain_upstreams: 3,
         plain_slots: 8,
         plain_work_ms: 15,
+        // Enough to be cut in the middle.
+        plain_bytes: 800,
         accounts: 4,
     }
 }
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -1,14 +1,11 @@
 use std::sync::Arc;
 
-use emulator::{Fault, Ledger, Sheet, Store, Upstream, UpstreamSpec, Work};
+use emulator::{Fault, Ledger, Sheet, Store, Upstream};
 use eyre::Result;
 use tokio::net::TcpListener;
 
 use crate::proxy::{Harm, Proxy};
 
-/// Bytes of a plain answer, enough to be cut in the middle.
-const BODY_BYTES: usize = 800;
-
 /// Upstreams behind their proxies, registered in the store.
 pub struct Upstreams {
     upstreams: Vec<(Upstream, Proxy)>,
@@ -17,25 +14,8 @@
 impl Upstreams {
     /// Starts the plain upstreams and engines of a sheet.
     pub async fn start(sheet: &Sheet, store: &Store, ledger: &Arc<Ledger>) -> Result<Self> {
-        let plain = Work::Plain {
-            work_ms: sheet.plain_work_ms,
-            body_bytes: BODY_BYTES,
-        };
-        let engine = Work::Engine {
-            profile: sheet.profile.clone(),
-            event_tokens: sheet.event_tokens,
-        };
-        let plain = (0..sheet.plain_upstreams).map(|number| {
-            let id = format!("plain-{number}");
-            UpstreamSpec::new(&id, sheet.plain_service, plain.clone())
-                .with_slots(sheet.plain_slots, 8)
-        });
-        let engines = (0..sheet.engines).map(|number| {
-            let id = format!("engine-{number}");
-            UpstreamSpec::new(&id, sheet.engine_service, engine.clone())
-        });
         let mut upstreams = Vec::new();
-        for spec in plain.chain(engines) {
+        for spec in sheet.upstreams() {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let proxy = Proxy::start(listener.local_addr()?).await?;
             let upstream = Upstream::start_behind(proxy.address, listener, spec, store, ledger);
