fix(sched): a connection that is refused does not use up a job's attempts

Ruled out: the retry budget (nothing sent costs none) and engines tried twice in a row (avoid holds). retries_end keeps its meaning with the new bound.

--- a/crates/bench/src/day/attempts.rs
+++ b/crates/bench/src/day/attempts.rs
@@ -46,6 +46,7 @@
             rules: Rules {
                 attempts_max: ATTEMPTS_MAX,
                 rejections_max: ATTEMPTS_MAX,
+                unsent_max: Rules::default().unsent_max,
                 retries_errors: true,
                 preemptable: false,
             },
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -218,6 +218,7 @@
         rules: Rules {
             attempts_max: route.attempts_max,
             rejections_max: REJECTIONS_MAX,
+            unsent_max: Rules::default().unsent_max,
             retries_errors: route.kind.is_repeatable(),
             preemptable: false,
         },
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -23,8 +23,10 @@
     pub(crate) attempt: u32,
     /// Failed attempts that may have run.
     pub(crate) failures: u32,
-    /// Attempts that were not sent or rejected.
+    /// Attempts that were rejected.
     pub(crate) rejections: u32,
+    /// Attempts of which nothing was sent.
+    pub(crate) unsent: u32,
     /// Tokens that the caller has.
     pub(crate) tokens: u32,
     /// Expected length of the whole answer.
@@ -64,6 +66,7 @@
             attempt: 0,
             failures: 0,
             rejections: 0,
+            unsent: 0,
             tokens: 0,
             expected_tokens: expected,
             expected_long: typical > LONG_TOKENS,
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -17,11 +17,10 @@
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
-        let rejected = matches!(outcome, Outcome::NotSent | Outcome::Rejected);
-        if rejected {
-            entry.rejections += 1;
-        } else {
-            entry.failures += 1;
+        match outcome {
+            Outcome::NotSent => entry.unsent += 1,
+            Outcome::Rejected => entry.rejections += 1,
+            _ => entry.failures += 1,
         }
         if matches!(outcome, Outcome::LostMidStream { .. } | Outcome::Failed) {
             entry.run = Run::Yes;
@@ -39,7 +38,8 @@
             Outcome::Complete => false,
         } && (entry.tokens == 0 || resumable);
         let used_up = entry.failures >= rules.attempts_max
-            || rejected && entry.rejections >= rules.rejections_max;
+            || outcome == Outcome::Rejected && entry.rejections >= rules.rejections_max
+            || outcome == Outcome::NotSent && entry.unsent >= rules.unsent_max;
         let reason = if !repeatable {
             Reason::NotRepeatable
         } else if used_up {
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -207,13 +207,18 @@
             18,
             "a tenth of 150 starts and the floor of 3",
         ),
-        (Outcome::NotSent, 300, "two more for each of 150"),
+        (
+            Outcome::Rejected,
+            18,
+            "the budget, as rejections reach an upstream",
+        ),
+        (Outcome::NotSent, 2_250, "fifteen more for each of 150"),
     ] {
         let mut dispatcher = busy(&config(100), &[0; 150]);
         let mut retries = 0;
         for id in 1..=150 {
             let mut actions = Vec::new();
-            for _ in 0..9 {
+            for _ in 0..20 {
                 dispatcher.finish(1, JobId(id), outcome, &mut actions);
             }
             let starts = actions
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -82,8 +82,7 @@
         let length = match from.read(&mut buffer).await {
             Ok(0) => return,
             Err(_) => {
-                // A reset stays one: an answer without a length would look whole otherwise.
-                let _ = to.as_ref().set_zero_linger();
+                reset(to);
                 return;
             }
             Ok(length) => length,
@@ -93,7 +92,7 @@
             Harm::Delay => sleep(DELAY).await,
             Harm::Reset if answers => {
                 let _ = to.write_all(&buffer[..length / 2]).await;
-                let _ = to.as_ref().set_zero_linger();
+                reset(to);
                 return;
             }
             Harm::CutAnswers if answers => lost = true,
@@ -108,3 +107,11 @@
         }
     }
 }
+
+/// Ends a connection with a reset: an answer without a length would look whole after an orderly end.
+fn reset(to: OwnedWriteHalf) {
+    // A connection that is already gone needs no reset.
+    let _ = to.as_ref().set_zero_linger();
+    // Dropping the half would send an orderly end first.
+    to.forget();
+}
--- a/crates/soak/src/sheet.rs
+++ b/crates/soak/src/sheet.rs
@@ -1,5 +1,5 @@
 use batch::Profile;
-use emulator::{Kind, Mix, Prompt, Sheet};
+use emulator::{Kind, Mix, Prompt, Shared, Sheet, Size};
 
 /// Engine that takes about 5 ms for an event, so that streams last long enough to be broken.
 const PROFILE: Profile = Profile {
@@ -14,6 +14,24 @@
     preempts: true,
 };
 
+/// Short prompts of four subjects.
+const PROMPT: Prompt = Prompt {
+    shared: &[Shared {
+        subjects: 4,
+        fixed: true,
+        size: Size {
+            mean: 400.0,
+            spread: 0.2,
+            max: 800.0,
+        },
+    }],
+    own: Size {
+        mean: 100.0,
+        spread: 0.2,
+        max: 200.0,
+    },
+};
+
 /// Returns one kind of request for each promise; `calls_per_s` is their sum.
 pub fn sheet(calls_per_s: f64) -> Sheet {
     let plain = |name, kind| Mix {
@@ -35,11 +53,7 @@
             plain("again", Kind::Again),
             Mix {
                 service: "assistant",
-                prompt: Some(Prompt {
-                    subjects: 4,
-                    shared_tokens: 400,
-                    own_tokens: 100,
-                }),
+                prompt: Some(PROMPT),
                 events: 6,
                 ..plain("stream", Kind::Stream)
             },
