--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -6,10 +6,7 @@
 };
 use serde_json::Value;
 
-use crate::{
-    args::{DrainArgs, ExplainArgs},
-    failure::Failure,
-};
+use crate::{args::DrainArgs, failure::Failure};
 
 /// A healthy host answers an operator within a few milliseconds, across regions within 100.
 const ADMIN_TIMEOUT: Millis = Millis(2_000);
@@ -50,12 +47,12 @@
     Ok(())
 }
 
-/// Shows the decision records of a request.
-pub(crate) async fn explain(args: &ExplainArgs) -> Result<(), Failure> {
+/// Shows the decision records of a request that a host still keeps.
+pub(crate) async fn explain(host: &str, id: &str) -> Result<(), Failure> {
     let admin = Admin::new().await?;
-    let url = url(&args.host, &format!("/admin/explain/{}", args.id));
+    let url = url(host, &format!("/admin/explain/{id}"));
     let answer = admin.client.get(url).send().await;
-    println!("{}", text_of(&args.host, answer).await?);
+    println!("{}", text_of(host, answer).await?);
     Ok(())
 }
 
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -26,7 +26,7 @@
     Claim(ClaimArgs),
     #[options(help = "stop new work on a host")]
     Drain(DrainArgs),
-    #[options(help = "show why a host decided on a request as it did")]
+    #[options(help = "show why a request ended as it did, from a host or from logs")]
     Explain(ExplainArgs),
     #[options(help = "print a random API key and its digest")]
     Key(NoArgs),
@@ -173,10 +173,17 @@
 pub(crate) struct ExplainArgs {
     #[options(help = "print help")]
     help: bool,
-    #[options(free, required, help = "admin address of the host")]
-    pub(crate) host: String,
-    #[options(free, required, help = "id of the request")]
-    pub(crate) id: String,
+    #[options(
+        free,
+        help = "id of the request, after the admin address of the host if one is asked"
+    )]
+    pub(crate) words: Vec<String>,
+    #[options(
+        help = "log of a daemon, or of several; may be repeated",
+        meta = "FILE",
+        no_short
+    )]
+    pub(crate) log: Vec<String>,
 }
 
 /// Upstreams.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod claim_read;
 mod claim_settle;
 mod drive;
+mod explain;
 mod failure;
 mod fleet;
 mod hosts;
@@ -86,7 +87,7 @@
             Some(ClaimCommand::Settle(args)) => claim_settle::settle(&args).await,
         },
         Some(Command::Drain(args)) => admin::drain(&args).await,
-        Some(Command::Explain(args)) => admin::explain(&args).await,
+        Some(Command::Explain(args)) => explain::explain(&args).await,
         Some(Command::Key(_)) => {
             key::print_new();
             Ok(())
