fix(route,sched): use room that a rejection or an avoided engine hid

Cause: an upstream that rejected work regains assumed room with time, and the dispatcher looks for it every 100 ms only; it now looks at every tick while one regains. A prompt whose attempt failed waited for another engine even where there was none: the avoided one is taken last. Test failed first (no pick with one engine). Ruled out: the shortcut that restores full lanes, and the retry's avoid hint.

--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -374,6 +374,11 @@
         self.capacity_us = now_us.saturating_add(REJECT_HOLD_US);
     }
 
+    /// Returns whether it is assumed to take less than it has slots, after a rejection.
+    pub fn lacks_capacity(&self) -> bool {
+        self.capacity < f64::from(self.settings.slots)
+    }
+
     /// Lets the assumed capacity grow back.
     #[expect(clippy::cast_precision_loss, reason = "intervals are far below 2^52")]
     pub fn regain(&mut self, now_us: u64) {
--- a/crates/route/src/placement_tests.rs
+++ b/crates/route/src/placement_tests.rs
@@ -65,6 +65,16 @@
 }
 
 fn choose(pool: &mut Pool, now_us: u64, job: u64, parts: &[PromptPart]) -> Option<String> {
+    choose_avoiding(pool, now_us, job, parts, None)
+}
+
+fn choose_avoiding(
+    pool: &mut Pool,
+    now_us: u64,
+    job: u64,
+    parts: &[PromptPart],
+    avoid: Option<&str>,
+) -> Option<String> {
     let target = Target::Service("faucet".into());
     let need = Need {
         target: &target,
@@ -76,7 +86,7 @@
         parts,
         job,
         resume: false,
-        avoid: None,
+        avoid,
     };
     pool.choose(now_us, &need)
         .map(|pick| pick.upstream.as_ref().to_owned())
@@ -183,3 +193,17 @@
     let again = choose(&mut pool, far_later_us, 3, &prompt(9, 3));
     assert!(again.is_some());
 }
+
+/// Guards against a prompt that waits for another engine after a failed attempt although there is
+/// none: the one that is to be avoided is taken where no other has room.
+#[test]
+fn avoided_engine_is_taken_where_there_is_no_other() {
+    for (count, same) in [(1, true), (2, false)] {
+        let mut pool = pools(&engines(count)).remove(0);
+        let first = choose(&mut pool, 0, 1, &prompt(0, 1)).unwrap();
+        pool.prompt_ended(&first, 1, Ending::Rejected);
+        pool.end_waiting(1_000, &first, Ending::Rejected, 1_000);
+        let second = choose_avoiding(&mut pool, 2_000, 1, &prompt(0, 1), Some(&first)).unwrap();
+        assert_eq!(first == second, same, "{count} engines");
+    }
+}
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -134,6 +134,13 @@
         (member.slowdown > judgement::EJECT_SLOWDOWN).then_some(member.slowdown)
     }
 
+    /// Returns whether an upstream that rejected work is assumed to get room back as time passes.
+    #[must_use]
+    pub fn is_regaining(&self) -> bool {
+        let mut members = self.members.iter();
+        members.any(|member| member.is_live() && member.lacks_capacity())
+    }
+
     /// Returns how each upstream is judged, sorted by name.
     #[must_use]
     pub fn weights(&self) -> Vec<Standing> {
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -60,8 +60,14 @@
 impl Pool {
     /// Chooses the engine of a group for a prompt; `None` if none can take it.
     pub(super) fn best_engine(&self, now_us: u64, group: usize, need: &Need<'_>) -> Option<usize> {
+        let any = Need {
+            avoid: None,
+            ..*need
+        };
         let sound = self.best_engine_among(now_us, group, need, true);
-        sound.or_else(|| self.best_engine_among(now_us, group, need, false))
+        sound
+            .or_else(|| self.best_engine_among(now_us, group, need, false))
+            .or_else(|| self.best_engine_among(now_us, group, &any, false))
     }
 
     fn best_engine_among(
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -15,7 +15,8 @@
 const QUEUE_MAX: usize = 10_000;
 
 /// Time between two attempts to find room without an event, as when the pool reinstates an upstream;
-/// each costs up to one choice for each lane and tier.
+/// each costs up to one choice for each lane and tier. While an upstream regains room after a
+/// rejection, every tick tries.
 const REOPEN_US: u64 = 100_000;
 
 /// Decides when and where each job runs.
@@ -249,7 +250,7 @@
 
     /// Refuses jobs whose deadline has passed and starts what fits.
     pub fn tick(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        if now_us >= self.reopen_us {
+        if now_us >= self.reopen_us || self.has_queued() && self.pool.is_regaining() {
             self.reopen_us = now_us + REOPEN_US;
             self.topology.reopen_all();
         }
--- a/crates/sched/src/holds_complete_tests.rs
+++ b/crates/sched/src/holds_complete_tests.rs
@@ -173,3 +173,147 @@
     #[test]
     fn holds_tier_no_lower_tier_is_favoured(sequential 1..120 => Complete);
 }
+
+/// Events of seed 14: an upstream that had rejected work was assumed to have room again, and a job
+/// waited up to 100 ms more.
+const SEED_14: &[Event] = &[
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Configure { slots: 2 },
+    Event::Submit {
+        tier: 0,
+        target: 3,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Finish {
+        index: 4_757_242_881_855_089_151,
+        outcome: Outcome::Rejected,
+    },
+    Event::Drain,
+    Event::Tokens { index: 0, count: 1 },
+    Event::Advance { ms: 391 },
+    Event::Advance { ms: 451 },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Advance { ms: 461 },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 271,
+    },
+    Event::Advance { ms: 261 },
+    Event::FinishQueued {
+        index: 0,
+        outcome: Outcome::Complete,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Configure { slots: 3 },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Finish {
+        index: 1_462_085_649_635_566_820,
+        outcome: Outcome::Complete,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 3,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Finish {
+        index: 9_837_543_242_424_100_525,
+        outcome: Outcome::Rejected,
+    },
+    Event::Drain,
+    Event::Advance { ms: 171 },
+    Event::Configure { slots: 3 },
+    Event::Advance { ms: 251 },
+    Event::Advance { ms: 231 },
+    Event::Advance { ms: 371 },
+    Event::Advance { ms: 131 },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Advance { ms: 41 },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Advance { ms: 331 },
+    Event::Advance { ms: 421 },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 251,
+    },
+    Event::Submit {
+        tier: 0,
+        target: 0,
+        idempotent: false,
+        wait_ms: 10,
+    },
+    Event::Advance { ms: 241 },
+];
+
+#[test]
+fn holds_complete_seed_14() {
+    let mut oracle = Complete::init_test(&());
+    for event in SEED_14 {
+        oracle = Complete::apply(oracle, &(), event.clone());
+    }
+}
