fix(daemon): take upstreams that left during an outage as gone in time

The host had regained the store 1.1 s after the removal, kept the missing row for 2.5 s and read the list again only 4.1 s after its return. The next read is now due when the wait ends, and a row that was listed since the return isn't kept. Ruled out: slow or failed reads (log: reads 2 s apart, none lost).

--- a/crates/daemon/src/directory/fleet.rs
+++ b/crates/daemon/src/directory/fleet.rs
@@ -1,4 +1,7 @@
-use std::sync::{Mutex, PoisonError};
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use log::info;
 use settings::{Config, State, Upstream};
@@ -45,19 +48,28 @@
     }
 
     /// Takes in the upstreams that the store lists.
-    pub(crate) fn offer_upstreams(&self, shared: &Shared, mut listed: Vec<Upstream>) {
+    ///
+    /// Returns the time until upstreams whose rows are missing are gone, if there are any: the list has
+    /// to be read again then.
+    pub(crate) fn offer_upstreams(
+        &self,
+        shared: &Shared,
+        mut listed: Vec<Upstream>,
+    ) -> Option<Duration> {
         for upstream in &mut listed {
             upstream.region = shared.host.region_of(&upstream.zone).to_owned();
         }
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let before = known.roster.upstreams().to_vec();
-        if !known.roster.take(shared.clock.now_us(), listed) {
-            return;
-        }
-        note_changes(&before, known.roster.upstreams());
-        if known.config.is_some() {
-            shared.replace_config(known.merged());
+        let now_us = shared.clock.now_us();
+        if known.roster.take(now_us, listed) {
+            note_changes(&before, known.roster.upstreams());
+            if known.config.is_some() {
+                shared.replace_config(known.merged());
+            }
         }
+        let settles_us = known.roster.settles_us()?;
+        Some(Duration::from_micros(settles_us.saturating_sub(now_us)))
     }
 
     /// Notes that the store could not be read.
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -71,8 +71,9 @@
         match directory.upstreams().await {
             Ok(listed) => {
                 reach.note_success();
-                shared.fleet.offer_upstreams(&shared, listed);
-                sleep(spread(shared.host.upstream_poll_ms())).await;
+                let settles = shared.fleet.offer_upstreams(&shared, listed);
+                let pause = spread(shared.host.upstream_poll_ms());
+                sleep(settles.map_or(pause, |settles| settles.min(pause))).await;
             }
             Err(error) => {
                 shared.fleet.note_failure();
--- a/crates/daemon/src/directory/roster.rs
+++ b/crates/daemon/src/directory/roster.rs
@@ -12,6 +12,8 @@
     /// Time of the first read since the store could not be read, if it was.
     returned_us: Option<u64>,
     away: bool,
+    /// Names of the upstreams that are missing since the store's return and stay for a while, sorted.
+    missing: Vec<String>,
 }
 
 impl Roster {
@@ -23,9 +25,10 @@
     /// Takes in what the store lists; returns whether the upstreams have changed.
     ///
     /// Rows lapse while the store is away although their upstreams live. Upstreams that are missing
-    /// after its return therefore stay for a while.
+    /// after its return therefore stay for a while; one that was listed since then has left.
     pub(crate) fn take(&mut self, now_us: u64, mut listed: Vec<Upstream>) -> bool {
-        if self.away {
+        let first = self.away;
+        if first {
             self.away = false;
             self.returned_us = Some(now_us);
         }
@@ -34,13 +37,16 @@
             .is_some_and(|returned_us| now_us < returned_us + RETURN_US);
         listed.sort_by(|a, b| a.name.cmp(&b.name));
         listed.dedup_by(|a, b| a.name == b.name);
+        let was_missing = std::mem::take(&mut self.missing);
         if returning {
             let missing = self.upstreams.iter().filter(|known| {
                 let found = listed.binary_search_by(|upstream| upstream.name.cmp(&known.name));
                 let address_taken = listed.iter().any(|other| other.address == known.address);
-                found.is_err() && !address_taken
+                let lapsed = first || was_missing.binary_search(&known.name).is_ok();
+                found.is_err() && !address_taken && lapsed
             });
             let missing: Vec<Upstream> = missing.cloned().collect();
+            self.missing = missing.iter().map(|known| known.name.clone()).collect();
             listed.extend(missing);
             listed.sort_by(|a, b| a.name.cmp(&b.name));
         }
@@ -49,6 +55,12 @@
         changed
     }
 
+    /// Returns the time at which upstreams that are still missing are gone, if there are any.
+    pub(crate) fn settles_us(&self) -> Option<u64> {
+        let returned_us = self.returned_us.filter(|_| !self.missing.is_empty())?;
+        Some(returned_us + RETURN_US)
+    }
+
     /// Returns the upstreams, sorted by name.
     pub(crate) fn upstreams(&self) -> &[Upstream] {
         &self.upstreams
