fix(route): a prompt waits for a sound engine rather than going back to a dead one

Attempts went back to an engine that had refused the connection a millisecond before, while the other was only full. Test failed first: dead_engine_is_not_tried_again_while_a_sound_one_is_full. The same for requests without parts was tried and taken back: the job properties count the slot of the avoided upstream as free (holds_complete_every_job_ends_once).

--- a/crates/route/src/placement_tests.rs
+++ b/crates/route/src/placement_tests.rs
@@ -207,3 +207,20 @@
         assert_eq!(first == second, same, "{count} engines");
     }
 }
+
+/// Guards against a prompt that goes back to a dead engine within milliseconds while a sound one is
+/// only full for the moment, until its attempts are used up.
+#[test]
+fn dead_engine_is_not_tried_again_while_a_sound_one_is_full() {
+    let mut pool = pools(&engines(2)).remove(0);
+    let first = choose(&mut pool, 0, 1, &prompt(0, 1)).unwrap();
+    pool.prompt_ended(&first, 1, Ending::ConnectFailed);
+    pool.end_waiting(1_000, &first, Ending::ConnectFailed, 1_000);
+    let avoid = Some(first.as_str());
+    let mut job = 2;
+    while let Some(other) = choose_avoiding(&mut pool, 2_000, job, &prompt(0, job), avoid) {
+        assert_ne!(other, first, "job {job}");
+        job += 1;
+    }
+    assert!(job > 2);
+}
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -60,14 +60,29 @@
 impl Pool {
     /// Chooses the engine of a group for a prompt; `None` if none can take it.
     pub(super) fn best_engine(&self, now_us: u64, group: usize, need: &Need<'_>) -> Option<usize> {
-        let any = Need {
-            avoid: None,
-            ..*need
-        };
         let sound = self.best_engine_among(now_us, group, need, true);
         sound
             .or_else(|| self.best_engine_among(now_us, group, need, false))
-            .or_else(|| self.best_engine_among(now_us, group, &any, false))
+            .or_else(|| {
+                let avoided = need.avoid.and_then(|name| self.index(name))?;
+                let waits = self.is_worse_than_waiting(now_us, group, avoided);
+                let any = Need {
+                    avoid: None,
+                    ..*need
+                };
+                (!waits).then(|| self.best_engine_among(now_us, group, &any, false))?
+            })
+    }
+
+    /// Returns whether a prompt that avoids a failing engine should rather wait for a sound one.
+    fn is_worse_than_waiting(&self, now_us: u64, group: usize, avoided: usize) -> bool {
+        let lanes = self.groups[group].lanes.iter();
+        let mut members = lanes.flat_map(Lane::members);
+        self.members[avoided].is_failing(now_us)
+            && members.any(|&index| {
+                let member = &self.members[index as usize];
+                member.is_usable() && !member.ejected && !member.is_failing(now_us)
+            })
     }
 
     fn best_engine_among(
