--- a/crates/standin/src/text.rs
+++ b/crates/standin/src/text.rs
@@ -24,6 +24,17 @@
     (0..tokens).map(|index| word(prompt, index)).collect()
 }
 
+/// Splits a prompt that ends with the beginning of its own answer, as a resumed request does.
+pub(crate) fn split(text: &str) -> (&str, &str) {
+    let begins = text.match_indices("0:").map(|(index, _)| index);
+    let found = begins.into_iter().find(|&index| {
+        let (prompt, begun) = text.split_at(index);
+        let words = u32::try_from(begun.split_whitespace().count()).unwrap_or(0);
+        answer_text(prompt, words) == begun
+    });
+    text.split_at(found.unwrap_or(text.len()))
+}
+
 /// Returns the answer's length: the number behind `len=` in the prompt, or 8 to 135 words.
 pub(crate) fn answer_tokens(prompt: &str) -> u32 {
     let named = prompt.rsplit_once("len=").and_then(|(_, rest)| {
@@ -35,3 +46,7 @@
         8 + sum % 128
     })
 }
+
+#[cfg(test)]
+#[path = "text_tests.rs"]
+mod tests;
