--- a/crates/daemon/src/directory/roster.rs
+++ b/crates/daemon/src/directory/roster.rs
@@ -67,6 +67,9 @@
     }
 }
 
+#[cfg(test)]
+#[path = "roster_fuzz_tests.rs"]
+mod fuzz_tests;
 #[cfg(test)]
 #[path = "roster_tests.rs"]
 mod tests;
--- a/crates/daemon/src/directory/roster_tests.rs
+++ b/crates/daemon/src/directory/roster_tests.rs
@@ -2,7 +2,7 @@
 
 use super::{RETURN_US, Roster};
 
-fn upstream(number: u16) -> Upstream {
+pub(super) fn upstream(number: u16) -> Upstream {
     Upstream {
         name: format!("engine-{number}"),
         kind: Kind::Service,
@@ -19,7 +19,7 @@
     }
 }
 
-fn names(roster: &Roster) -> Vec<&str> {
+pub(super) fn names(roster: &Roster) -> Vec<&str> {
     let upstreams = roster.upstreams().iter();
     upstreams.map(|upstream| upstream.name.as_str()).collect()
 }
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -18,7 +18,7 @@
         for spec in sheet.upstreams() {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let proxy = Proxy::start(listener.local_addr()?).await?;
-            let upstream = Upstream::start_behind(proxy.address, listener, spec, store, ledger);
+            let upstream = Upstream::start_behind(proxy.address, listener, spec, store, ledger)?;
             upstreams.push((upstream, proxy));
         }
         Ok(Self { upstreams })
