fix(daemon): begin the read of the configuration anew when the store returns

Ruled out: peers (all hosts were behind), a slow decode (in force within 1 ms of the answer). Test failed first: new_version_is_followed_after_a_silent_store, 0 of 54 requests served.

--- a/crates/daemon/src/directory/fleet.rs
+++ b/crates/daemon/src/directory/fleet.rs
@@ -5,6 +5,7 @@
 
 use log::info;
 use settings::{Config, State, Upstream};
+use tokio::sync::Notify;
 
 use super::roster::Roster;
 use crate::shared::Shared;
@@ -13,6 +14,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
     known: Mutex<Known>,
+    /// Told when the list of upstreams can be read again: a read of the configuration that is held back
+    /// may belong to a connection that the outage has silenced.
+    pub(crate) store_returned: Notify,
 }
 
 #[derive(Debug, Default)]
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -27,14 +27,17 @@
         Self { what, failures: 0 }
     }
 
-    fn note_success(&mut self) {
-        if self.failures > 0 {
+    /// Notes a success; returns whether it is the first one after failures.
+    fn note_success(&mut self) -> bool {
+        let regained = self.failures > 0;
+        if regained {
             info!(
                 "store: regained read={} failures={}",
                 self.what, self.failures
             );
         }
         self.failures = 0;
+        regained
     }
 
     /// Notes a failure and waits before the next try.
@@ -48,11 +51,15 @@
     }
 }
 
-/// Follows the configuration.
+/// Follows the configuration; a read that is held back is begun anew when the store returns.
 pub(crate) async fn follow_config(shared: Arc<Shared>, mut directory: Box<dyn Directory>) {
     let mut reach = Reach::new("config");
     loop {
-        match directory.config().await {
+        let answer = tokio::select! {
+            answer = directory.config() => answer,
+            () = shared.fleet.store_returned.notified() => continue,
+        };
+        match answer {
             Ok(config) => {
                 reach.note_success();
                 if let Some(config) = config {
@@ -70,7 +77,9 @@
     loop {
         match directory.upstreams().await {
             Ok(listed) => {
-                reach.note_success();
+                if reach.note_success() {
+                    shared.fleet.store_returned.notify_waiters();
+                }
                 let settles = shared.fleet.offer_upstreams(&shared, listed);
                 let pause = spread(shared.host.upstream_poll_ms());
                 sleep(settles.map_or(pause, |settles| settles.min(pause))).await;
