--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -38,18 +38,20 @@
         if config.version <= in_force {
             return false;
         }
-        info!(
-            "config: in force version={} before={in_force} routes={} accounts={} source={source}",
-            config.version,
-            config.routes.len(),
-            config.accounts.len()
-        );
+        let (version, routes) = (config.version, config.routes.len());
+        let accounts = config.accounts.len();
+        let began_us = shared.clock.now_us();
         let upstreams = std::mem::take(&mut config.upstreams);
         if inner.roster.upstreams().is_empty() {
             inner.roster.update(shared.clock.now_us(), upstreams);
         }
         inner.config = Some(config);
         shared.replace_config(inner.merged());
+        info!(
+            "config: in force version={version} before={in_force} routes={routes} \
+             accounts={accounts} source={source} apply_ms={}",
+            shared.clock.now_us().saturating_sub(began_us) / 1_000
+        );
         true
     }
 
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -5,7 +5,7 @@
 use log::{info, warn};
 use rand::RngExt as _;
 use store::StoreError;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::{adapter::StoreAdapter, shared::Shared};
 
@@ -24,29 +24,38 @@
 struct Reachability {
     read: &'static str,
     failures: u32,
+    /// Time of the first failure since the last success.
+    lost_at: Option<Instant>,
 }
 
 impl Reachability {
     const fn new(read: &'static str) -> Self {
-        Self { read, failures: 0 }
+        Self {
+            read,
+            failures: 0,
+            lost_at: None,
+        }
     }
 
     /// Records a success; returns whether it is the first one after failures.
     fn record_success(&mut self) -> bool {
-        let recovered = self.failures > 0;
-        if recovered {
+        let lost_at = self.lost_at.take();
+        if let Some(lost_at) = lost_at {
             info!(
-                "store: regained read={} failures={}",
-                self.read, self.failures
+                "store: regained read={} failures={} lost_ms={}",
+                self.read,
+                self.failures,
+                lost_at.elapsed().as_millis()
             );
         }
         self.failures = 0;
-        recovered
+        lost_at.is_some()
     }
 
     /// Records a failure and waits before the next attempt.
     async fn back_off(&mut self, error: &StoreError) {
-        if self.failures == 0 {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(Instant::now());
             warn!("store: lost read={} error={error:?}", self.read);
         }
         self.failures = self.failures.saturating_add(1);
