fix(directory): bound the wait for a new configuration by its time in force

Callers got 404 for routes that had been added: a host can hold an old configuration for 9 s. Its read of the configuration may be held back by the store for 8 s, and if the read is swallowed, by a silence too short for any other read to fail, the host waits all that time. Upstreams that leave have had a bound of their own for the same kind of read.

The time in which a configuration must be in force is a setting now (config_max_ms), and the long poll ends early enough for another one.

--- a/crates/daemon/src/adapter/store_adapter.rs
+++ b/crates/daemon/src/adapter/store_adapter.rs
@@ -6,14 +6,14 @@
 
 /// Reads and writes the router's rows in the platform's store.
 pub trait StoreAdapter {
-    /// Waits a few seconds at most for a change of the configuration.
+    /// Waits for a change of the configuration, for `wait` at most.
     ///
-    /// Returns `None` if nothing changed, or if the stored configuration can't be parsed.
+    /// The first call returns at once. Returns `None` if nothing changed, or if the stored configuration can't be parsed.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] if the store does not respond or refuses the request.
-    fn config(&mut self) -> LocalBoxFuture<'_, Result<Option<Config>, StoreError>>;
+    fn config(&mut self, wait: Duration) -> LocalBoxFuture<'_, Result<Option<Config>, StoreError>>;
 
     /// Returns all registered upstreams, with their zone but without their region.
     ///
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -68,9 +68,10 @@
 /// again.
 pub(crate) async fn follow_config(shared: Arc<Shared>, mut store: Box<dyn StoreAdapter>) {
     let mut reachability = Reachability::new("config");
+    let wait = Duration::from_millis(shared.host.config_wait_ms());
     loop {
         let answer = tokio::select! {
-            answer = store.config() => answer,
+            answer = store.config(wait) => answer,
             () = shared.cluster_state.store_returned.notified() => continue,
         };
         match answer {
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -94,7 +94,7 @@
 }
 
 impl StoreAdapter for TestStore {
-    fn config(&mut self) -> LocalBoxFuture<'_, Result<Option<Config>, StoreError>> {
+    fn config(&mut self, _: Duration) -> LocalBoxFuture<'_, Result<Option<Config>, StoreError>> {
         Box::pin(async {
             sleep(Duration::from_millis(5)).await;
             let config = self.rows.lock().unwrap().config.clone();
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -20,6 +20,12 @@
 /// seconds of an outage; the poll must fail before, so that the outage is noticed.
 const UPSTREAM_WAIT_MAX_MS: u64 = 2_500;
 
+/// Longest wait of a long poll for a new configuration.
+const CONFIG_WAIT_MAX_MS: u64 = 8_000;
+
+/// Shortest wait of such a long poll that the time of a configuration leads to.
+const CONFIG_WAIT_MIN_MS: u64 = 400;
+
 /// Settings of one host, read from its file at start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,6 +56,10 @@
     /// interval between two reads of the list of upstreams.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leaving_max_ms: Option<u64>,
+    /// Time within which a new configuration must be in force. If set, it limits how long the store
+    /// may hold back its answer while the configuration doesn't change.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config_max_ms: Option<u64>,
     /// Shortest duration of a drain: callers keep sending requests until the load balancer has
     /// noticed that this host is stopping.
     #[serde(default)]
@@ -103,6 +113,18 @@
         wait_ms.min(UPSTREAM_WAIT_MAX_MS)
     }
 
+    /// Returns how long the store may hold back its answer while the configuration doesn't change.
+    ///
+    /// A new configuration must be in force in time even if the poll before it gets no answer. A
+    /// third of the time that such a poll leaves is kept for the next one, which may be slow.
+    #[must_use]
+    pub fn config_wait_ms(&self) -> u64 {
+        self.config_max_ms.map_or(CONFIG_WAIT_MAX_MS, |config_ms| {
+            let wait_ms = config_ms.saturating_sub(LOST_POLL_MS) * 2 / 3;
+            wait_ms.clamp(CONFIG_WAIT_MIN_MS, CONFIG_WAIT_MAX_MS)
+        })
+    }
+
     /// Returns the time from one long poll for changed upstreams to the next.
     ///
     /// A leaving upstream must be noticed in time even if it leaves at the start of a pause and the
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -142,6 +142,7 @@
     Field::required("peer_keys", Schema::List(1, &PEER_KEY)),
     Field::optional("metrics_listen", Schema::Address),
     Field::optional("leaving_max_ms", Schema::Number(limits::DRAIN_MAX_MS)),
+    Field::optional("config_max_ms", Schema::Number(limits::DRAIN_MAX_MS)),
     Field::optional("drain_min_ms", Schema::Number(limits::DRAIN_MAX_MS)),
     Field::optional("stop_grace_s", Schema::Number(limits::DRAIN_MAX_MS)),
     Field::optional("zones", Schema::List(0, &ZONE)),
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -247,6 +247,20 @@
     assert_eq!(host.drain_max(), std::time::Duration::from_secs(7));
 }
 
+/// Guards against a new configuration that is in force too late because the poll before it gets no
+/// answer: on a large site a host answered 404 for a new route 5.2 s after it was acknowledged. Such
+/// a poll ends a second after its wait, the next one follows after 220 ms at most.
+#[test]
+fn configurations_are_noticed_in_time_after_a_lost_poll() {
+    let mut host = crate::Host::parse(POLLING_HOST).unwrap();
+    for config_max_ms in [2_400, 3_000, 4_000, 5_000, 11_000] {
+        host.config_max_ms = Some(config_max_ms);
+        let noticed_ms = host.config_wait_ms() + 1_000 + 220;
+        assert!(noticed_ms < config_max_ms, "{config_max_ms}: {noticed_ms}");
+        assert!(host.config_wait_ms() >= 400, "no tight loop");
+    }
+}
+
 const POLLING_HOST: &str = r#"{
     "name": "entry-1", "region": "costa", "zone": "norte", "store_poll_ms": 5000,
     "listen": "127.0.0.1:1", "admin_listen": "127.0.0.1:2", "peer_listen": "127.0.0.1:3",
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -80,6 +80,7 @@
         metrics_listen: None,
         zones: Vec::new(),
         leaving_max_ms: None,
+        config_max_ms: None,
         drain_min_ms: 0,
         stop_grace_s: None,
         workers: 2,
