feat(peer): order the daemons of a zone in a tree

The tree decides which daemon asks the store and which follow another one, for what hosts learn from the store. It is a plain type of the view that each daemon has: a daemon only follows one with a lower hash of its name, so that views that differ never make two follow each other. Nothing uses it yet.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -54,9 +54,12 @@
 mod send;
 mod state;
 mod tick;
+mod tree;
 
 #[cfg(test)]
 mod membership_tests;
+#[cfg(test)]
+mod tree_tests;
 
 pub use self::{
     counters::Counters, frame::Frame, key_error::KeyError, keys::Keys, listed_host::ListedHost,
--- a/crates/peer/src/listed_host.rs
+++ b/crates/peer/src/listed_host.rs
@@ -16,6 +16,10 @@
     pub name: String,
     /// Address of the host for other daemons.
     pub address: SocketAddr,
+    /// Region of the host; empty if the list doesn't contain it.
+    pub region: String,
+    /// Availability zone of the host; empty if the list doesn't contain it.
+    pub zone: String,
     /// Whether the platform is about to remove the host.
     pub leaving: bool,
 }
@@ -27,10 +31,20 @@
         Self {
             name: name.to_owned(),
             address,
+            region: String::new(),
+            zone: String::new(),
             leaving: false,
         }
     }
 
+    /// Sets region and availability zone.
+    #[must_use]
+    pub fn with_locality(mut self, region: &str, zone: &str) -> Self {
+        region.clone_into(&mut self.region);
+        zone.clone_into(&mut self.zone);
+        self
+    }
+
     /// Sets whether the host is leaving.
     #[must_use]
     pub const fn with_leaving(mut self, leaving: bool) -> Self {
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -280,7 +280,8 @@
         let index = match self.find(&host.name) {
             Ok(index) => index,
             Err(index) => {
-                let member = Member::new(&host.name, host.address, 0);
+                let member = Member::new(&host.name, host.address, 0)
+                    .with_locality(&host.region, &host.zone);
                 if !member.is_valid() || self.entries.len() >= self.options.members_max {
                     return;
                 }
