fix(directory): let the hosts of a zone follow each other instead of the store

Cause: every host read the whole list of upstreams, and its later changes, from the store for itself. In the region without the store that is hosts times upstreams over one link: 148 hosts and 3,000 upstreams are 169 MB on 60 Mbit/s. Reads were given up after a second and begun again at the first page; reads of the configuration, small as they are, waited behind them or could not open a connection; versions that peers passed on carried the whole list too.

Ruled out: slow hosts (24 ms at most to put a version in force); a swallowed read alone (64 of these reads).

Change: the daemons of a zone form a tree by a hash of their names. The root asks the store; the others hold a connection to their parent, which tells them the configuration and the changed upstreams as they come, in a compact form. Versions are the store's, so that a host can go on at the store where its parent left off, which it does as soon as the parent is silent or says that it can't reach the store.

Still as before: 30 s until a killed fleet serves.

--- a/crates/daemon/src/adapter/mod.rs
+++ b/crates/daemon/src/adapter/mod.rs
@@ -9,6 +9,9 @@
 mod request_metadata;
 mod response_kind;
 mod store_adapter;
+mod store_reads;
+
+pub use peer::ListedHost;
 
 pub use self::{
     attempt_info::AttemptInfo,
@@ -16,4 +19,5 @@
     request_metadata::{MalformedHeader, RequestMetadata},
     response_kind::ResponseKind,
     store_adapter::StoreAdapter,
+    store_reads::{ConfigRead, UpstreamRead, UpstreamRow},
 };
--- a/crates/daemon/src/adapter/store_adapter.rs
+++ b/crates/daemon/src/adapter/store_adapter.rs
@@ -1,48 +1,54 @@
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
-use settings::{Config, Upstream};
-use store::{HostEntry, StoreError};
+use peer::ListedHost;
+use store::StoreError;
+
+use super::{ConfigRead, UpstreamRead};
 
 /// Reads and writes the router's rows in the platform's store.
 pub trait StoreAdapter {
-    /// Waits for a change of the configuration, for `wait` at most.
+    /// Reads the configuration.
     ///
-    /// The first call returns at once. Returns `None` if nothing changed, or if the stored configuration can't be parsed.
+    /// Without `after`, the configuration is read at once. With it, the call returns as soon as the
+    /// configuration has changed since that version of the store, and after `wait` at the latest.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] if the store does not respond or refuses the request.
-    fn config(&mut self, wait: Duration) -> LocalBoxFuture<'_, Result<Option<Config>, StoreError>>;
+    fn config(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<ConfigRead, StoreError>>;
 
-    /// Returns all registered upstreams, with their zone but without their region.
+    /// Reads the upstreams, with their zone but without their region.
     ///
-    /// The first call returns at once; a later one returns as soon as any of them has changed, and
-    /// after `wait` at the latest.
+    /// Without `after`, all of them are read at once. With it, the call returns those that have
+    /// changed since that version of the store, as soon as there is one and after `wait` at the
+    /// latest; if the store no longer knows the changes, it returns all.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] if the store does not respond or refuses the request.
     fn upstreams(
-        &mut self,
+        &self,
+        after: Option<u64>,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<Vec<Upstream>, StoreError>>;
+    ) -> LocalBoxFuture<'_, Result<UpstreamRead, StoreError>>;
 
     /// Returns the registered daemons.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] if the store does not respond or refuses the request.
-    fn daemons(&self) -> LocalBoxFuture<'_, Result<Vec<HostEntry>, StoreError>>;
+    fn daemons(&self) -> LocalBoxFuture<'_, Result<Vec<ListedHost>, StoreError>>;
 
-    /// Registers this daemon.
+    /// Registers a daemon.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`]; after [`StoreError::Unknown`] the daemon may be registered or not.
-    fn register<'a>(
-        &'a self,
-        name: &'a str,
-        address: SocketAddr,
-    ) -> LocalBoxFuture<'a, Result<(), StoreError>>;
+    fn register<'a>(&'a self, daemon: &'a ListedHost)
+    -> LocalBoxFuture<'a, Result<(), StoreError>>;
 }
--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -1,52 +1,263 @@
 //! Merges the configuration and the list of upstreams, and puts the result in force.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use log::info;
 use settings::{Config, Upstream, UpstreamLifecycle};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
-use super::roster::Roster;
-use crate::shared::Shared;
+use super::{
+    roster::Roster,
+    update::{Subscription, Update},
+    upstream_table::UpstreamTable,
+};
+use crate::{
+    adapter::{ConfigRead, UpstreamRead},
+    shared::Shared,
+};
+
+/// Where a daemon learns the configuration and the upstreams from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// Not decided yet; only the configuration is read from the store.
+    #[default]
+    Undecided,
+    /// The store.
+    Store,
+    /// Another daemon.
+    Peer,
+}
+
+/// One of the two reads of the store that must succeed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Read {
+    Config,
+    Upstreams,
+}
+
+/// What a follower knows.
+#[derive(Debug)]
+pub(crate) struct Cursor {
+    config_version: u64,
+    upstreams_version: Option<u64>,
+    outages: u64,
+}
 
 /// Newest known configuration and list of upstreams, from the store or from peers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ClusterState {
     inner: Mutex<Inner>,
     /// Notified when the list of upstreams can be read again after an outage. A pending long poll
     /// for the configuration may hang on a connection that the outage broke, and is then restarted.
     pub(crate) store_returned: Notify,
+    /// Notified of everything that followers have to be told.
+    changed: watch::Sender<()>,
+    source: watch::Sender<Source>,
+    /// Whether the other daemons have been listed once.
+    pub(crate) has_listed_daemons: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     config: Option<Config>,
+    /// Version of the store up to which the configuration is known.
+    config_store_version: Option<u64>,
+    table: UpstreamTable,
     roster: Roster,
+    /// Outages of the store that have ended.
+    outages: u64,
+    /// Reads of the store that fail at present.
+    failing: Vec<Read>,
+}
+
+impl Default for ClusterState {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            store_returned: Notify::default(),
+            changed: watch::channel(()).0,
+            source: watch::channel(Source::default()).0,
+            has_listed_daemons: watch::channel(false).0,
+        }
+    }
 }
 
 impl ClusterState {
-    /// Puts a configuration in force if it is newer; returns whether it was.
+    /// Returns the source, and notifies of its changes.
+    pub(crate) fn source(&self) -> watch::Receiver<Source> {
+        self.source.subscribe()
+    }
+
+    /// Sets the source.
+    pub(crate) fn set_source(&self, source: Source) {
+        if source == Source::Peer {
+            self.lock().failing.clear();
+        }
+        self.source.send_if_modified(|current| {
+            let differs = *current != source;
+            *current = source;
+            differs
+        });
+    }
+
+    /// Returns a receiver that is notified of everything that followers have to be told.
+    pub(crate) fn changes(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// Returns the version of the store up to which the configuration is known.
+    pub(crate) fn config_store_version(&self) -> Option<u64> {
+        self.lock().config_store_version
+    }
+
+    /// Returns the version of the store up to which the upstreams are known.
+    pub(crate) fn upstreams_store_version(&self) -> Option<u64> {
+        self.lock().table.store_version()
+    }
+
+    /// Returns whether a configuration is known.
+    pub(crate) fn has_config(&self) -> bool {
+        self.lock().config.is_some()
+    }
+
+    /// Applies a read of the configuration from the store.
+    pub(crate) fn apply_config(&self, shared: &Shared, read: ConfigRead) {
+        let mut inner = self.lock();
+        let mut has_news = inner.set_failing(Read::Config, false);
+        if let Some(config) = read.config {
+            has_news |= inner.offer_config(shared, config, "store");
+        }
+        inner.config_store_version = read.store_version;
+        drop(inner);
+        self.notify_followers(has_news);
+    }
+
+    /// Applies a read of the upstreams from the store.
     ///
-    /// The upstreams that a peer sends with it are used only until the store has been read once.
-    pub(crate) fn offer_config(&self, shared: &Shared, mut config: Config, source: &str) -> bool {
-        // Locked until the configuration is in force, so that concurrent updates stay in order.
-        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-        let in_force = inner.config.as_ref().map_or(0, |config| config.version);
+    /// If upstreams whose rows are missing are kept for a grace period, returns the time until it
+    /// ends: [`Self::apply_upstreams`] or [`Self::end_grace`] must be called then.
+    pub(crate) fn apply_upstreams(&self, shared: &Shared, read: UpstreamRead) -> Option<Duration> {
+        let mut inner = self.lock();
+        let has_news = inner.set_failing(Read::Upstreams, false);
+        let changed = inner.table.apply(read);
+        let grace = inner.refresh_upstreams(shared, changed);
+        drop(inner);
+        self.notify_followers(has_news || changed);
+        grace
+    }
+
+    /// Drops the upstreams whose rows are still missing at the end of their grace period.
+    pub(crate) fn end_grace(&self, shared: &Shared) -> Option<Duration> {
+        self.lock().refresh_upstreams(shared, false)
+    }
+
+    /// Applies what another daemon knows; returns the time until a grace period ends, as
+    /// [`Self::apply_upstreams`] does.
+    pub(crate) fn apply_update(
+        &self,
+        shared: &Shared,
+        update: Update,
+        peer: &str,
+    ) -> Option<Duration> {
+        let mut inner = self.lock();
+        let mut has_news = update.after_outage;
+        if let Some(config) = update.config {
+            has_news |= inner.offer_config(shared, config, peer);
+        }
+        if update.config_store_version > inner.config_store_version {
+            inner.config_store_version = update.config_store_version;
+        }
+        if update.after_outage {
+            inner.roster.record_failure();
+        }
+        let changed = update.upstreams.is_some_and(|read| inner.table.apply(read));
+        let grace = inner.refresh_upstreams(shared, changed);
+        drop(inner);
+        self.notify_followers(has_news || changed);
+        grace
+    }
+
+    /// Records that the store could not be read.
+    pub(crate) fn record_failure(&self, read: Read) {
+        let mut inner = self.lock();
+        let has_news = inner.set_failing(read, true);
+        if read == Read::Upstreams {
+            inner.roster.record_failure();
+        }
+        drop(inner);
+        self.notify_followers(has_news);
+    }
+
+    /// Returns what this daemon knows, as a request to another one.
+    pub(crate) fn subscription(&self, once: bool) -> Subscription {
+        let inner = self.lock();
+        Subscription {
+            config_version: inner.config.as_ref().map_or(0, |config| config.version),
+            upstreams_version: inner.table.store_version(),
+            once,
+        }
+    }
+
+    /// Returns the cursor of a new follower.
+    pub(crate) fn cursor(&self, subscription: &Subscription) -> Cursor {
+        Cursor {
+            config_version: subscription.config_version,
+            upstreams_version: subscription.upstreams_version,
+            outages: self.lock().outages,
+        }
+    }
+
+    /// Returns what a follower lacks, and advances its cursor.
+    pub(crate) fn update_since(&self, cursor: &mut Cursor) -> Update {
+        let inner = self.lock();
+        let config = inner.config.as_ref();
+        let config = config.filter(|config| config.version > cursor.config_version);
+        let mut upstreams = inner.table.changes_since(cursor.upstreams_version);
+        // A follower that also asks the store may be ahead.
+        upstreams.take_if(|read| Some(read.store_version) < cursor.upstreams_version);
+        let update = Update {
+            is_failing: !inner.failing.is_empty(),
+            after_outage: inner.outages != cursor.outages,
+            config: config.cloned(),
+            config_store_version: inner.config_store_version,
+            upstreams,
+        };
+        cursor.outages = inner.outages;
+        if let Some(config) = &update.config {
+            cursor.config_version = config.version;
+        }
+        if let Some(read) = &update.upstreams {
+            cursor.upstreams_version = Some(read.store_version);
+        }
+        update
+    }
+
+    fn notify_followers(&self, has_news: bool) {
+        if has_news {
+            self.changed.send_replace(());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Puts a configuration in force if it is newer; returns whether it was.
+    fn offer_config(&mut self, shared: &Shared, config: Config, source: &str) -> bool {
+        let in_force = self.config.as_ref().map_or(0, |config| config.version);
         if config.version <= in_force {
             return false;
         }
         let (version, routes) = (config.version, config.routes.len());
         let accounts = config.accounts.len();
         let began_us = shared.clock.now_us();
-        let upstreams = std::mem::take(&mut config.upstreams);
-        if inner.roster.upstreams().is_empty() {
-            inner.roster.update(shared.clock.now_us(), upstreams);
-        }
-        inner.config = Some(config);
-        shared.replace_config(inner.merged());
+        self.config = Some(config);
+        shared.replace_config(self.merged());
         info!(
             "config: in force version={version} before={in_force} routes={routes} \
              accounts={accounts} source={source} apply_ms={}",
@@ -55,39 +266,29 @@
         true
     }
 
-    /// Updates the upstreams to those that the store lists.
-    ///
-    /// If upstreams whose rows are missing are kept for a grace period, returns the time until it
-    /// ends: the list must be read again then.
-    pub(crate) fn update_upstreams(
-        &self,
-        shared: &Shared,
-        mut listed: Vec<Upstream>,
-    ) -> Option<Duration> {
-        for upstream in &mut listed {
-            upstream.region = shared.host.region_of(&upstream.zone).to_owned();
-        }
-        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = inner.roster.upstreams().to_vec();
+    /// Updates the upstreams in force to the table's, if they can differ; returns the time until a
+    /// grace period ends.
+    fn refresh_upstreams(&mut self, shared: &Shared, changed: bool) -> Option<Duration> {
         let now_us = shared.clock.now_us();
-        if inner.roster.update(now_us, listed) {
-            log_changes(&before, inner.roster.upstreams());
-            if inner.config.is_some() {
-                shared.replace_config(inner.merged());
+        self.table.store_version()?;
+        if changed || self.roster.is_pending() {
+            self.outages += u64::from(self.roster.is_unreachable());
+            let mut listed = self.table.upstreams();
+            for upstream in &mut listed {
+                upstream.region = shared.host.region_of(&upstream.zone).to_owned();
+            }
+            let before = self.roster.upstreams().to_vec();
+            if self.roster.update(now_us, listed) {
+                log_changes(&before, self.roster.upstreams());
+                if self.config.is_some() {
+                    shared.replace_config(self.merged());
+                }
             }
         }
-        let grace_ends_us = inner.roster.grace_ends_us()?;
+        let grace_ends_us = self.roster.grace_ends_us()?;
         Some(Duration::from_micros(grace_ends_us.saturating_sub(now_us)))
     }
 
-    /// Records that the store could not be read.
-    pub(crate) fn record_failure(&self) {
-        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-        inner.roster.record_failure();
-    }
-}
-
-impl Inner {
     /// Returns the configuration with the listed upstreams and the engine settings of their
     /// services.
     fn merged(&self) -> Config {
@@ -102,6 +303,16 @@
             .collect();
         config
     }
+
+    /// Records whether a read of the store fails; returns whether that is new.
+    fn set_failing(&mut self, read: Read, is_failing: bool) -> bool {
+        let was_failing = self.failing.contains(&read);
+        self.failing.retain(|&failing| failing != read);
+        if is_failing {
+            self.failing.push(read);
+        }
+        was_failing != is_failing
+    }
 }
 
 /// Logs upstreams that are new, changed or gone.
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -5,9 +5,16 @@
 use log::{info, warn};
 use rand::RngExt as _;
 use store::StoreError;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
-use crate::{adapter::StoreAdapter, shared::Shared};
+use super::{Source, cluster_state::Read};
+use crate::{
+    adapter::{ListedHost, StoreAdapter},
+    shared::Shared,
+};
 
 /// Pause after the first failed read; doubled with each further one, so that a store that refuses
 /// requests is not overloaded.
@@ -20,6 +27,9 @@
 /// to each other what one of them reads.
 const DAEMONS_PAUSE: Duration = Duration::from_secs(20);
 
+/// Pause after the first read of that list, which may be made while other daemons still start.
+const FIRST_DAEMONS_PAUSE: Duration = Duration::from_secs(2);
+
 /// Tracks whether reads of one kind succeed, and logs when that changes.
 struct Reachability {
     read: &'static str,
@@ -64,44 +74,61 @@
     }
 }
 
-/// Follows the configuration by long polls; a pending one is restarted when the store is reachable
-/// again.
-pub(crate) async fn follow_config(shared: Arc<Shared>, mut store: Box<dyn StoreAdapter>) {
+/// Follows the configuration in the store by long polls, unless another daemon is the source; a
+/// pending poll is restarted when the store is reachable again.
+pub(crate) async fn follow_config(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
+    let state = &shared.cluster_state;
     let mut reachability = Reachability::new("config");
+    let mut source = state.source();
     let wait = Duration::from_millis(shared.host.config_wait_ms());
     loop {
+        if state.has_config() && wait_until(&mut source, |source| source != Source::Peer).await {
+            reachability = Reachability::new("config");
+        }
         let answer = tokio::select! {
-            answer = store.config(wait) => answer,
-            () = shared.cluster_state.store_returned.notified() => continue,
+            answer = store.config(state.config_store_version(), wait) => answer,
+            () = state.store_returned.notified() => continue,
         };
         match answer {
-            Ok(config) => {
+            Ok(read) => {
                 reachability.record_success();
-                if let Some(config) = config {
-                    shared.cluster_state.offer_config(&shared, config, "store");
-                }
+                state.apply_config(&shared, read);
+            }
+            Err(error) => {
+                state.record_failure(Read::Config);
+                reachability.back_off(&error).await;
             }
-            Err(error) => reachability.back_off(&error).await,
         }
     }
 }
 
-/// Follows the list of upstreams by long polls with pauses, in which changes add up.
-pub(crate) async fn follow_upstreams(shared: Arc<Shared>, mut store: Box<dyn StoreAdapter>) {
+/// Follows the list of upstreams in the store by long polls with pauses, in which changes add up,
+/// unless another daemon is the source.
+pub(crate) async fn follow_upstreams(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
+    let state = &shared.cluster_state;
     let mut reachability = Reachability::new("upstreams");
-    let wait = Duration::from_millis(shared.host.upstream_wait_ms());
+    let mut source = state.source();
+    let longest_wait = Duration::from_millis(shared.host.upstream_wait_ms());
+    let mut wait = longest_wait;
     loop {
-        match store.upstreams(wait).await {
-            Ok(listed) => {
+        if wait_until(&mut source, |source| source == Source::Store).await {
+            reachability = Reachability::new("upstreams");
+        }
+        match store.upstreams(state.upstreams_store_version(), wait).await {
+            Ok(read) => {
                 if reachability.record_success() {
-                    shared.cluster_state.store_returned.notify_waiters();
+                    state.store_returned.notify_waiters();
                 }
-                let grace = shared.cluster_state.update_upstreams(&shared, listed);
+                let grace = state.apply_upstreams(&shared, read);
                 let pause = with_jitter(shared.host.upstream_pause_ms());
-                sleep(grace.map_or(pause, |grace| grace.min(pause))).await;
+                let pause = grace.map_or(pause, |grace| grace.min(pause));
+                sleep(pause).await;
+                // Upstreams that are still missing at the end of the grace period are dropped then.
+                let rest = grace.map(|grace| grace.saturating_sub(pause));
+                wait = rest.map_or(longest_wait, |rest| rest.min(longest_wait));
             }
             Err(error) => {
-                shared.cluster_state.record_failure();
+                state.record_failure(Read::Upstreams);
                 reachability.back_off(&error).await;
             }
         }
@@ -111,30 +138,41 @@
 /// Registers this daemon, then polls the list of the other daemons.
 pub(crate) async fn follow_daemons(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
     let mut reachability = Reachability::new("daemons");
-    let address = shared.host.peer_listen;
-    while let Err(error) = store.register(&shared.host.name, address).await {
+    let host = &shared.host;
+    let own = ListedHost::new(&host.name, host.peer_listen).with_locality(&host.region, &host.zone);
+    while let Err(error) = store.register(&own).await {
         reachability.back_off(&error).await;
     }
+    let mut pause = FIRST_DAEMONS_PAUSE;
     loop {
         match store.daemons().await {
-            Ok(hosts) => {
+            Ok(mut listed) => {
                 reachability.record_success();
-                let listed_daemons: Vec<peer::ListedHost> = hosts
-                    .iter()
-                    .filter(|host| host.name != shared.host.name)
-                    .map(|host| peer::ListedHost::new(&host.name, host.address))
-                    .collect();
+                listed.retain(|daemon| daemon.name != host.name);
                 shared
                     .peers
-                    .with(|membership| membership.set_hosts(&listed_daemons));
-                sleep(DAEMONS_PAUSE.min(Duration::from_secs(2 + listed_daemons.len() as u64)))
-                    .await;
+                    .with(|membership| membership.set_hosts(&listed));
+                shared.cluster_state.has_listed_daemons.send_replace(true);
+                sleep(pause).await;
+                pause = DAEMONS_PAUSE
+                    .min(FIRST_DAEMONS_PAUSE + Duration::from_secs(listed.len() as u64));
             }
             Err(error) => reachability.back_off(&error).await,
         }
     }
 }
 
+/// Waits until the source meets a condition; returns whether it had to wait.
+async fn wait_until<F>(source: &mut watch::Receiver<Source>, condition: F) -> bool
+where
+    F: Fn(Source) -> bool,
+{
+    let waits = !condition(*source.borrow_and_update());
+    // Fails only when the daemon ends, and with it this task.
+    let _ = source.wait_for(|&source| condition(source)).await;
+    waits
+}
+
 /// Varies a pause by up to 10 %, so that the daemons' reads don't coincide.
 fn with_jitter(pause_ms: u64) -> Duration {
     let pause_ms = rand::rng().random_range(pause_ms * 9 / 10..=pause_ms * 11 / 10);
--- a/crates/daemon/src/directory/roster.rs
+++ b/crates/daemon/src/directory/roster.rs
@@ -26,6 +26,16 @@
         self.unreachable = true;
     }
 
+    /// Returns whether the last read failed.
+    pub(crate) const fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
+    /// Returns whether an update may change the upstreams although the store lists the same ones.
+    pub(crate) const fn is_pending(&self) -> bool {
+        self.unreachable || !self.missing.is_empty()
+    }
+
     /// Updates the list to what the store lists; returns whether the upstreams have changed.
     ///
     /// Rows expire during an outage although their upstreams are alive. Upstreams that are missing
@@ -78,4 +88,4 @@
 mod fuzz_tests;
 #[cfg(test)]
 #[path = "roster_tests.rs"]
-mod tests;
+pub(super) mod tests;
--- a/crates/daemon/src/directory/roster_tests.rs
+++ b/crates/daemon/src/directory/roster_tests.rs
@@ -2,7 +2,7 @@
 
 use super::{REREGISTER_GRACE_US, Roster};
 
-pub(super) fn upstream(number: u16) -> Upstream {
+pub(in crate::directory) fn upstream(number: u16) -> Upstream {
     Upstream {
         name: format!("engine-{number}"),
         kind: UpstreamKind::Service,
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -9,6 +9,9 @@
     net::TcpStream,
 };
 
+/// Bytes of the length prefix.
+pub(super) const LENGTH_BYTES: usize = 4;
+
 /// Largest frame of a challenge or request.
 pub(super) const SMALL_MAX_BYTES: usize = 1_024;
 
@@ -30,7 +33,7 @@
     keys: &Keys,
     bytes_max: usize,
 ) -> Result<Frame> {
-    let mut length = [0; 4];
+    let mut length = [0; LENGTH_BYTES];
     stream.read_exact(&mut length).await?;
     let length = u32::from_be_bytes(length) as usize;
     ensure!(length <= bytes_max, "frame of {length} bytes is too large");
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -10,8 +10,9 @@
 mod serve;
 mod shared_view;
 mod socket;
+mod updates;
 
 pub(crate) use self::{
     announcement::Announcement, fetch::fetch_configs, hosts::follow_hosts, serve::serve_config,
-    shared_view::Peers, socket::exchange_datagrams,
+    shared_view::Peers, socket::exchange_datagrams, updates::UpdateStream,
 };
--- a/crates/daemon/src/peers/serve.rs
+++ b/crates/daemon/src/peers/serve.rs
@@ -11,11 +11,15 @@
     time::{sleep, timeout},
 };
 
-use super::exchange::{SMALL_MAX_BYTES, read_frame, write_frame};
+use super::{
+    exchange::{SMALL_MAX_BYTES, read_frame, write_frame},
+    updates::serve_updates,
+};
 use crate::shared::Shared;
 
-/// Connections that are served concurrently; further peers wait or fetch from each other.
-const CONNECTIONS_MAX: usize = 8;
+/// Connections that are served concurrently; further peers wait, fetch from each other or ask the
+/// store. Twice the followers that a daemon has in a settled tree, and some that fetch once.
+const CONNECTIONS_MAX: usize = 24;
 
 /// Time limit for a peer's request; short, so that unauthenticated clients don't occupy
 /// connections.
@@ -51,6 +55,9 @@
 /// Serves one connection.
 async fn serve(shared: &Shared, mut stream: TcpStream) -> Result<()> {
     let request = timeout(REQUEST_TIMEOUT, receive_request(shared, &mut stream)).await??;
+    if shared.is_routed() {
+        return serve_updates(shared, stream, &request).await;
+    }
     let peer_version: u64 = postcard::from_bytes(&request.body)?;
     let snapshot = shared.snapshot.load_full();
     let body = if snapshot.config.version > peer_version {
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -26,7 +26,7 @@
     admin,
     announce_loads::announce_loads,
     completions,
-    directory::{follow_config, follow_daemons, follow_upstreams},
+    directory::{follow_config, follow_daemons, follow_peer, follow_upstreams},
     follow::follow_releases,
     grants::share_slots,
     loads::read_loads,
@@ -150,6 +150,7 @@
             running.spawn(follow_config(shared.clone(), connect_store()));
             running.spawn(follow_upstreams(shared.clone(), connect_store()));
             running.spawn(follow_daemons(shared.clone(), connect_store()));
+            running.spawn(follow_peer(shared.clone()));
             running.spawn(announce_loads(shared.clone()));
         } else {
             let table = store_client(&shared).await;
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -9,10 +9,11 @@
 use daemon::{
     Daemon, PlatformAdapter, RunningDaemon,
     adapter::{
-        AttemptInfo, HeaderAdapter, MalformedHeader, RequestMetadata, ResponseKind, StoreAdapter,
+        AttemptInfo, ConfigRead, HeaderAdapter, ListedHost, MalformedHeader, RequestMetadata,
+        ResponseKind, StoreAdapter, UpstreamRead, UpstreamRow,
     },
 };
-use futures::future::{LocalBoxFuture, pending};
+use futures::future::LocalBoxFuture;
 use link::{HeaderMap, StatusCode};
 use sched::PromptPart;
 use settings::{
@@ -20,7 +21,7 @@
     hash_api_key,
 };
 use standin::sample_host;
-use store::{HostEntry, StoreError};
+use store::StoreError;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -87,44 +88,56 @@
     pub upstreams: Vec<Upstream>,
 }
 
-/// Store adapter that returns the rows that a test sets.
+/// Store adapter that returns the rows that a test sets, as a store whose version is that of the
+/// configuration.
 struct TestStore {
     rows: Arc<Mutex<Rows>>,
-    last_version: u64,
 }
 
 impl StoreAdapter for TestStore {
-    fn config(&mut self, _: Duration) -> LocalBoxFuture<'_, Result<Option<Config>, StoreError>> {
-        Box::pin(async {
+    fn config(
+        &self,
+        after: Option<u64>,
+        _: Duration,
+    ) -> LocalBoxFuture<'_, Result<ConfigRead, StoreError>> {
+        Box::pin(async move {
             sleep(Duration::from_millis(5)).await;
             let config = self.rows.lock().unwrap().config.clone();
-            let newer = config.filter(|config| config.version != self.last_version);
-            self.last_version = newer
-                .as_ref()
-                .map_or(self.last_version, |config| config.version);
-            Ok(newer)
+            let newer = config.filter(|config| Some(config.version) != after);
+            Ok(ConfigRead {
+                store_version: newer.as_ref().map(|config| config.version).or(after),
+                config: newer,
+            })
         })
     }
 
     fn upstreams(
-        &mut self,
+        &self,
+        after: Option<u64>,
         wait: Duration,
-    ) -> LocalBoxFuture<'_, Result<Vec<Upstream>, StoreError>> {
+    ) -> LocalBoxFuture<'_, Result<UpstreamRead, StoreError>> {
         Box::pin(async move {
             sleep(wait.min(Duration::from_millis(5))).await;
-            Ok(self.rows.lock().unwrap().upstreams.clone())
+            let store_version = after.unwrap_or(0) + 1;
+            let upstreams = self.rows.lock().unwrap().upstreams.clone();
+            let rows = upstreams.into_iter().map(|upstream| UpstreamRow {
+                name: upstream.name.clone(),
+                store_version,
+                upstream: Some(upstream),
+            });
+            Ok(UpstreamRead {
+                store_version,
+                is_whole: true,
+                rows: rows.collect(),
+            })
         })
     }
 
-    fn daemons(&self) -> LocalBoxFuture<'_, Result<Vec<HostEntry>, StoreError>> {
-        Box::pin(pending())
+    fn daemons(&self) -> LocalBoxFuture<'_, Result<Vec<ListedHost>, StoreError>> {
+        Box::pin(async { Ok(Vec::new()) })
     }
 
-    fn register<'a>(
-        &'a self,
-        _: &'a str,
-        _: SocketAddr,
-    ) -> LocalBoxFuture<'a, Result<(), StoreError>> {
+    fn register<'a>(&'a self, _: &'a ListedHost) -> LocalBoxFuture<'a, Result<(), StoreError>> {
         Box::pin(async { Ok(()) })
     }
 }
@@ -243,7 +256,6 @@
             connect_store: Box::new(move || {
                 Box::new(TestStore {
                     rows: store_rows.clone(),
-                    last_version: 0,
                 })
             }),
         };
--- a/crates/peer/src/tree_tests.rs
+++ b/crates/peer/src/tree_tests.rs
@@ -21,8 +21,8 @@
     let address = ([10, 0, 0, 1], 7_000).into();
     let own = Member::new(&name(me), address, 1).with_locality("costa", zone(me));
     let mut membership = Membership::new(own, keys, Options::default());
-    let known = (0..hosts).filter(|&index| index != me && knows(index));
-    let listed = known
+    let others = (0..hosts).filter(|&index| index != me && knows(index));
+    let listed = others
         .map(|index| ListedHost::new(&name(index), address).with_locality("costa", zone(index)));
     membership.set_hosts(&listed.collect::<Vec<_>>());
     membership
