fix(directory): hosts that start together don't all ask the store

A host whose parent did not answer yet, since both had just started, avoided it for ten seconds.

Change: daemons are listed by zone, in a part of the table each; only the root of a zone's tree reads the others, and the rest hear of them by gossip. A follower waits up to 0.5 s before it asks the store because its parent can't reach it, and while it has no list it waits for a parent that has none yet either. Parents that don't answer while a host starts are tried again after 200 ms.

No test of ours shows the cascade: it needs hundreds of hosts.

--- a/crates/daemon/src/adapter/store_adapter.rs
+++ b/crates/daemon/src/adapter/store_adapter.rs
@@ -37,14 +37,17 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<UpstreamRead, StoreError>>;
 
-    /// Returns the registered daemons.
+    /// Returns the registered daemons of an availability zone.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] if the store does not respond or refuses the request.
-    fn daemons(&self) -> LocalBoxFuture<'_, Result<Vec<ListedHost>, StoreError>>;
+    fn daemons<'a>(
+        &'a self,
+        zone: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<ListedHost>, StoreError>>;
 
-    /// Registers a daemon.
+    /// Registers a daemon in its availability zone.
     ///
     /// # Errors
     ///
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -135,7 +135,8 @@
     }
 }
 
-/// Registers this daemon, then polls the list of the other daemons.
+/// Registers this daemon, then polls the list of the daemons of its zone. The daemon that follows no
+/// other one also reads those of the other zones; the rest hear of them from it.
 pub(crate) async fn follow_daemons(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
     let mut reachability = Reachability::new("daemons");
     let host = &shared.host;
@@ -145,23 +146,39 @@
     }
     let mut pause = FIRST_DAEMONS_PAUSE;
     loop {
-        match store.daemons().await {
-            Ok(mut listed) => {
+        match read_daemons(&shared, &*store).await {
+            Ok(count) => {
                 reachability.record_success();
-                listed.retain(|daemon| daemon.name != host.name);
-                shared
-                    .peers
-                    .with(|membership| membership.set_hosts(&listed));
-                shared.cluster_state.has_listed_daemons.send_replace(true);
-                sleep(pause).await;
-                pause = DAEMONS_PAUSE
-                    .min(FIRST_DAEMONS_PAUSE + Duration::from_secs(listed.len() as u64));
+                sleep(with_jitter(millis(pause))).await;
+                pause = DAEMONS_PAUSE.min(FIRST_DAEMONS_PAUSE + Duration::from_secs(count as u64));
             }
             Err(error) => reachability.back_off(&error).await,
         }
     }
 }
 
+/// Reads the lists of daemons that concern this one, and returns how many there are.
+async fn read_daemons(shared: &Shared, store: &dyn StoreAdapter) -> Result<usize, StoreError> {
+    let host = &shared.host;
+    let mut listed = store.daemons(&host.zone).await?;
+    listed.retain(|daemon| daemon.name != host.name);
+    let follows_another = shared.peers.with(|membership| {
+        membership.set_hosts(&listed);
+        membership.tree_parent(|_| false).is_some()
+    });
+    shared.cluster_state.has_listed_daemons.send_replace(true);
+    if !follows_another {
+        let others = host.zones.iter().filter(|other| other.zone != host.zone);
+        for other in others {
+            listed.extend(store.daemons(&other.zone).await?);
+        }
+        shared
+            .peers
+            .with(|membership| membership.set_hosts(&listed));
+    }
+    Ok(listed.len())
+}
+
 /// Waits until the source meets a condition; returns whether it had to wait.
 async fn wait_until<F>(source: &mut watch::Receiver<Source>, condition: F) -> bool
 where
@@ -173,6 +190,10 @@
     waits
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Varies a pause by up to 10 %, so that the daemons' reads don't coincide.
 fn with_jitter(pause_ms: u64) -> Duration {
     let pause_ms = rand::rng().random_range(pause_ms * 9 / 10..=pause_ms * 11 / 10);
--- a/crates/daemon/src/directory/follow_peer.rs
+++ b/crates/daemon/src/directory/follow_peer.rs
@@ -9,7 +9,8 @@
 
 use eyre::{Result, ensure};
 use log::info;
-use tokio::time::{Instant, sleep, timeout};
+use rand::RngExt as _;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::Source;
 use crate::{peers::UpdateStream, shared::Shared};
@@ -18,13 +19,24 @@
 /// delay.
 const SILENCE_MAX: Duration = Duration::from_millis(1_700);
 
-/// Time after which a daemon that has no list of upstreams yet stops waiting for its parent's, or
-/// for the list of the other daemons.
-const START_PATIENCE: Duration = Duration::from_secs(3);
+/// Time for which a daemon that has just started waits for the list of the other daemons, and for a
+/// parent that doesn't answer yet.
+const START_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time for which a daemon without a list of upstreams waits for that of a parent that reaches the
+/// store. Many hosts that read it themselves would slow down the parent's read.
+const LIST_PATIENCE: Duration = Duration::from_secs(10);
 
 /// Time for which a lost parent is not followed again.
 const AVOID_TIME: Duration = Duration::from_secs(10);
 
+/// The same while this daemon starts, and others with it.
+const START_AVOID_TIME: Duration = Duration::from_millis(200);
+
+/// Longest time until a daemon asks the store because its parent can't reach it. Most parents have
+/// read it again by then, and the others' followers don't ask all at once.
+const FALLBACK_DELAY_MAX: Duration = Duration::from_millis(500);
+
 /// Interval at which a daemon that asks the store looks for a parent.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -43,9 +55,15 @@
             let parent = membership.tree_parent(is_avoided)?;
             Some((parent.name.clone(), parent.address))
         });
+        let is_starting =
+            state.upstreams_store_version().is_none() && began.elapsed() < START_PATIENCE;
         let Some((name, address)) = parent else {
-            state.set_source(Source::Store);
-            sleep(REVIEW_INTERVAL).await;
+            if is_starting && !avoided.is_empty() {
+                sleep(START_AVOID_TIME).await;
+            } else {
+                state.set_source(Source::Store);
+                sleep(REVIEW_INTERVAL).await;
+            }
             continue;
         };
         let Err(error) = follow(&shared, &name, address).await;
@@ -53,8 +71,14 @@
             "directory: parent lost name={name} detail={:?}",
             error.to_string()
         );
-        avoided.push((name, Instant::now() + AVOID_TIME));
-        if state.upstreams_store_version().is_some() || began.elapsed() >= START_PATIENCE {
+        // Daemons that were killed together start within a few hundred milliseconds of each other.
+        let avoid_time = if is_starting {
+            START_AVOID_TIME
+        } else {
+            AVOID_TIME
+        };
+        avoided.push((name, Instant::now() + avoid_time));
+        if !is_starting {
             state.set_source(Source::Store);
         }
     }
@@ -69,25 +93,38 @@
     let mut updates = timeout(SILENCE_MAX, opened).await??;
     info!("directory: parent found name={name}");
     let mut grace = None;
+    // Time at which to ask the store, because the parent can't reach it.
+    let mut fallback_at: Option<Instant> = None;
     loop {
         let update = tokio::select! {
             update = updates.next(SILENCE_MAX) => update?,
-            () = sleep(grace.unwrap_or(Duration::MAX)), if grace.is_some() => {
+            () = sleep(grace.unwrap_or_default()), if grace.is_some() => {
                 // Nothing has to change for a grace period to end.
                 grace = state.end_grace(shared);
                 continue;
             }
+            () = sleep_until(fallback_at.unwrap_or(began)), if fallback_at.is_some() => {
+                fallback_at = None;
+                state.set_source(Source::Store);
+                continue;
+            }
         };
         let is_failing = update.is_failing;
         grace = state.apply_update(shared, update, name);
-        if state.upstreams_store_version().is_some() {
-            state.set_source(if is_failing {
-                Source::Store
-            } else {
-                Source::Peer
-            });
-        } else {
-            ensure!(began.elapsed() < START_PATIENCE, "no list of upstreams");
+        let has_upstreams = state.upstreams_store_version().is_some();
+        ensure!(
+            has_upstreams || is_failing || began.elapsed() < LIST_PATIENCE,
+            "no list of upstreams"
+        );
+        if !is_failing {
+            fallback_at = None;
+            if has_upstreams {
+                state.set_source(Source::Peer);
+            }
+        } else if fallback_at.is_none() && *state.source().borrow() != Source::Store {
+            let delay = rand::rng().random_range(Duration::ZERO..FALLBACK_DELAY_MAX);
+            let delay = if has_upstreams { delay } else { START_PATIENCE };
+            fallback_at = Some(Instant::now() + delay);
         }
     }
 }
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -133,7 +133,10 @@
         })
     }
 
-    fn daemons(&self) -> LocalBoxFuture<'_, Result<Vec<ListedHost>, StoreError>> {
+    fn daemons<'a>(
+        &'a self,
+        _: &'a str,
+    ) -> LocalBoxFuture<'a, Result<Vec<ListedHost>, StoreError>> {
         Box::pin(async { Ok(Vec::new()) })
     }
 
