--- a/crates/daemon/tests/routed.rs
+++ b/crates/daemon/tests/routed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use settings::{RequestKind, UpstreamLifecycle};
+use standin::sample_host;
 use tokio::time::{Instant, sleep};
 
 mod routed_support;
@@ -298,6 +299,38 @@
     fixture.daemon.stop().await;
 }
 
+/// Guards against work for an upstream that left during an outage of the store and is kept beyond
+/// its grace period of 2.5 s, for as long as the store holds back the next answer.
+#[ntex::test]
+async fn the_grace_of_missing_upstreams_ends_in_time() {
+    let (first, second) = (
+        ScriptedUpstream::start(&[OK]).await,
+        ScriptedUpstream::start(&[OK]).await,
+    );
+    let mut host = sample_host("entry-1", ([127, 0, 0, 1], 0).into());
+    // Reads 2 s apart that the store holds back for up to 2.5 s.
+    host.store_poll_ms = 6_000;
+    let fixture =
+        Fixture::start_host(host, RequestKind::Idempotent, 10_000, &[&first, &second]).await;
+    fixture.rows.lock().unwrap().is_unreachable = true;
+    sleep(Duration::from_millis(2_500)).await;
+    {
+        let mut rows = fixture.rows.lock().unwrap();
+        rows.upstreams.remove(1);
+        rows.is_unreachable = false;
+    }
+    // Failed reads are at most 0.9 s apart, so that the grace period has begun then.
+    sleep(Duration::from_millis(1_000)).await;
+    fixture.rows.lock().unwrap().holds_back = true;
+    sleep(Duration::from_millis(2_800)).await;
+    let request_count = second.request_count();
+    for _ in 0..8 {
+        assert_eq!(status(&fixture.call("/stock/1", &key()).await), 200);
+    }
+    assert_eq!(second.request_count(), request_count);
+    fixture.daemon.stop().await;
+}
+
 /// Guards against engines that preempt a client account's urgent requests for its bulk requests:
 /// the account's tier takes precedence, then the route's.
 #[ntex::test]
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -17,8 +17,8 @@
 use link::{HeaderMap, StatusCode};
 use sched::PromptPart;
 use settings::{
-    Account, Config, Honours, RequestKind, Route, Share, Upstream, UpstreamKind, UpstreamLifecycle,
-    hash_api_key,
+    Account, Config, Honours, Host, RequestKind, Route, Share, Upstream, UpstreamKind,
+    UpstreamLifecycle, hash_api_key,
 };
 use standin::sample_host;
 use store::StoreError;
@@ -86,6 +86,10 @@
 pub struct Rows {
     pub config: Option<Config>,
     pub upstreams: Vec<Upstream>,
+    /// Whether reads of the upstreams fail.
+    pub is_unreachable: bool,
+    /// Whether the store holds back its answer while the upstreams don't change.
+    pub holds_back: bool,
 }
 
 /// Store adapter that returns the rows that a test sets, as a store whose version is that of the
@@ -117,9 +121,19 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<UpstreamRead, StoreError>> {
         Box::pin(async move {
-            sleep(wait.min(Duration::from_millis(5))).await;
+            let holds_back = self.rows.lock().unwrap().holds_back;
+            let pause = if holds_back {
+                wait
+            } else {
+                wait.min(Duration::from_millis(5))
+            };
+            sleep(pause).await;
             let store_version = after.unwrap_or(0) + 1;
-            let upstreams = self.rows.lock().unwrap().upstreams.clone();
+            let rows = self.rows.lock().unwrap();
+            if rows.is_unreachable {
+                return Err(StoreError::Down);
+            }
+            let upstreams = rows.upstreams.clone();
             let rows = upstreams.into_iter().map(|upstream| UpstreamRow {
                 name: upstream.name.clone(),
                 store_version,
@@ -243,7 +257,16 @@
         upstreams: &[&ScriptedUpstream],
     ) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut host = sample_host("entry-1", any);
+        Self::start_host(sample_host("entry-1", any), kind, timeout_ms, upstreams).await
+    }
+
+    /// Does the same with other settings of the host.
+    pub async fn start_host(
+        mut host: Host,
+        kind: RequestKind,
+        timeout_ms: u64,
+        upstreams: &[&ScriptedUpstream],
+    ) -> Self {
         host.workers = 1;
         let rows = Arc::new(Mutex::new(Rows {
             config: Some(config(1, kind, timeout_ms)),
@@ -252,6 +275,7 @@
                 .zip(1..)
                 .map(|(u, n)| upstream(n, u))
                 .collect(),
+            ..Rows::default()
         }));
         let store_rows = rows.clone();
         let platform = PlatformAdapter {
