fix(directory): give up a parent that doesn't answer after 0.7 s

Rows of hosts that are gone stay in the list of daemons. A host that starts could wait 1.7 s for each of them before it asked the store for the list of upstreams. Found by reading.

--- a/crates/daemon/src/directory/follow_peer.rs
+++ b/crates/daemon/src/directory/follow_peer.rs
@@ -3,7 +3,7 @@
 //! The daemons of an availability zone form a tree ([`peer::Membership::tree_parent`]). Its root asks
 //! the store; every other daemon holds a connection to its parent, which tells it all changes as
 //! they come. A daemon asks the store itself as soon as its parent is silent or can't reach the
-//! store, so that it learns nothing later than if it had always done so.
+//! store, so that a parent in trouble delays it by less than a lost read of its own would.
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -19,6 +19,10 @@
 /// delay.
 const SILENCE_MAX: Duration = Duration::from_millis(1_700);
 
+/// Time limit for the connection to a parent. Addresses of hosts that are gone stay in the list of
+/// daemons and don't answer.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Time for which a daemon that has just started waits for the list of the other daemons, and for a
 /// parent that doesn't answer yet.
 const START_PATIENCE: Duration = Duration::from_secs(2);
@@ -90,7 +94,7 @@
     let began = Instant::now();
     let subscription = state.subscription(false);
     let opened = UpdateStream::open(shared, name, address, &subscription);
-    let mut updates = timeout(SILENCE_MAX, opened).await??;
+    let mut updates = timeout(OPEN_TIMEOUT, opened).await??;
     info!("directory: parent found name={name}");
     let mut grace = None;
     // Time at which to ask the store, because the parent can't reach it.
