--- a/crates/daemon/tests/routed.rs
+++ b/crates/daemon/tests/routed.rs
@@ -320,7 +320,7 @@
         rows.is_unreachable = false;
     }
     // Failed reads are at most 0.9 s apart, so that the grace period has begun then.
-    sleep(Duration::from_millis(1_000)).await;
+    sleep(Duration::from_secs(1)).await;
     fixture.rows.lock().unwrap().holds_back = true;
     sleep(Duration::from_millis(2_800)).await;
     let request_count = second.request_count();
