fix(peers): give up a parent whose update never ends

A host that starts behind a daemon that accepts it and then sends a byte now and then would never serve: only silence ended the wait for an update.

An update has 5 s from its first byte on.

--- a/crates/daemon/src/peers/updates.rs
+++ b/crates/daemon/src/peers/updates.rs
@@ -5,7 +5,11 @@
 use bytes::{Buf as _, BytesMut};
 use eyre::{Result, ensure};
 use peer::Frame;
-use tokio::{io::AsyncReadExt as _, net::TcpStream, time::timeout};
+use tokio::{
+    io::AsyncReadExt as _,
+    net::TcpStream,
+    time::{Instant, timeout},
+};
 
 use super::exchange::{CONFIG_MAX_BYTES, LENGTH_BYTES, SMALL_MAX_BYTES, read_frame, write_frame};
 use crate::{
@@ -16,6 +20,10 @@
 /// Longest interval between two updates; one is sent at once when there is something to tell.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time limit for receiving an update from its first byte on. A whole list of upstreams takes about
+/// a second where a small host sends it to all of its followers at once.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Time limit for writing an update.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -30,6 +38,8 @@
     sequence: u64,
     /// Bytes that were received and not decoded yet.
     buffer: BytesMut,
+    /// Time at which the first of these bytes was received.
+    buffer_began: Instant,
 }
 
 impl<'a> UpdateStream<'a> {
@@ -49,12 +59,14 @@
             request_nonce,
             sequence: 0,
             buffer: BytesMut::new(),
+            buffer_began: Instant::now(),
         })
     }
 
     /// Returns the next update. Nothing is lost if the future is dropped.
     ///
-    /// Fails if nothing is received for `silence_max`, or if the bytes are no update of the peer.
+    /// Fails if nothing is received for `silence_max`, if an update takes too long, or if the bytes
+    /// are no update of the peer.
     pub(crate) async fn next(&mut self, silence_max: Duration) -> Result<Update> {
         loop {
             if let Some(frame) = self.take_frame()? {
@@ -66,10 +78,19 @@
                     "update of another connection"
                 );
                 self.sequence += 1;
+                self.buffer_began = Instant::now();
                 return Update::decode(&frame.body);
             }
+            let was_empty = self.buffer.is_empty();
             let received = timeout(silence_max, self.stream.read_buf(&mut self.buffer)).await??;
             ensure!(received > 0, "connection closed");
+            if was_empty {
+                self.buffer_began = Instant::now();
+            }
+            ensure!(
+                self.buffer_began.elapsed() < RECEIVE_TIMEOUT,
+                "an update takes too long"
+            );
         }
     }
 
--- a/crates/daemon/tests/routed.rs
+++ b/crates/daemon/tests/routed.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
-use settings::{RequestKind, UpstreamLifecycle};
+use daemon::adapter::ListedHost;
+use peer::{Frame, Keys};
+use settings::{Host, RequestKind, UpstreamLifecycle};
 use standin::sample_host;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::AsyncWriteExt as _,
+    net::TcpListener,
+    time::{Instant, sleep},
+};
 
 mod routed_support;
 
@@ -331,6 +337,56 @@
     fixture.daemon.stop().await;
 }
 
+/// Starts a daemon of the same zone that accepts followers and sends them a byte now and then.
+async fn start_stalled_parent(host: &Host) -> ListedHost {
+    // A daemon follows one with a lower hash of its name.
+    let hash = |name: &str| xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+    let mut names = (0..).map(|number| format!("parent-{number}"));
+    let name = names.find(|name| hash(name) < hash(&host.name)).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let challenge = Frame {
+        from: name.clone(),
+        to: String::new(),
+        echoed_nonce: 0,
+        nonce: 7,
+        body: Vec::new(),
+    };
+    let challenge = challenge.seal(&Keys::new(&host.peer_keys).unwrap());
+    ntex::rt::spawn(async move {
+        while let Ok((mut follower, _)) = listener.accept().await {
+            let length = u32::try_from(challenge.len()).unwrap().to_be_bytes();
+            let head = [&length[..], &challenge, &1_000_u32.to_be_bytes()].concat();
+            ntex::rt::spawn(async move {
+                let mut sent = follower.write_all(&head).await;
+                while sent.is_ok() {
+                    sleep(Duration::from_millis(300)).await;
+                    sent = follower.write_all(b"x").await;
+                }
+            });
+        }
+    });
+    ListedHost::new(&name, address).with_locality(&host.region, &host.zone)
+}
+
+/// Guards against a host that never serves because the daemon that it follows sends a byte now and
+/// then, but no update.
+#[ntex::test]
+async fn a_stalled_parent_is_given_up() {
+    let upstream = ScriptedUpstream::start(&[OK]).await;
+    let host = sample_host("entry-1", ([127, 0, 0, 1], 0).into());
+    let parent = start_stalled_parent(&host).await;
+    let (kind, upstreams) = (RequestKind::Idempotent, [&upstream]);
+    let fixture = Fixture::start_with_daemons(host, kind, 2_000, &upstreams, vec![parent]).await;
+    let began = Instant::now();
+    let mut served = false;
+    while !served && began.elapsed() < Duration::from_secs(15) {
+        served = status(&fixture.call("/stock/1", &key()).await) == 200;
+    }
+    assert!(served);
+    fixture.daemon.stop().await;
+}
+
 /// Guards against engines that preempt a client account's urgent requests for its bulk requests:
 /// the account's tier takes precedence, then the route's.
 #[ntex::test]
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -86,6 +86,8 @@
 pub struct Rows {
     pub config: Option<Config>,
     pub upstreams: Vec<Upstream>,
+    /// Other daemons that are listed.
+    pub daemons: Vec<ListedHost>,
     /// Whether reads of the upstreams fail.
     pub is_unreachable: bool,
     /// Whether the store holds back its answer while the upstreams don't change.
@@ -151,7 +153,7 @@
         &'a self,
         _: &'a str,
     ) -> LocalBoxFuture<'a, Result<Vec<ListedHost>, StoreError>> {
-        Box::pin(async { Ok(Vec::new()) })
+        Box::pin(async { Ok(self.rows.lock().unwrap().daemons.clone()) })
     }
 
     fn register<'a>(&'a self, _: &'a ListedHost) -> LocalBoxFuture<'a, Result<(), StoreError>> {
@@ -262,13 +264,25 @@
 
     /// Does the same with other settings of the host.
     pub async fn start_host(
+        host: Host,
+        kind: RequestKind,
+        timeout_ms: u64,
+        upstreams: &[&ScriptedUpstream],
+    ) -> Self {
+        Self::start_with_daemons(host, kind, timeout_ms, upstreams, Vec::new()).await
+    }
+
+    /// Does the same with other daemons in the store.
+    pub async fn start_with_daemons(
         mut host: Host,
         kind: RequestKind,
         timeout_ms: u64,
         upstreams: &[&ScriptedUpstream],
+        daemons: Vec<ListedHost>,
     ) -> Self {
         host.workers = 1;
         let rows = Arc::new(Mutex::new(Rows {
+            daemons,
             config: Some(config(1, kind, timeout_ms)),
             upstreams: upstreams
                 .iter()
