--- a/crates/peer/src/tree.rs
+++ b/crates/peer/src/tree.rs
@@ -2,7 +2,7 @@
 
 use crate::{Member, Membership, State};
 
-/// Number of daemons that follow one directly. A copy of 3,000 upstreams is about 130 KB, so that
+/// Number of daemons that follow one directly. A copy of 3,000 upstreams is about 120 KB, so that
 /// a host with a link of 10 Mbit/s sends all of them one within a second.
 const FANOUT: usize = 8;
 
