feat(daemon): log the prompt parts and progress of lost attempts

The logs could not tell whether the crashed upstreams had a request, a retry or their load in common. A lost attempt now logs the parts of its prompt and how long its answer had been under way.

--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends one attempt of a routed request to an upstream and logs its start and failure.
 
-use std::{rc::Rc, time::Duration};
+use std::{fmt::Write as _, rc::Rc, time::Duration};
 
 use link::{ConnectionPool, RequestError, Response};
 use log::info;
@@ -50,7 +50,11 @@
             if outcome == Outcome::NotSent {
                 pool.close_idle(upstream_settings.address);
             }
-            log_failure(call, upstream, &error.to_string());
+            if outcome == Outcome::NotSent {
+                log_failure(call, upstream, &error.to_string());
+            } else {
+                log_loss(call, upstream, None, &error.to_string());
+            }
             return Err(outcome);
         }
     };
@@ -111,3 +115,22 @@
         call.received_at.elapsed().as_millis()
     );
 }
+
+/// Logs an attempt that was lost after it had been sent, with the parts of its prompt: the upstream
+/// may have crashed because of one of them.
+pub(super) fn log_loss(call: &Call, upstream: &str, begun_at: Option<Instant>, detail: &str) {
+    let mut parts = String::new();
+    for part in call.prompt.iter() {
+        let separator = if parts.is_empty() { "" } else { "," };
+        // Writing to a string can't fail.
+        let _ = write!(parts, "{separator}{:016x}", part.id);
+    }
+    let begun_ms = begun_at.map_or(-1, |at| {
+        i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX)
+    });
+    info!(
+        "attempt: lost request={} upstream={upstream} waited_ms={} begun_ms={begun_ms} prompt_parts={parts} detail={detail:?}",
+        call.request_id,
+        call.received_at.elapsed().as_millis()
+    );
+}
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout_at;
 
 use super::{
-    attempt::{self, log_failure, record_start},
+    attempt::{self, log_loss, record_start},
     call::Call,
     reply,
 };
@@ -125,7 +125,7 @@
         .read_body(RESPONSE_MAX_BYTES)
         .await
         .map_err(|error| {
-            log_failure(call, &upstream, &error.to_string());
+            log_loss(call, &upstream, None, &error.to_string());
             Outcome::LostBeforeAnswer
         })?;
     Ok(BufferedResponse {
--- a/crates/daemon/src/routed/call.rs
+++ b/crates/daemon/src/routed/call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use link::{Full, HeaderMap, Method, Request, header};
+use sched::PromptPart;
 use settings::{RequestKind, Upstream};
 use tokio::time::Instant;
 
@@ -36,7 +37,8 @@
     pub(super) account: Option<Arc<str>>,
     /// Priority rank in the engines' own queues; 0 is the highest.
     pub(super) rank: u8,
-    pub(super) has_prompt: bool,
+    /// Parts of the prompt in order; empty for a plain service.
+    pub(super) prompt: Arc<[PromptPart]>,
     pub(super) received_at: Instant,
     /// Time by which the response must be complete: the earlier of the caller's deadline and the
     /// route's timeout.
@@ -55,7 +57,7 @@
             upstream: &upstream.name,
             remaining: self.deadline.saturating_duration_since(Instant::now()),
             account: self.account.as_deref(),
-            rank: self.has_prompt.then_some(self.rank),
+            rank: (!self.prompt.is_empty()).then_some(self.rank),
             resume_after,
         };
         let mut headers = self.headers.clone();
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -285,7 +285,7 @@
         body,
         account,
         rank,
-        has_prompt: !job.prompt.is_empty(),
+        prompt: job.prompt.clone(),
         received_at,
         deadline: received_at + limit,
     }
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -10,10 +10,10 @@
 use ntex::{io::IoRef, web::HttpResponse};
 use sched::Outcome;
 use settings::RequestKind;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use super::{
-    attempt::{self, log_failure, record_start},
+    attempt::{self, log_failure, log_loss, record_start},
     call::Call,
     events::EventBuffer,
     reply,
@@ -34,6 +34,8 @@
     handle: JobHandle,
     upstream: Arc<str>,
     response: Option<Response>,
+    /// Time of the first event of the current attempt.
+    begun_at: Option<Instant>,
     events: EventBuffer,
 }
 
@@ -56,6 +58,7 @@
         handle,
         upstream: "".into(),
         response: None,
+        begun_at: None,
         events: EventBuffer::default(),
     };
     let mut maybe_executed = false;
@@ -205,6 +208,7 @@
 
     /// Sends one attempt and returns the first part of its response.
     async fn first(&mut self) -> Result<FirstPart, Outcome> {
+        self.begun_at = None;
         let resume_after = self.events.last_id();
         let sending = attempt::send(
             &self.shared,
@@ -224,6 +228,7 @@
         self.response = Some(response);
         match self.read().await {
             Ok(Some(events)) => {
+                self.begun_at = Some(Instant::now());
                 self.handle.first_token();
                 Ok(FirstPart::Events(events))
             }
@@ -287,11 +292,11 @@
                     if partial.is_empty() {
                         return Ok(None);
                     }
-                    log_failure(&self.call, &self.upstream, "ended within an event");
+                    self.log_loss("ended within an event");
                     return Err(());
                 }
                 Err(error) => {
-                    log_failure(&self.call, &self.upstream, &error.to_string());
+                    self.log_loss(&error.to_string());
                     self.events.take_partial();
                     return Err(());
                 }
@@ -299,6 +304,11 @@
         }
     }
 
+    /// Logs that the current attempt was lost.
+    fn log_loss(&self, detail: &str) {
+        log_loss(&self.call, &self.upstream, self.begun_at, detail);
+    }
+
     /// Logs the end of the stream.
     fn log_end(&self, outcome: &str) {
         info!(
