feat(quarantine): find prompt parts that crash upstreams by group testing

Decision logic without I/O, not in use yet. Each daemon reports requests that were lost before their answer began to a few daemons, chosen by rendezvous hashing; a part that was in different lost requests at three different moments, that explains them best and that nobody saw answered since is suspected, and after a second quarantined. Verdicts go to all daemons by gossip, with an epoch. An answer, a trial after a minute or an operator releases a part.

--- /dev/null
+++ b/crates/quarantine/src/fleet_tests.rs
@@ -0,0 +1,433 @@
+//! Simulation of a fleet: requests, crashes and messages between daemons.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+
+use crate::{Admission, Message, PromptParts, Quarantine, VerdictState};
+
+const MS_US: u64 = 1_000;
+const S_US: u64 = 1_000_000;
+
+/// Step of the simulation.
+const STEP_US: u64 = 10 * MS_US;
+
+/// Time within which the daemons must know of the fifth crash.
+const CONTACT_US: u64 = 4 * S_US;
+
+/// Requests with a deadly part that may reach upstreams later than that.
+const SENDS_MAX: usize = 3;
+
+/// Part that crashes upstreams.
+const DEADLY: u64 = 1 << 40;
+
+/// Conditions of one run.
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    seed: u64,
+    daemons: usize,
+    upstreams: usize,
+    requests_per_s: f64,
+    /// Share of the requests that have the deadly part.
+    deadly_share: f64,
+    /// Position of the deadly part among the shared parts.
+    deadly_position: usize,
+    /// Number of times that a sixth of the upstreams crashes by itself.
+    ordinary_crashes: u64,
+    /// Share of the answers that are lost on the way although their upstream lives.
+    lost_answers: f64,
+    /// Share of the messages between daemons that are lost.
+    lost_messages: f64,
+    /// Number of different subjects of sound requests.
+    subjects: u64,
+}
+
+impl Plan {
+    const fn small(seed: u64) -> Self {
+        Self {
+            seed,
+            daemons: 6,
+            upstreams: 9,
+            requests_per_s: 30.0,
+            deadly_share: 0.05,
+            deadly_position: 2,
+            ordinary_crashes: 0,
+            lost_answers: 0.0,
+            lost_messages: 0.03,
+            subjects: 80,
+        }
+    }
+
+    const fn large(seed: u64) -> Self {
+        Self {
+            daemons: 300,
+            upstreams: 300,
+            requests_per_s: 1_500.0,
+            subjects: 2_000,
+            ..Self::small(seed)
+        }
+    }
+}
+
+/// Request on an upstream.
+struct Running {
+    daemon: usize,
+    upstream: usize,
+    parts: PromptParts,
+    is_deadly: bool,
+    begins_us: u64,
+    ends_us: u64,
+    reported: bool,
+    answer_lost: bool,
+}
+
+/// What happened in a run.
+#[derive(Debug, Default)]
+struct Outcome {
+    crashes_us: Vec<u64>,
+    /// Times at which deadly requests were sent.
+    deadly_sends_us: Vec<u64>,
+    /// Sound requests with the companions of the deadly part that were sent and refused, late.
+    companions: (usize, usize),
+    /// Sound requests that were refused at any time.
+    sound_refused: usize,
+    /// Sound parts that were quarantined at the end.
+    innocent: usize,
+    messages: usize,
+    quarantined_us: Option<u64>,
+}
+
+impl Outcome {
+    fn late_sends(&self) -> usize {
+        let Some(&fifth_us) = self.crashes_us.get(4) else {
+            return 0;
+        };
+        let sends = self.deadly_sends_us.iter();
+        sends
+            .filter(|&&at_us| at_us > fifth_us + CONTACT_US)
+            .count()
+    }
+}
+
+struct Fleet {
+    plan: Plan,
+    rng: StdRng,
+    daemons: Vec<Quarantine>,
+    names: Vec<Arc<str>>,
+    /// Number of restarts and the time from which it runs, of each upstream.
+    upstreams: Vec<(u64, u64)>,
+    running: Vec<Running>,
+    /// Messages by their time of arrival.
+    in_flight: BTreeMap<(u64, usize), (usize, usize, Message)>,
+    outcome: Outcome,
+    requests: u64,
+}
+
+impl Fleet {
+    fn new(plan: Plan) -> Self {
+        let names: Vec<Arc<str>> = (0..plan.daemons)
+            .map(|number| format!("entry-{number}").into())
+            .collect();
+        let daemons = names.iter().map(|name| {
+            let mut daemon = Quarantine::new(name);
+            daemon.set_live(
+                names
+                    .iter()
+                    .filter(|other| *other != name)
+                    .cloned()
+                    .collect(),
+            );
+            daemon
+        });
+        Self {
+            rng: StdRng::seed_from_u64(plan.seed),
+            daemons: daemons.collect(),
+            names,
+            upstreams: vec![(0, 0); plan.upstreams],
+            running: Vec::new(),
+            in_flight: BTreeMap::new(),
+            outcome: Outcome::default(),
+            requests: 0,
+            plan,
+        }
+    }
+
+    fn run(mut self, length_us: u64) -> Outcome {
+        let mut now_us = 0;
+        while now_us < length_us {
+            now_us += STEP_US;
+            self.deliver(now_us);
+            let mut arrivals = self.plan.requests_per_s * 0.01;
+            while arrivals > 0.0 {
+                if self.rng.random_bool(arrivals.min(1.0)) {
+                    self.arrive(now_us);
+                }
+                arrivals -= 1.0;
+            }
+            self.crash_by_themselves(now_us, length_us);
+            self.advance(now_us);
+            self.tick(now_us);
+        }
+        let innocent = self.daemons[0].parts(now_us);
+        self.outcome.innocent = innocent.iter().filter(|part| part.part != DEADLY).count();
+        self.outcome
+    }
+
+    /// Draws a request: a common first part, a subject, and a part of its own. Deadly requests have
+    /// the deadly part besides, and always the same other parts.
+    fn arrive(&mut self, now_us: u64) {
+        self.requests += 1;
+        let is_deadly = now_us > 4 * S_US && self.rng.random_bool(self.plan.deadly_share);
+        let (first, subject) = if is_deadly {
+            (1, 100)
+        } else {
+            let first = self.rng.random_range(1..=4);
+            (
+                first,
+                100 * first + self.rng.random_range(0..self.plan.subjects) * 1_000,
+            )
+        };
+        let mut parts = vec![first, subject];
+        if is_deadly {
+            parts.insert(self.plan.deadly_position, DEADLY);
+        }
+        let parts = PromptParts::new(parts.into_iter().chain([(1 << 50) + self.requests]));
+        let daemon = self.rng.random_range(0..self.daemons.len());
+        let is_companion = !is_deadly && first == 1;
+        let fifth_us = self.outcome.crashes_us.get(4).copied();
+        let is_late = fifth_us.is_some_and(|fifth_us| now_us > fifth_us + 2 * CONTACT_US);
+        if let Admission::Refused { .. } = self.daemons[daemon].admit(now_us, &parts) {
+            if is_deadly {
+                self.outcome.quarantined_us.get_or_insert(now_us);
+            } else {
+                self.outcome.sound_refused += 1;
+                self.outcome.companions.1 += usize::from(is_companion && is_late);
+            }
+            return;
+        }
+        if is_deadly {
+            self.outcome.deadly_sends_us.push(now_us);
+        }
+        self.outcome.companions.0 += usize::from(is_companion && is_late);
+        let up: Vec<usize> = (0..self.upstreams.len())
+            .filter(|&upstream| self.upstreams[upstream].1 <= now_us)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let upstream = up[self.rng.random_range(0..up.len())];
+        let begins_us = now_us + self.rng.random_range(50..700) * MS_US;
+        self.running.push(Running {
+            daemon,
+            upstream,
+            parts,
+            is_deadly,
+            begins_us,
+            ends_us: begins_us + self.rng.random_range(200..2_000) * MS_US,
+            reported: false,
+            answer_lost: self.rng.random_bool(self.plan.lost_answers),
+        });
+    }
+
+    fn crash_by_themselves(&mut self, now_us: u64, length_us: u64) {
+        let count = self.plan.ordinary_crashes;
+        if count == 0 || !(now_us / STEP_US).is_multiple_of(length_us / STEP_US / count) {
+            return;
+        }
+        for upstream in 0..self.upstreams.len() {
+            if self.rng.random_bool(1.0 / 6.0) {
+                self.crash(now_us, upstream);
+            }
+        }
+    }
+
+    fn crash(&mut self, now_us: u64, upstream: usize) {
+        let name = format!("engine-{upstream}-{}", self.upstreams[upstream].0);
+        self.upstreams[upstream].0 += 1;
+        self.upstreams[upstream].1 = now_us + 3 * S_US;
+        let daemons = &mut self.daemons;
+        self.running.retain(|request| {
+            if request.upstream != upstream {
+                return true;
+            }
+            if request.is_deadly || request.begins_us >= now_us {
+                daemons[request.daemon].record_loss(now_us, &name, &request.parts);
+            }
+            false
+        });
+    }
+
+    fn advance(&mut self, now_us: u64) {
+        let mut index = 0;
+        while index < self.running.len() {
+            let request = &mut self.running[index];
+            if request.begins_us > now_us {
+                index += 1;
+                continue;
+            }
+            if request.is_deadly {
+                let upstream = request.upstream;
+                self.outcome.crashes_us.push(now_us);
+                self.crash(now_us, upstream);
+                index = 0;
+                continue;
+            }
+            if request.answer_lost {
+                let request = self.running.swap_remove(index);
+                let restarts = self.upstreams[request.upstream].0;
+                let name = format!("engine-{}-{restarts}", request.upstream);
+                self.daemons[request.daemon].record_loss(now_us, &name, &request.parts);
+                continue;
+            }
+            if !request.reported && request.begins_us + 100 * MS_US <= now_us {
+                request.reported = true;
+                self.daemons[request.daemon].record_answer(now_us, &request.parts);
+            }
+            if request.ends_us <= now_us {
+                self.running.swap_remove(index);
+            } else {
+                index += 1;
+            }
+        }
+    }
+
+    fn tick(&mut self, now_us: u64) {
+        for index in 0..self.daemons.len() {
+            if !(now_us / STEP_US + index as u64).is_multiple_of(10) {
+                continue;
+            }
+            self.daemons[index].tick(now_us);
+            for (to, message) in self.daemons[index].take_messages(now_us, &mut self.rng) {
+                let to = self.names.iter().position(|name| *name == to).unwrap();
+                self.send(now_us, index, to, message);
+            }
+        }
+    }
+
+    fn send(&mut self, now_us: u64, from: usize, to: usize, message: Message) {
+        self.outcome.messages += 1;
+        if self.rng.random_bool(self.plan.lost_messages) {
+            return;
+        }
+        let at_us = now_us + self.rng.random_range(1..60) * MS_US;
+        let key = (at_us, self.outcome.messages);
+        self.in_flight.insert(key, (from, to, message));
+    }
+
+    fn deliver(&mut self, now_us: u64) {
+        while let Some(entry) = self.in_flight.first_entry() {
+            if entry.key().0 > now_us {
+                break;
+            }
+            let (from, to, message) = entry.remove();
+            for reply in self.daemons[to].receive(now_us, &message) {
+                self.send(now_us, to, from, reply);
+            }
+        }
+    }
+}
+
+/// Checks that few deadly requests are sent after the fifth crash, and that sound ones with the same
+/// other parts are served. Returns the number of crashes.
+fn check(plan: Plan) -> usize {
+    let outcome = Fleet::new(plan).run(30 * S_US);
+    assert!(outcome.late_sends() <= SENDS_MAX, "{plan:?} {outcome:?}");
+    let (sent, refused) = outcome.companions;
+    assert!(sent >= refused, "{plan:?} {outcome:?}");
+    outcome.crashes_us.len()
+}
+
+/// Guards against a deadly part that is sent again and again, wherever it stands in the prompt and
+/// however often it comes.
+#[test]
+fn few_deadly_requests_are_sent_after_the_fifth_crash() {
+    for seed in 1..=30 {
+        for deadly_share in [0.02, 0.05, 0.2, 0.4] {
+            for deadly_position in [0, 1, 2] {
+                check(Plan {
+                    deadly_share,
+                    deadly_position,
+                    ..Plan::small(seed)
+                });
+            }
+        }
+    }
+}
+
+/// Guards against ordinary crashes and lost answers that hide a deadly part.
+#[test]
+fn ordinary_failures_do_not_hide_a_deadly_part() {
+    for seed in 1..=30 {
+        check(Plan {
+            deadly_share: 0.1,
+            ordinary_crashes: 10,
+            lost_answers: 0.02,
+            lost_messages: 0.2,
+            ..Plan::small(seed)
+        });
+    }
+}
+
+/// Guards against a large fleet whose daemons don't learn in time what the others have seen, and
+/// against messages that grow with the square of the fleet.
+#[test]
+fn large_fleet_learns_of_a_deadly_part_in_time() {
+    for seed in 1..=2 {
+        for deadly_share in [0.01, 0.1] {
+            let plan = Plan {
+                deadly_share,
+                ..Plan::large(seed)
+            };
+            check(plan);
+            let outcome = Fleet::new(plan).run(12 * S_US);
+            assert!(outcome.messages < 300 * 300, "{outcome:?}");
+        }
+    }
+}
+
+/// Guards against upstreams that die by themselves, answers that are lost and callers' retries
+/// putting an innocent part into quarantine.
+#[test]
+fn ordinary_failures_quarantine_nothing() {
+    for seed in 1..=40 {
+        let plan = Plan {
+            deadly_share: 0.0,
+            ordinary_crashes: 15,
+            lost_answers: 0.05,
+            ..Plan::small(seed)
+        };
+        let outcome = Fleet::new(plan).run(30 * S_US);
+        assert_eq!(outcome.sound_refused, 0, "{plan:?} {outcome:?}");
+    }
+    let plan = Plan {
+        deadly_share: 0.0,
+        ordinary_crashes: 15,
+        lost_answers: 0.02,
+        ..Plan::large(1)
+    };
+    let outcome = Fleet::new(plan).run(30 * S_US);
+    assert_eq!(outcome.sound_refused, 0, "{plan:?} {outcome:?}");
+}
+
+/// Guards against a quarantine that outlives the crash of the daemons that gathered the evidence.
+#[test]
+fn verdict_survives_the_daemons_that_found_it() {
+    let mut fleet = Fleet::new(Plan {
+        deadly_share: 0.3,
+        ..Plan::small(1)
+    });
+    let mut now_us = 0;
+    while now_us < 12 * S_US {
+        now_us += STEP_US;
+        fleet.deliver(now_us);
+        fleet.arrive(now_us);
+        fleet.advance(now_us);
+        fleet.tick(now_us);
+    }
+    for daemon in &fleet.daemons {
+        let parts = daemon.parts(now_us);
+        let states: Vec<(u64, VerdictState)> =
+            parts.iter().map(|part| (part.part, part.state)).collect();
+        assert_eq!(states, [(DEADLY, VerdictState::Quarantined)]);
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/message.rs
@@ -0,0 +1,42 @@
+//! Messages between daemons.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Verdict;
+
+/// Request that was lost with its upstream before its answer began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LossReport {
+    /// Hash of the upstream's name.
+    pub upstream: u64,
+    /// Time since the loss, in milliseconds.
+    pub age_ms: u32,
+    /// Shared parts of its prompt, in order.
+    pub parts: Vec<u64>,
+    /// Part of the request alone.
+    pub own: u64,
+}
+
+/// Message between the quarantines of two daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Lost requests, for the daemons that gather evidence.
+    Losses(Vec<LossReport>),
+    /// What is known of some parts.
+    Verdicts(Vec<Verdict>),
+    /// Digest of all verdicts of the sender; a receiver that knows others tells them.
+    Digest {
+        /// Digest of the sender's verdicts; equal sets have equal digests.
+        digest: u64,
+        /// Whether the receiver shall send its digest if it differs.
+        reply: bool,
+    },
+}
+
+impl Message {
+    /// Largest number of losses in one message; it then fits into a datagram.
+    pub const LOSSES_MAX: usize = 4;
+
+    /// Largest number of verdicts in one message; it then fits into a datagram.
+    pub const VERDICTS_MAX: usize = 24;
+}
--- /dev/null
+++ b/crates/quarantine/src/quarantine.rs
@@ -0,0 +1,518 @@
+//! State of one daemon.
+
+use std::sync::Arc;
+
+use rand::{Rng, seq::IndexedRandom as _};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    LossReport, Message, PromptParts, Verdict, VerdictState,
+    answered_parts::AnsweredParts,
+    crash_log::CrashLog,
+    homes,
+    prompt_parts::PARTS_MAX,
+    trial_home,
+    verdicts::{Known, Verdicts},
+};
+
+/// Time for which a part is suspected before it is quarantined. A rumor reaches 300 daemons, and
+/// the answer of one that clears the part comes back, in about this time.
+const CONFIRM_US: u64 = 1_000_000;
+
+/// Time from a quarantine to its first trial; each failed trial doubles it.
+const TRIAL_AFTER_US: u64 = 60_000_000;
+
+/// Longest time between two trials.
+const TRIAL_AFTER_MAX_US: u64 = 1_800_000_000;
+
+/// Bounds of the time after which a refused caller may come back.
+const RETRY_AFTER_RANGE_MS: (u64, u64) = (5_000, 60_000);
+
+/// Largest number of losses that wait to be reported; further ones are not reported.
+const REPORTS_MAX: usize = 64;
+
+/// Largest number of messages with losses that a daemon is sent at a time.
+const LOSS_MESSAGES_MAX: usize = 2;
+
+/// Largest number of parts whose last clearance is remembered.
+const CLEARANCES_MAX: usize = 1_024;
+
+/// Number of daemons that are told unsent verdicts at a time.
+const FANOUT: usize = 2;
+
+/// Time between two comparisons of all verdicts with another daemon.
+const COMPARE_INTERVAL_US: u64 = 500_000;
+
+/// Time after the start, or after a suspension, for which a daemon without verdicts asks others.
+const CATCH_UP_US: u64 = 10_000_000;
+
+/// Whether a request may be sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Admitted,
+    /// It may, as the trial of a quarantined part.
+    Trial {
+        /// Quarantined part.
+        part: u64,
+    },
+    /// It may not.
+    Refused {
+        /// Quarantined part.
+        part: u64,
+        /// Time until the part may have been released.
+        retry_after_ms: u64,
+    },
+}
+
+/// Suspected or quarantined part, for operators.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantinedPart {
+    /// Identifier of the part.
+    pub part: u64,
+    /// State.
+    pub state: VerdictState,
+    /// Time since its state last changed, in milliseconds.
+    pub age_ms: u32,
+    /// Number of crashes that it explained when it was suspected.
+    pub crashes: u32,
+    /// Number of failed trials.
+    pub failed_trials: u32,
+}
+
+/// Trial of a quarantined part at this daemon.
+#[derive(Debug, Clone, Copy)]
+struct Trial {
+    part: u64,
+    started_us: u64,
+}
+
+/// Quarantine of prompt parts, as one daemon knows it.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    name: Arc<str>,
+    /// The other live daemons.
+    live: Vec<Arc<str>>,
+    log: CrashLog,
+    /// Whether the evidence has changed since it was last judged.
+    log_changed: bool,
+    answered: AnsweredParts,
+    verdicts: Verdicts,
+    /// Part and time of the last clearance, sorted by part.
+    clearances: Vec<(u64, u64)>,
+    trials: Vec<Trial>,
+    /// Losses that are still to be reported, with their time.
+    reports: Vec<(u64, LossReport)>,
+    /// Verdicts that have changed since they were last taken.
+    changes: Vec<Verdict>,
+    next_compare_us: u64,
+    catch_up_until_us: u64,
+}
+
+impl Quarantine {
+    /// Creates the quarantine of a daemon.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Sets the other live daemons.
+    pub fn set_live(&mut self, live: Vec<Arc<str>>) {
+        self.live = live;
+    }
+
+    /// Makes the daemon ask others for their verdicts: at its start, or after it was suspended.
+    pub const fn catch_up(&mut self, now_us: u64) {
+        self.catch_up_until_us = now_us + CATCH_UP_US;
+        self.next_compare_us = now_us;
+    }
+
+    /// Decides whether a request may be sent to an upstream.
+    pub fn admit(&mut self, now_us: u64, parts: &PromptParts) -> Admission {
+        let mut admission = Admission::Admitted;
+        for &part in parts.shared() {
+            match self.admit_part(now_us, part) {
+                Admission::Admitted => {}
+                trial @ Admission::Trial { .. } => admission = trial,
+                refused @ Admission::Refused { .. } => return refused,
+            }
+        }
+        if let Admission::Trial { part } = admission {
+            self.trials.retain(|trial| trial.part != part);
+            self.trials.push(Trial {
+                part,
+                started_us: now_us,
+            });
+        }
+        admission
+    }
+
+    /// Returns the quarantined part of a prompt, if it has one.
+    #[must_use]
+    pub fn quarantined_part(&self, parts: &PromptParts) -> Option<u64> {
+        let mut parts = parts.shared().iter().copied();
+        parts.find(|&part| self.state(part) == Some(VerdictState::Quarantined))
+    }
+
+    /// Records that an answer to a request began: none of its parts crashes upstreams.
+    pub fn record_answer(&mut self, now_us: u64, parts: &PromptParts) {
+        for &part in parts.shared() {
+            self.answered.insert(now_us, part);
+            let state = self.state(part);
+            if state.is_some_and(|state| state != VerdictState::Cleared) {
+                self.clear(now_us, part);
+            }
+        }
+    }
+
+    /// Records that a request was lost with its upstream before its answer began.
+    pub fn record_loss(&mut self, now_us: u64, upstream: &str, parts: &PromptParts) {
+        if parts.shared().is_empty() {
+            return;
+        }
+        let sends = self.sends();
+        let trials = std::mem::take(&mut self.trials);
+        let (failed, running) = trials
+            .into_iter()
+            .partition(|trial| parts.shared().contains(&trial.part));
+        self.trials = running;
+        for Trial { part, .. } in failed {
+            self.verdicts.count_failed_trial(now_us, part, sends);
+            self.note_change(now_us, part);
+        }
+        let report = LossReport {
+            upstream: xxh3_64(upstream.as_bytes()),
+            age_ms: 0,
+            parts: parts.shared().to_vec(),
+            own: parts.own(),
+        };
+        self.add_loss(now_us, &report);
+        if self.reports.len() < REPORTS_MAX {
+            self.reports.push((now_us, report));
+        }
+    }
+
+    /// Releases a part, as an operator asks.
+    ///
+    /// Returns whether it was suspected or quarantined.
+    pub fn release(&mut self, now_us: u64, part: u64) -> bool {
+        let state = self.state(part);
+        let held = state.is_some_and(|state| state != VerdictState::Cleared);
+        if held {
+            self.clear(now_us, part);
+        }
+        held
+    }
+
+    /// Handles a message of another daemon and returns the replies to it.
+    pub fn receive(&mut self, now_us: u64, message: &Message) -> Vec<Message> {
+        match message {
+            Message::Losses(reports) => {
+                for report in reports.iter().take(Message::LOSSES_MAX) {
+                    let age_us = u64::from(report.age_ms) * 1_000;
+                    self.add_loss(now_us.saturating_sub(age_us), report);
+                }
+                Vec::new()
+            }
+            Message::Verdicts(verdicts) => {
+                for verdict in verdicts.iter().take(Message::VERDICTS_MAX) {
+                    self.merge(now_us, *verdict);
+                }
+                Vec::new()
+            }
+            Message::Digest { digest, reply } => {
+                let own = self.verdicts.digest();
+                if own == *digest {
+                    return Vec::new();
+                }
+                let mut replies = self.all_verdicts(now_us);
+                if *reply {
+                    replies.push(Message::Digest {
+                        digest: own,
+                        reply: false,
+                    });
+                }
+                replies
+            }
+        }
+    }
+
+    /// Judges the evidence; call it about every 100 ms.
+    pub fn tick(&mut self, now_us: u64) {
+        self.log.expire(now_us);
+        self.verdicts.expire(now_us);
+        let pending = self
+            .verdicts
+            .iter()
+            .any(|known| known.state() == VerdictState::Suspected);
+        if std::mem::take(&mut self.log_changed) || pending {
+            self.judge(now_us);
+        }
+    }
+
+    /// Returns the messages that are due, with their receivers; call it after [`Self::tick`].
+    pub fn take_messages<R>(&mut self, now_us: u64, rng: &mut R) -> Vec<(Arc<str>, Message)>
+    where
+        R: Rng + ?Sized,
+    {
+        let mut messages = Vec::new();
+        if self.live.is_empty() {
+            self.reports.clear();
+            return messages;
+        }
+        self.report_losses(now_us, &mut messages);
+        let verdicts = self.verdicts.take_unsent(now_us, Message::VERDICTS_MAX);
+        if !verdicts.is_empty() {
+            for peer in self.live.sample(rng, FANOUT) {
+                messages.push((peer.clone(), Message::Verdicts(verdicts.clone())));
+            }
+        }
+        let digest = self.verdicts.digest();
+        let compares = digest != 0 || now_us < self.catch_up_until_us;
+        if compares
+            && now_us >= self.next_compare_us
+            && let Some(peer) = self.live.choose(rng)
+        {
+            self.next_compare_us = now_us + COMPARE_INTERVAL_US;
+            let reply = true;
+            messages.push((peer.clone(), Message::Digest { digest, reply }));
+        }
+        messages
+    }
+
+    /// Returns whether nothing is due before another event, but for comparisons.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let mut known = self.verdicts.iter();
+        !self.log_changed
+            && self.reports.is_empty()
+            && self.changes.is_empty()
+            && known.all(|known| known.state() != VerdictState::Suspected && known.is_sent())
+    }
+
+    /// Returns the verdicts that have changed since the last call.
+    pub fn take_changes(&mut self) -> Vec<Verdict> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns the suspected and quarantined parts.
+    #[must_use]
+    pub fn parts(&self, now_us: u64) -> Vec<QuarantinedPart> {
+        let known = self.verdicts.iter();
+        let held = known.filter(|known| known.state() != VerdictState::Cleared);
+        held.map(|known| QuarantinedPart {
+            part: known.part(),
+            state: known.state(),
+            age_ms: known.verdict(now_us).age_ms,
+            crashes: known.crashes(),
+            failed_trials: known.failed_trials(),
+        })
+        .collect()
+    }
+
+    fn state(&self, part: u64) -> Option<VerdictState> {
+        Some(self.verdicts.get(part)?.state())
+    }
+
+    fn admit_part(&self, now_us: u64, part: u64) -> Admission {
+        let Some(known) = self.verdicts.get(part) else {
+            return Admission::Admitted;
+        };
+        if known.state() != VerdictState::Quarantined {
+            return Admission::Admitted;
+        }
+        let interval_us = trial_interval_us(known.failed_trials());
+        let tried = self.trials.iter().find(|trial| trial.part == part);
+        let since_us = tried.map_or(known.changed_us, |trial| trial.started_us);
+        let due_us = since_us.saturating_add(interval_us);
+        if now_us >= due_us && self.is_trial_home(part) {
+            return Admission::Trial { part };
+        }
+        let left_ms = due_us.saturating_sub(now_us).div_ceil(1_000);
+        let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
+        Admission::Refused {
+            part,
+            retry_after_ms: left_ms.clamp(min_ms, max_ms),
+        }
+    }
+
+    fn is_trial_home(&self, part: u64) -> bool {
+        let live = self.live.iter().map(AsRef::as_ref);
+        trial_home(live.chain([self.name.as_ref()]), part) == Some(self.name.as_ref())
+    }
+
+    fn add_loss(&mut self, at_us: u64, report: &LossReport) {
+        let parts = &report.parts[..report.parts.len().min(PARTS_MAX)];
+        self.log.record(at_us, report.upstream, parts, report.own);
+        self.log_changed = true;
+    }
+
+    /// Merges a verdict of another daemon, and clears a suspected part to which an answer began.
+    fn merge(&mut self, now_us: u64, verdict: Verdict) {
+        if !self.verdicts.merge(now_us, verdict, self.sends()) {
+            return;
+        }
+        self.note_change(now_us, verdict.part);
+        match verdict.state {
+            VerdictState::Cleared => self.note_clearance(now_us, verdict.part),
+            VerdictState::Suspected if self.is_answered_since_clearance(verdict.part) => {
+                self.clear(now_us, verdict.part);
+            }
+            VerdictState::Suspected | VerdictState::Quarantined => {}
+        }
+    }
+
+    /// Suspects, quarantines and clears parts by the evidence.
+    fn judge(&mut self, now_us: u64) {
+        let culprits = self.log.culprits(
+            |part| clearance_us(&self.clearances, part),
+            |part| self.answered.last_us(part).is_some(),
+            |part| self.state(part) == Some(VerdictState::Quarantined),
+        );
+        let mut all_quarantined = true;
+        for culprit in &culprits {
+            let known = self.verdicts.get(culprit.part);
+            let (state, changed_us) = known.map_or((VerdictState::Cleared, 0), |known| {
+                (known.state(), known.changed_us)
+            });
+            let next = match state {
+                VerdictState::Quarantined => continue,
+                VerdictState::Cleared if self.is_answered_since_clearance(culprit.part) => {
+                    // The rest is judged again without its crashes.
+                    self.clear(now_us, culprit.part);
+                    self.log_changed = true;
+                    all_quarantined = false;
+                    continue;
+                }
+                VerdictState::Cleared => VerdictState::Suspected,
+                VerdictState::Suspected if now_us.saturating_sub(changed_us) < CONFIRM_US => {
+                    all_quarantined = false;
+                    continue;
+                }
+                VerdictState::Suspected => VerdictState::Quarantined,
+            };
+            all_quarantined &= next == VerdictState::Quarantined;
+            let sends = self.sends();
+            self.verdicts
+                .set(now_us, culprit.part, next, culprit.crashes, sends);
+            self.note_change(now_us, culprit.part);
+        }
+        if all_quarantined && !culprits.is_empty() {
+            let culprits: Vec<u64> = culprits.iter().map(|culprit| culprit.part).collect();
+            self.clear_explained(now_us, &culprits);
+        }
+    }
+
+    /// Clears parts whose evidence the culprits explain.
+    fn clear_explained(&mut self, now_us: u64, culprits: &[u64]) {
+        let held = self.verdicts.iter();
+        let held = held.filter(|known| known.state() != VerdictState::Cleared);
+        let explained: Vec<u64> = held
+            .map(Known::part)
+            .filter(|&part| {
+                let mut culprits = culprits.iter();
+                culprits.all(|&culprit| culprit != part && !self.log.is_nested(part, culprit))
+            })
+            .filter(|&part| {
+                let cleared_us = clearance_us(&self.clearances, part);
+                self.log.is_evident(part, cleared_us)
+            })
+            .collect();
+        for part in explained {
+            self.clear(now_us, part);
+        }
+    }
+
+    fn clear(&mut self, now_us: u64, part: u64) {
+        self.trials.retain(|trial| trial.part != part);
+        let sends = self.sends();
+        self.verdicts
+            .set(now_us, part, VerdictState::Cleared, 0, sends);
+        self.note_clearance(now_us, part);
+        self.note_change(now_us, part);
+    }
+
+    fn note_clearance(&mut self, now_us: u64, part: u64) {
+        let clearances = &mut self.clearances;
+        match clearances.binary_search_by_key(&part, |&(part, _)| part) {
+            Ok(index) => clearances[index].1 = now_us,
+            Err(index) => clearances.insert(index, (part, now_us)),
+        }
+        if clearances.len() > CLEARANCES_MAX
+            && let Some(oldest) = (0..clearances.len()).min_by_key(|&index| clearances[index].1)
+        {
+            clearances.remove(oldest);
+        }
+    }
+
+    fn note_change(&mut self, now_us: u64, part: u64) {
+        if let Some(known) = self.verdicts.get(part) {
+            self.changes.push(known.verdict(now_us));
+        }
+    }
+
+    fn is_answered_since_clearance(&self, part: u64) -> bool {
+        let answered_us = self.answered.last_us(part);
+        answered_us.is_some() && answered_us > clearance_us(&self.clearances, part)
+    }
+
+    fn report_losses(&mut self, now_us: u64, messages: &mut Vec<(Arc<str>, Message)>) {
+        let count = self
+            .reports
+            .len()
+            .min(LOSS_MESSAGES_MAX * Message::LOSSES_MAX);
+        let reports: Vec<(u64, LossReport)> = self.reports.drain(..count).collect();
+        if reports.is_empty() {
+            return;
+        }
+        let live = self.live.iter().map(AsRef::as_ref);
+        let homes: Vec<Arc<str>> = homes(live.chain([self.name.as_ref()]))
+            .into_iter()
+            .filter(|home| *home != self.name.as_ref())
+            .map(Arc::from)
+            .collect();
+        for chunk in reports.chunks(Message::LOSSES_MAX) {
+            let losses = chunk.iter().map(|(at_us, report)| {
+                let age_ms = now_us.saturating_sub(*at_us) / 1_000;
+                LossReport {
+                    age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+                    ..report.clone()
+                }
+            });
+            let message = Message::Losses(losses.collect());
+            messages.extend(homes.iter().map(|home| (home.clone(), message.clone())));
+        }
+    }
+
+    fn all_verdicts(&self, now_us: u64) -> Vec<Message> {
+        let verdicts: Vec<Verdict> = self
+            .verdicts
+            .iter()
+            .map(|known| known.verdict(now_us))
+            .collect();
+        let chunks = verdicts.chunks(Message::VERDICTS_MAX);
+        chunks
+            .map(|chunk| Message::Verdicts(chunk.to_vec()))
+            .collect()
+    }
+
+    /// Returns how many times a new verdict is passed on: enough for it to reach all daemons.
+    const fn sends(&self) -> u32 {
+        (self.live.len() + 1).ilog2() + 5
+    }
+}
+
+/// Returns the time between two trials of a part after this many failed ones.
+fn trial_interval_us(failed_trials: u32) -> u64 {
+    let interval_us = TRIAL_AFTER_US.saturating_mul(1 << failed_trials.min(10));
+    interval_us.min(TRIAL_AFTER_MAX_US)
+}
+
+/// Returns when a part was last cleared.
+fn clearance_us(clearances: &[(u64, u64)], part: u64) -> Option<u64> {
+    let found = clearances.binary_search_by_key(&part, |&(part, _)| part);
+    found.ok().map(|index| clearances[index].1)
+}
--- /dev/null
+++ b/crates/quarantine/src/verdict.rs
@@ -0,0 +1,39 @@
+use serde::{Deserialize, Serialize};
+
+/// State of a part.
+///
+/// In the order of precedence among verdicts of the same epoch, so that a daemon that clears a part
+/// prevails over one that quarantines it at the same moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum VerdictState {
+    /// It explains several crashes; daemons that have seen an answer to it clear it.
+    Suspected,
+    /// Requests with it are refused.
+    Quarantined,
+    /// An answer to it began, or an operator released it.
+    Cleared,
+}
+
+/// What is known of a part, as daemons tell it to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// Identifier of the part.
+    pub part: u64,
+    /// Number of changes of its state; the higher one prevails.
+    pub epoch: u32,
+    /// State.
+    pub state: VerdictState,
+    /// Number of crashes that it explained when it was suspected.
+    pub crashes: u32,
+    /// Number of failed trials.
+    pub failed_trials: u32,
+    /// Time since the last change, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl Verdict {
+    /// Returns the rank by which one of two verdicts about a part prevails.
+    pub(crate) const fn rank(&self) -> (u32, VerdictState, u32) {
+        (self.epoch, self.state, self.failed_trials)
+    }
+}
