feat(peer): urgent payloads with a byte budget of their own

Load announcements use up the budget of 2,000 bytes a second on a busy daemon; evidence about crashed upstreams must not wait behind them. Urgent payloads are sent at the next tick, at 8,000 bytes a second with bursts of 16,000, and don't count against the other budget.

--- a/crates/peer/src/budget.rs
+++ b/crates/peer/src/budget.rs
@@ -41,6 +41,11 @@
         self.balance_micro = (self.balance_micro - cost * 1_000_000).max(-self.burst * 1_000_000);
     }
 
+    /// Adds bytes that the next datagram carries on another budget.
+    pub(crate) fn credit(&mut self, bytes: usize) {
+        self.balance_micro += i64::try_from(bytes).unwrap_or(0) * 1_000_000;
+    }
+
     /// Returns the size of the largest datagram that leaves `reserve` bytes of balance.
     pub(crate) fn spare(&self, reserve: u64) -> usize {
         let reserve = i64::try_from(reserve + IP_UDP_HEADER_BYTES).unwrap_or(i64::MAX);
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -21,6 +21,9 @@
     pub(crate) rumors: Rumors,
     pub(crate) leaving: LeavingList,
     pub(crate) payloads: PayloadQueue,
+    /// Payloads that are sent at the next tick, beside the budget of all others.
+    pub(crate) urgent: PayloadQueue,
+    pub(crate) urgent_budget: Budget,
     pub(crate) budget: Budget,
     pub(crate) counters: Counters,
     pub(crate) sequence: u64,
@@ -67,6 +70,8 @@
             rumors,
             leaving: LeavingList::default(),
             payloads: PayloadQueue::default(),
+            urgent: PayloadQueue::default(),
+            urgent_budget: Budget::new(options.urgent_bytes_per_s, options.urgent_burst_bytes),
             budget: Budget::new(options.send_bytes_per_s, options.send_burst_bytes),
             counters: Counters::default(),
             options,
@@ -186,6 +191,14 @@
         self.payloads.push(to, bytes);
     }
 
+    /// Queues an application payload that is sent at the next tick.
+    ///
+    /// Like [`Self::queue_payload`], but with a byte budget of its own, so that it waits for nothing
+    /// else.
+    pub fn queue_urgent_payload(&mut self, to: &str, bytes: Vec<u8>) {
+        self.urgent.push(to, bytes);
+    }
+
     /// Returns this daemon's record of itself.
     #[must_use]
     pub const fn me(&self) -> &Member {
--- a/crates/peer/src/membership_tests.rs
+++ b/crates/peer/src/membership_tests.rs
@@ -193,3 +193,38 @@
         assert_eq!(result, accepted, "{incarnation}, {sequence}");
     }
 }
+
+/// Guards against urgent payloads that wait behind others for the byte budget, and that use it up.
+#[test]
+fn peer_sends_urgent_payloads_beside_the_budget() {
+    let mut view = membership("one", &[1]);
+    view.set_hosts(&[ListedHost::new("two", "127.0.0.1:7002".parse().unwrap())]);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut out = Vec::new();
+    let mut now_us = 1_000_000;
+    // Uses up the budget.
+    for _ in 0..20 {
+        for _ in 0..4 {
+            view.queue_payload("two", vec![0; 800]);
+        }
+        now_us += 1_000;
+        view.tick(now_us, &mut rng, &mut out);
+    }
+    out.clear();
+    view.queue_urgent_payload("two", vec![7; 600]);
+    view.tick(now_us + 1_000, &mut rng, &mut out);
+    let is_urgent = |output: &Output| match output {
+        Output::Send { bytes, .. } => bytes.windows(600).any(|bytes| bytes == [7; 600]),
+        _ => false,
+    };
+    assert!(out.iter().any(is_urgent), "{out:?}");
+    // Urgent payloads have a limit too.
+    let sent_before = view.counters().sent_bytes;
+    for _ in 0..100 {
+        view.queue_urgent_payload("two", vec![7; 600]);
+        now_us += 1_000;
+        view.tick(now_us, &mut rng, &mut out);
+    }
+    let sent_bytes = view.counters().sent_bytes - sent_before;
+    assert!(sent_bytes < 30_000, "{sent_bytes}");
+}
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -30,6 +30,10 @@
     pub send_bytes_per_s: u64,
     /// Bytes that may be sent in one burst after an idle time.
     pub send_burst_bytes: u64,
+    /// Sending rate of urgent payloads in bytes per second, beside the rate of all others.
+    pub urgent_bytes_per_s: u64,
+    /// Bytes of urgent payloads that may be sent in one burst.
+    pub urgent_burst_bytes: u64,
     /// Size of the largest datagram. With headers it is below the minimum MTU of IPv6 (1280 bytes),
     /// so it is never fragmented.
     pub datagram_max_bytes: usize,
@@ -65,6 +69,9 @@
             // Half of the 4 KB/s of a daemon, as it receives about as much as it sends.
             send_bytes_per_s: 2_000,
             send_burst_bytes: 4_000,
+            // Urgent payloads are rare: they follow losses of upstreams.
+            urgent_bytes_per_s: 8_000,
+            urgent_burst_bytes: 16_000,
             datagram_max_bytes: 1_200,
             members_max: 2_048,
         }
--- a/crates/peer/src/send.rs
+++ b/crates/peer/src/send.rs
@@ -45,15 +45,24 @@
         };
         let base = HEAD_BYTES + encoded_bytes(&datagram) + TAG_BYTES;
         let max_bytes = self.options.datagram_max_bytes.saturating_sub(base);
-        let mut remaining = max_bytes.min(self.budget.spare(base as u64));
+        let urgent_max = max_bytes.min(self.urgent_budget.spare(0));
+        datagram.payloads = self.urgent.take(to, urgent_max);
+        let urgent_bytes = encoded_bytes(&datagram.payloads);
+        self.urgent_budget.debit(urgent_bytes);
+        // Urgent payloads don't use up the budget of everything else.
+        self.budget.credit(urgent_bytes);
+        let mut remaining = max_bytes
+            .saturating_sub(urgent_bytes)
+            .min(self.budget.spare((base + urgent_bytes) as u64));
         // A member that is suspected, leaving or dead has to learn it, even without budget, so that
         // it can refute the record.
         if target.incarnation > 0 && target.state != State::Live {
             remaining = remaining.saturating_sub(encoded_bytes(&target));
             datagram.updates.push(target);
         }
-        datagram.payloads = self.payloads.take(to, remaining);
-        remaining = remaining.saturating_sub(encoded_bytes(&datagram.payloads));
+        let payloads = self.payloads.take(to, remaining);
+        remaining = remaining.saturating_sub(encoded_bytes(&payloads));
+        datagram.payloads.extend(payloads);
         let sends_max = 2 * self.hot_sends();
         datagram.leaving = self.leaving.take(now_us, sends_max, remaining);
         remaining = remaining.saturating_sub(encoded_bytes(&datagram.leaving));
--- a/crates/peer/src/tick.rs
+++ b/crates/peer/src/tick.rs
@@ -33,6 +33,7 @@
         }
         self.ping_suspect_or_dead(now_us, rng, out);
         self.gossip(now_us, rng, out);
+        self.flush_urgent_payloads(now_us, out);
         self.flush_payloads(now_us, out);
         self.relays.retain(|relay| relay.until_us > now_us);
         self.leaving.expire(now_us);
@@ -59,6 +60,7 @@
         let now_us = now_us.max(last_us);
         self.last_call_us = Some(now_us);
         self.budget.refill(now_us);
+        self.urgent_budget.refill(now_us);
         let paused_us = now_us - last_us;
         if paused_us > self.options.pause_threshold_us {
             // Answers that did not arrive during the pause prove nothing about the other members.
@@ -177,6 +179,29 @@
         }
     }
 
+    /// Sends the urgent payloads in datagrams of their own, as far as their budget allows.
+    fn flush_urgent_payloads(&mut self, now_us: u64, out: &mut Vec<Output>) {
+        while let Some((to, bytes)) = self.urgent.first() {
+            let to = to.to_owned();
+            let reachable = self
+                .member(&to)
+                .is_some_and(|member| member.state != State::Dead);
+            if !reachable {
+                self.urgent.drop_all(&to);
+                continue;
+            }
+            if self.urgent_budget.spare(0) < bytes {
+                break;
+            }
+            let waiting = self.urgent.len();
+            self.send(now_us, &to, Kind::Data, None, out);
+            if self.urgent.len() == waiting {
+                // The payload doesn't fit into a datagram with names of this length.
+                self.urgent.drop_first();
+            }
+        }
+    }
+
     /// Sends the queued payloads in datagrams of their own, as far as the budget allows.
     fn flush_payloads(&mut self, now_us: u64, out: &mut Vec<Output>) {
         while let Some((to, bytes)) = self.payloads.first() {
