fix(sched): refuse prompts that crash upstreams

What callers saw: requests of one kind crashed one upstream after the other.

Cause: a lost attempt was held against its upstream alone. What was in the request was looked at nowhere, so each new one with the same part went to the next healthy upstream; where a kind may be repeated, retries did so as well.

Change: the dispatcher records losses before the first token, and answers that began, in the quarantine. Requests with a quarantined part are refused with 3007 (503, not run), new ones, queued ones and retries. Operators see and release parts at /admin/prompts; each verdict is logged.

--- a/crates/bench/src/day/attempts.rs
+++ b/crates/bench/src/day/attempts.rs
@@ -50,6 +50,7 @@
             deadline_us: details.deadline_us,
             idempotent: true,
             prompt: details.prompt.clone(),
+            prompt_parts: sched::PromptParts::default(),
             policy: JobPolicy {
                 attempts_max: ATTEMPTS_MAX,
                 rejections_max: ATTEMPTS_MAX,
--- a/crates/bench/src/simulation/requests.rs
+++ b/crates/bench/src/simulation/requests.rs
@@ -82,6 +82,7 @@
                 + class.max_wait_ms * 1_000,
             idempotent: true,
             prompt: [].into(),
+            prompt_parts: sched::PromptParts::default(),
             policy: JobPolicy::default(),
         }
     }
--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -47,6 +47,8 @@
     NoConfig,
     /// This host was suspended and has not refreshed its view of the fleet yet.
     StaleView,
+    /// A part of the prompt crashed several upstreams and is quarantined.
+    PromptQuarantined,
     /// No upstream accepts work at present.
     NoUpstream,
     /// The connection to the upstream failed before a byte was sent.
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -1,7 +1,7 @@
 use crate::{Code, Entry, Retry, Run};
 
 /// All result codes, sorted by number and in the order of the variants of [`Code`].
-pub const TABLE: [Entry; 45] = [
+pub const TABLE: [Entry; 46] = [
     Entry {
         code: Code::BadRequest,
         number: 1001,
@@ -164,6 +164,15 @@
         retry: Retry::Later,
         message: "This host was suspended and has not refreshed its view yet.",
     },
+    Entry {
+        code: Code::PromptQuarantined,
+        number: 3007,
+        name: "prompt_quarantined",
+        http_status: 503,
+        run: Run::No,
+        retry: Retry::Later,
+        message: "A part of the prompt crashed several upstreams.",
+    },
     Entry {
         code: Code::NoUpstream,
         number: 4001,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -2,15 +2,17 @@
 
 use std::sync::Arc;
 
+use log::info;
 use metric::Gauges;
 use ntex::web::{
     HttpResponse,
     types::{Path, State},
 };
+use quarantine::{QuarantinedPart, VerdictState};
 use sched::UpstreamStatus;
 use serde_json::json;
 
-use crate::shared::Shared;
+use crate::{prompt_evidence, shared::Shared};
 
 /// Serves `/healthz`: succeeds as long as the process can respond.
 pub(crate) async fn healthz() -> HttpResponse {
@@ -88,6 +90,13 @@
             .iter()
             .filter(|status| status.ejected)
             .count() as u64,
+        quarantined_parts: core
+            .dispatcher
+            .quarantine()
+            .parts(now_us)
+            .iter()
+            .filter(|part| part.state == VerdictState::Quarantined)
+            .count() as u64,
         ..Gauges::default()
     });
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
@@ -114,6 +123,34 @@
     }
 }
 
+/// Serves `/admin/prompts`: the parts of prompts that are suspected or quarantined.
+pub(crate) async fn prompts(shared: State<Arc<Shared>>) -> HttpResponse {
+    let parts = shared.with_core(|now_us, core| core.dispatcher.quarantine().parts(now_us));
+    let entry = |part: &QuarantinedPart| {
+        json!({
+            "part": format!("{:016x}", part.part),
+            "quarantined": part.state == VerdictState::Quarantined,
+            "age_ms": part.age_ms,
+            "crashes": part.crashes,
+            "failed_trials": part.failed_trials,
+        })
+    };
+    HttpResponse::Ok().json(&parts.iter().map(entry).collect::<Vec<_>>())
+}
+
+/// Serves `DELETE /admin/prompts/PART`: releases a part on all daemons.
+pub(crate) async fn release_prompt(part: Path<String>, shared: State<Arc<Shared>>) -> HttpResponse {
+    let Ok(number) = u64::from_str_radix(&part, 16) else {
+        return HttpResponse::BadRequest().body("not a part\n");
+    };
+    info!("prompt: release by an operator part={number:016x}");
+    if prompt_evidence::release(&shared, number) {
+        HttpResponse::Ok().body("released\n")
+    } else {
+        HttpResponse::NotFound().body("neither suspected nor quarantined\n")
+    }
+}
+
 /// Serves `/admin/drain`: stops accepting new work.
 pub(crate) async fn drain(shared: State<Arc<Shared>>) -> HttpResponse {
     shared.set_draining();
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -11,7 +11,7 @@
         types::{Payload, State},
     },
 };
-use sched::{Job, JobId, JobPolicy, LatencyAims, Target};
+use sched::{Job, JobId, JobPolicy, LatencyAims, PromptParts, Target};
 use wire::{Assembler, Form, Request};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -85,6 +85,7 @@
     if !snapshot.serves(parsed.model()) {
         return Err(Refusal::new(Code::UnknownModel).with_detail(&format!("`{}`", parsed.model())));
     }
+    let prefix_hash = xxh3_64(parsed.prefix().as_bytes());
     let job = Job {
         id,
         account: account.name.as_str().into(),
@@ -94,11 +95,12 @@
         prompt_tokens: parsed.prompt_tokens(),
         max_tokens: parsed.max_tokens().unwrap_or(0),
         body_bytes: body.len() as u64,
-        prefix_hash: xxh3_64(parsed.prefix().as_bytes()),
+        prefix_hash,
         aims: LatencyAims::default(),
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: true,
         prompt: [].into(),
+        prompt_parts: PromptParts::new([prefix_hash, xxh3_64(&body)]),
         policy: JobPolicy::default(),
     };
     let progress = Progress::new(class, shared.clock.now_us());
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -56,6 +56,7 @@
     pub(crate) fn new(host: &Host) -> Self {
         let locality = Locality::new(&host.region, &host.zone);
         let dispatcher = Dispatcher::new(locality)
+            .with_name(&host.name)
             .with_seed(xxh3_64(host.name.as_bytes()))
             .with_link_budget(host.cross_region_bytes_per_s);
         Self {
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -79,6 +79,10 @@
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         let id = self.id;
         let complete = outcome == Outcome::Complete;
+        let lost = matches!(
+            outcome,
+            Outcome::LostBeforeAnswer | Outcome::LostMidStream { .. }
+        );
         self.ended |= complete;
         let has_queued = self.shared.with_core(|now_us, core| {
             core.sharing.ended(id);
@@ -93,6 +97,9 @@
         if has_queued {
             self.shared.queued.notify_one();
         }
+        if lost {
+            self.shared.evidence.notify_one();
+        }
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod pending_calls;
 mod progress;
+mod prompt_evidence;
 mod refusal;
 mod relay;
 mod routed;
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -76,6 +76,7 @@
                 paused_us / 1_000
             );
             shared.peers.freshness.resume(now_us);
+            shared.with_core(|now_us, core| core.dispatcher.quarantine_mut().catch_up(now_us));
             shared.peers.refresh.notify_one();
         }
     }
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -10,7 +10,7 @@
     HttpRequest, HttpResponse,
     types::{Payload, State},
 };
-use sched::{Job, JobPolicy, LatencyAims, Target};
+use sched::{Job, JobPolicy, LatencyAims, PromptParts, Target};
 use settings::{CallerLimits, Route};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -246,6 +246,7 @@
         deadline_us: 0,
         idempotent: route.kind.is_repeatable(),
         prompt: metadata.prompt.clone(),
+        prompt_parts: PromptParts::new(metadata.prompt.iter().map(|part| part.id)),
         policy: JobPolicy {
             attempts_max: route.attempts_max,
             rejections_max: REJECTIONS_MAX,
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -120,6 +120,7 @@
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: call.idempotent,
         prompt: [].into(),
+        prompt_parts: sched::PromptParts::default(),
         policy: JobPolicy::default(),
     };
     let key = request.headers().get(IDEMPOTENCY_KEY);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -37,6 +37,8 @@
     pub(crate) pending_calls: PendingCalls,
     /// Distinguishes this run of the daemon from all others in claims.
     start_nonce: u64,
+    /// Wakes the task that exchanges evidence about prompts.
+    pub(crate) evidence: Notify,
     /// Wakes the dispatcher's tick task when a job has to wait.
     pub(crate) queued: Notify,
     core: Mutex<Core>,
@@ -60,6 +62,7 @@
             header_adapter: None,
             pending_calls: PendingCalls::default(),
             start_nonce: rand::random(),
+            evidence: Notify::new(),
             queued: Notify::new(),
             core: Mutex::new(core),
         }
--- a/crates/daemon/src/sharing.rs
+++ b/crates/daemon/src/sharing.rs
@@ -18,6 +18,8 @@
     Grants(Grants),
     /// The sender's work on engines.
     Loads(LoadAnnouncement),
+    /// Evidence and verdicts about parts of prompts.
+    Quarantine(quarantine::Message),
 }
 
 /// This daemon's roles in sharing upstream slots: holder of grants, and home of some upstreams.
@@ -123,6 +125,8 @@
                 self.peer_loads.update(now_us, from, loads);
                 None
             }
+            // Concerns no slots; `receive_payload` handles it.
+            Message::Quarantine(_) => None,
         }
     }
 
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -32,6 +32,7 @@
     loads::read_loads,
     models,
     peers::{Peers, exchange_datagrams, fetch_configs, follow_hosts, serve_config},
+    prompt_evidence::exchange_prompt_evidence,
     routed,
     running::RunningDaemon,
     services::{self, ServiceClients},
@@ -159,6 +160,7 @@
             running.spawn(read_loads(shared.clone(), upstream_client().await));
             running.spawn(share_slots(shared.clone()));
         }
+        running.spawn(exchange_prompt_evidence(shared.clone()));
         running.spawn(exchange_datagrams(shared.clone(), socket, announce));
         running.spawn(serve_config(shared.clone(), peer_listener));
         running.spawn(fetch_configs(shared.clone(), announcements));
@@ -266,6 +268,11 @@
             .service(web::resource("/admin/explain/{id}").route(web::get().to(admin::explain)))
             .service(web::resource("/admin/upstreams").route(web::get().to(admin::upstreams)))
             .service(web::resource("/admin/status").route(web::get().to(admin::status)))
+            .service(web::resource("/admin/prompts").route(web::get().to(admin::prompts)))
+            .service(
+                web::resource("/admin/prompts/{part}")
+                    .route(web::delete().to(admin::release_prompt)),
+            )
             .service(web::resource("/admin/drain").route(web::post().to(admin::drain)))
     })
     .workers(1)
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -11,6 +11,8 @@
     pub in_flight: u64,
     /// Number of upstreams that are marked as stragglers.
     pub stragglers: u64,
+    /// Number of prompt parts whose requests are refused because they crash upstreams.
+    pub quarantined_parts: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// Number of other daemons that are live.
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -36,6 +36,7 @@
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
     stragglers: Gauge,
+    quarantined_parts: Gauge,
     config_version: Gauge,
     live_peers: Gauge,
     ready: Gauge,
@@ -61,6 +62,7 @@
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
             stragglers: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             config_version: Gauge::default(),
             live_peers: Gauge::default(),
             ready: Gauge::default(),
@@ -159,6 +161,8 @@
         }
         self.in_flight.set(saturating_i64(gauges.in_flight));
         self.stragglers.set(saturating_i64(gauges.stragglers));
+        self.quarantined_parts
+            .set(saturating_i64(gauges.quarantined_parts));
         self.config_version
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
@@ -250,6 +254,11 @@
             "Upstreams judged to be slow",
             self.stragglers.clone(),
         );
+        registry.register(
+            "quarantined_prompt_parts",
+            "Prompt parts whose requests are refused because they crash upstreams",
+            self.quarantined_parts.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -17,7 +17,10 @@
 /// have a common cause outside of their requests.
 const SAME_MOMENT_US: u64 = 300_000;
 
-/// Crashes, each at another moment and each with another request, from which a part is suspected.
+/// Crashes that count as one more moment, if they happened at two moments or more.
+const CRASHES_OF_A_MOMENT: u32 = 5;
+
+/// Crashes at different moments from which a part is suspected.
 pub(crate) const EVIDENCE_MIN: u32 = 3;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -273,7 +276,8 @@
     }
 }
 
-/// Counts the crashes that speak against a part: at different moments, with different requests.
+/// Counts the crashes that speak against a part, at different moments. A request that is retried is
+/// lost at several, so at least half of them must be of different requests.
 fn count_evidence<'a, I>(part: u64, crashes: I) -> u32
 where
     I: Iterator<Item = &'a Crash>,
@@ -290,6 +294,7 @@
     times_us.sort_unstable();
     owns.sort_unstable();
     owns.dedup();
+    let crashes = u32::try_from(times_us.len()).unwrap_or(u32::MAX);
     let mut moments = 0;
     let mut last_us = None;
     for at_us in times_us {
@@ -298,5 +303,12 @@
             last_us = Some(at_us);
         }
     }
-    u32::min(moments, u32::try_from(owns.len()).unwrap_or(u32::MAX))
+    let requests = u32::try_from(owns.len()).unwrap_or(u32::MAX);
+    // So many crashes that they fall together can't wait for another moment.
+    let more = if moments > 1 {
+        crashes / CRASHES_OF_A_MOMENT
+    } else {
+        0
+    };
+    u32::min(moments + more, (2 * requests).saturating_sub(1))
 }
--- a/crates/quarantine/src/fleet_tests.rs
+++ b/crates/quarantine/src/fleet_tests.rs
@@ -40,6 +40,8 @@
     lost_messages: f64,
     /// Number of different subjects of sound requests.
     subjects: u64,
+    /// Largest number of attempts of a request.
+    attempts: u32,
 }
 
 impl Plan {
@@ -55,6 +57,7 @@
             lost_answers: 0.0,
             lost_messages: 0.03,
             subjects: 80,
+            attempts: 1,
         }
     }
 
@@ -75,6 +78,7 @@
     upstream: usize,
     parts: PromptParts,
     is_deadly: bool,
+    attempt: u32,
     begins_us: u64,
     ends_us: u64,
     reported: bool,
@@ -209,6 +213,18 @@
             self.outcome.deadly_sends_us.push(now_us);
         }
         self.outcome.companions.0 += usize::from(is_companion && is_late);
+        self.start(now_us, daemon, parts, is_deadly, 1);
+    }
+
+    /// Sends a request to an upstream that is up.
+    fn start(
+        &mut self,
+        now_us: u64,
+        daemon: usize,
+        parts: PromptParts,
+        is_deadly: bool,
+        attempt: u32,
+    ) {
         let up: Vec<usize> = (0..self.upstreams.len())
             .filter(|&upstream| self.upstreams[upstream].1 <= now_us)
             .collect();
@@ -222,6 +238,7 @@
             upstream,
             parts,
             is_deadly,
+            attempt,
             begins_us,
             ends_us: begins_us + self.rng.random_range(200..2_000) * MS_US,
             reported: false,
@@ -245,16 +262,28 @@
         let name = format!("engine-{upstream}-{}", self.upstreams[upstream].0);
         self.upstreams[upstream].0 += 1;
         self.upstreams[upstream].1 = now_us + 3 * S_US;
-        let daemons = &mut self.daemons;
-        self.running.retain(|request| {
-            if request.upstream != upstream {
-                return true;
-            }
+        let lost = self
+            .running
+            .extract_if(.., |request| request.upstream == upstream);
+        for request in lost.collect::<Vec<_>>() {
             if request.is_deadly || request.begins_us >= now_us {
-                daemons[request.daemon].record_loss(now_us, &name, &request.parts);
+                self.lose(now_us, &name, request);
             }
-            false
-        });
+        }
+    }
+
+    /// Records that a request was lost before its answer began, and tries it again.
+    fn lose(&mut self, now_us: u64, upstream: &str, request: Running) {
+        let daemon = &mut self.daemons[request.daemon];
+        daemon.record_loss(now_us, upstream, &request.parts);
+        let is_held = daemon.quarantined_part(&request.parts).is_some();
+        if request.attempt < self.plan.attempts && !is_held {
+            if request.is_deadly {
+                self.outcome.deadly_sends_us.push(now_us);
+            }
+            let (parts, attempt) = (request.parts, request.attempt + 1);
+            self.start(now_us, request.daemon, parts, request.is_deadly, attempt);
+        }
     }
 
     fn advance(&mut self, now_us: u64) {
@@ -276,7 +305,7 @@
                 let request = self.running.swap_remove(index);
                 let restarts = self.upstreams[request.upstream].0;
                 let name = format!("engine-{}-{restarts}", request.upstream);
-                self.daemons[request.daemon].record_loss(now_us, &name, &request.parts);
+                self.lose(now_us, &name, request);
                 continue;
             }
             if !request.reported && request.begins_us + 100 * MS_US <= now_us {
@@ -343,10 +372,11 @@
 fn few_deadly_requests_are_sent_after_the_fifth_crash() {
     for seed in 1..=30 {
         for deadly_share in [0.02, 0.05, 0.2, 0.4] {
-            for deadly_position in [0, 1, 2] {
+            for (deadly_position, attempts) in [(0, 1), (1, 3), (2, 1), (2, 3)] {
                 check(Plan {
                     deadly_share,
                     deadly_position,
+                    attempts,
                     ..Plan::small(seed)
                 });
             }
@@ -394,6 +424,7 @@
             deadly_share: 0.0,
             ordinary_crashes: 15,
             lost_answers: 0.05,
+            attempts: 3,
             ..Plan::small(seed)
         };
         let outcome = Fleet::new(plan).run(30 * S_US);
@@ -403,6 +434,7 @@
         deadly_share: 0.0,
         ordinary_crashes: 15,
         lost_answers: 0.02,
+        attempts: 3,
         ..Plan::large(1)
     };
     let outcome = Fleet::new(plan).run(30 * S_US);
--- a/crates/sched/benches/decision.rs
+++ b/crates/sched/benches/decision.rs
@@ -111,6 +111,7 @@
             deadline_us: u64::MAX / 2,
             idempotent: true,
             prompt: [].into(),
+            prompt_parts: sched::PromptParts::default(),
             policy: JobPolicy::default(),
         };
         self.actions.clear();
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -111,6 +111,8 @@
             last_token_us: now_us,
             tokens: 0,
             events: 0,
+            begun_us: None,
+            proven: false,
             work_tokens: pick.work_tokens,
             reserved: candidate.reserved,
         });
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -4,6 +4,7 @@
 
 use code::{Code, Run};
 use limit::{Allowance, Limits};
+use quarantine::Quarantine;
 use queue::{OutputLengths, Queue, TIERS};
 use route::{
     AttemptOutcome, LoadAnnouncement, LoadReport, Locality, PeerLoads, Pool, UpstreamStatus,
@@ -34,6 +35,7 @@
     pub(crate) lengths: OutputLengths,
     pub(crate) limits: Limits,
     pub(crate) pool: Pool,
+    pub(crate) quarantine: Quarantine,
     pub(crate) topology: Topology,
     /// Number of jobs that have arrived, from which each gets its place in the order of arrival.
     arrivals: u64,
@@ -51,6 +53,13 @@
         }
     }
 
+    /// Sets the name of the daemon among those that share evidence about prompts.
+    #[must_use]
+    pub fn with_name(mut self, name: &str) -> Self {
+        self.quarantine = Quarantine::new(name);
+        self
+    }
+
     /// Sets the seed that breaks ties between upstreams; it should differ between daemons.
     #[must_use]
     pub fn with_seed(mut self, seed: u64) -> Self {
@@ -141,6 +150,9 @@
     /// Adds a new job, which is started, queued or refused.
     pub fn submit(&mut self, now_us: u64, job: Job, actions: &mut Vec<Action>) {
         let id = job.id;
+        if self.refuse_deadly(now_us, &job, actions) {
+            return;
+        }
         let lane = self.topology.lane_of(&job.target);
         self.arrivals += 1;
         let entry = Entry::new(now_us, job, lane, self.arrivals, &self.lengths);
@@ -184,6 +196,7 @@
             return;
         };
         entry.run = Run::Yes;
+        running.begun_us.get_or_insert(now_us);
         let elapsed_us = now_us.saturating_sub(running.last_token_us);
         let first = running.tokens == 0;
         running.last_token_us = now_us;
@@ -233,6 +246,7 @@
         running.events = running.events.saturating_add(1);
         self.pool
             .record_event(now_us, &running.upstream, elapsed_us);
+        self.record_progress(now_us, id);
     }
 
     /// Records the end of a job's current attempt, and retries or refuses a job that failed.
@@ -243,6 +257,9 @@
         let (lane, class, tokens) = (entry.item.lane, entry.job.class.clone(), entry.tokens);
         let output_tokens_max = entry.job.max_tokens;
         let ended = self.end_attempt(now_us, id, attempt_outcome(outcome));
+        if let Some(running) = &ended {
+            self.record_evidence(now_us, id, running, outcome);
+        }
         if outcome == Outcome::Complete {
             // A complete answer counts even if the attempt was cancelled in the meantime.
             self.lengths.observe(&class, lane, tokens);
@@ -474,6 +491,7 @@
             lengths: OutputLengths::default(),
             limits: Limits::default(),
             pool: Pool::default(),
+            quarantine: Quarantine::default(),
             topology: Topology::default(),
             arrivals: 0,
             next_recheck_us: 0,
--- a/crates/sched/src/fixtures.rs
+++ b/crates/sched/src/fixtures.rs
@@ -42,6 +42,7 @@
         deadline_us: 1_000_000,
         idempotent: true,
         prompt: [].into(),
+        prompt_parts: crate::PromptParts::default(),
         policy: JobPolicy::default(),
     }
 }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use quarantine::PromptParts;
 use route::{LatencyAims, PromptPart, Target};
 
 use crate::JobPolicy;
@@ -39,6 +40,8 @@
     pub idempotent: bool,
     /// Parts of the prompt in order, for engines whose cache contents are tracked; empty otherwise.
     pub prompt: Arc<[PromptPart]>,
+    /// What its prompt consists of, to find parts that crash upstreams.
+    pub prompt_parts: PromptParts,
     /// Limits on its attempts and preemption.
     pub policy: JobPolicy,
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -36,6 +36,9 @@
 mod outcome;
 mod policy;
 mod preempt;
+mod prompts;
+#[cfg(test)]
+mod prompts_tests;
 mod reason;
 mod retry;
 mod running;
@@ -51,6 +54,7 @@
     policy::JobPolicy,
     reason::Reason,
 };
+pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
     EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality, PeerLoads,
     PromptPart, Target, UpstreamStatus,
--- a/crates/sched/src/oracle.rs
+++ b/crates/sched/src/oracle.rs
@@ -475,6 +475,7 @@
         deadline_us: wait_ms * 1_000,
         idempotent,
         prompt: [].into(),
+        prompt_parts: crate::PromptParts::default(),
         policy: JobPolicy::default(),
     }
 }
--- a/crates/sched/src/reason.rs
+++ b/crates/sched/src/reason.rs
@@ -51,6 +51,11 @@
         /// Estimated wait.
         wait_us: u64,
     },
+    /// Refused: a part of its prompt crashes upstreams.
+    Quarantined {
+        /// Part.
+        part: u64,
+    },
     /// Refused: no slot became free before the deadline.
     DeadlinePassed,
     /// Refused: the attempt failed in a way that must not be retried.
@@ -80,6 +85,9 @@
             Self::EstimatedWait { wait_us } => {
                 write!(f, "estimated wait of {} ms is too long", wait_us / 1_000)
             }
+            Self::Quarantined { part } => {
+                write!(f, "prompt part {part:016x} crashes upstreams")
+            }
             Self::DeadlinePassed => f.write_str("no free slot before the deadline"),
             Self::NotRetryable => f.write_str("the attempt must not be repeated"),
             Self::AttemptsExhausted => f.write_str("too many attempts failed"),
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -40,7 +40,10 @@
         let exhausted = entry.failures >= policy.attempts_max
             || outcome == Outcome::Rejected && entry.rejections >= policy.rejections_max
             || outcome == Outcome::NotSent && entry.unsent >= policy.unsent_max;
-        let reason = if !retryable {
+        let quarantined = self.quarantine.quarantined_part(&job.prompt_parts);
+        let reason = if let Some(part) = quarantined {
+            Reason::Quarantined { part }
+        } else if !retryable {
             Reason::NotRetryable
         } else if exhausted {
             Reason::AttemptsExhausted
@@ -51,7 +54,11 @@
             self.requeue(now_us, id);
             return;
         };
-        self.refuse(id, code_of(outcome), RETRY_AFTER_MS, reason, actions);
+        let code = match reason {
+            Reason::Quarantined { .. } => Code::PromptQuarantined,
+            _ => code_of(outcome),
+        };
+        self.refuse(id, code, RETRY_AFTER_MS, reason, actions);
     }
 }
 
--- a/crates/sched/src/running.rs
+++ b/crates/sched/src/running.rs
@@ -11,6 +11,10 @@
     pub(crate) work_tokens: u32,
     /// Output tokens received in this attempt.
     pub(crate) tokens: u32,
+    /// Time of the first token.
+    pub(crate) begun_us: Option<u64>,
+    /// Whether the answer has begun for long enough to show that its prompt crashes no upstream.
+    pub(crate) proven: bool,
     /// Events received in this attempt.
     pub(crate) events: u32,
     /// Whether it holds a slot of the share reserved for its tier.
