fix(link): don't take a repeated refusal for the answer to a retry

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection. It could happen here, in two ways.

What callers saw: a request that may run once was refused by an upstream and sent to it again on the same connection; the copy of the refusal has the id of this very request, so it was taken for its answer, although the upstream ran it. The request then went out a third time (run twice), or its caller was told that it did not run. A copy of a 421, or one without an id, did the same to the next request of any caller on that connection.

Change: a connection on which a request was refused isn't used for the same request again.

--- a/crates/daemon/src/adapter/response_kind.rs
+++ b/crates/daemon/src/adapter/response_kind.rs
@@ -5,6 +5,8 @@
     Run,
     /// The upstream did not execute the request.
     NotRun,
+    /// The response says that a request was not executed, but not which one.
+    UnidentifiedRejection,
     /// The address now belongs to another upstream, which did not execute the request.
     OtherUpstream,
     /// The response belongs to another request.
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -6,6 +6,7 @@
 use log::info;
 use sched::Outcome;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::call::Call;
 use crate::{adapter::ResponseKind, shared::Shared};
@@ -40,8 +41,9 @@
     } else {
         IDLE_MAX_NON_REPEATABLE
     };
-    let response = match pool
-        .send(upstream_settings.address, request, idle_max)
+    let tag = xxh3_64(call.request_id.as_bytes());
+    let mut response = match pool
+        .send(upstream_settings.address, request, idle_max, tag)
         .await
     {
         Ok(response) => response,
@@ -60,8 +62,15 @@
     };
     match adapter.classify_response(response.status(), response.headers(), &call.request_id) {
         ResponseKind::Run => Ok(response),
-        kind @ (ResponseKind::NotRun | ResponseKind::OtherUpstream) => {
+        ResponseKind::UnidentifiedRejection if response.is_on_reused_connection() => {
+            log_loss(call, upstream, None, "rejection of an unknown request");
+            Err(Outcome::LostBeforeAnswer)
+        }
+        kind @ (ResponseKind::NotRun
+        | ResponseKind::OtherUpstream
+        | ResponseKind::UnidentifiedRejection) => {
             log_failure(call, upstream, &format!("{kind:?} {}", response.status()));
+            response.mark_refused(tag);
             drain_body(response).await;
             Err(Outcome::Rejected)
         }
--- /dev/null
+++ b/crates/daemon/tests/faulty_answers.rs
@@ -0,0 +1,108 @@
+//! Routed requests to upstreams that repeat refusals, cut off their answers or answer a resumed
+//! stream with something else.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use settings::RequestKind;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod routed_support;
+
+use routed_support::{Fixture, KEY, ScriptedUpstream, Step};
+
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok";
+
+fn key() -> String {
+    format!("x-key: {KEY}\r\n")
+}
+
+fn status(answer: &str) -> u16 {
+    let status = answer.split(' ').nth(1).and_then(|word| word.parse().ok());
+    status.unwrap_or_else(|| panic!("no answer: {answer:?}"))
+}
+
+/// Refuses the first request of the first connection, and repeats the refusal before it runs the
+/// next request of that connection.
+async fn repeat_refusal(mut stream: TcpStream, is_first: bool, runs: Arc<AtomicUsize>) {
+    let mut refused = false;
+    let mut head = Vec::new();
+    while let Ok(byte) = stream.read_u8().await {
+        head.push(byte);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        head.clear();
+        if is_first && !refused {
+            refused = true;
+            let _ = stream.write_all(REFUSAL.as_bytes()).await;
+            continue;
+        }
+        runs.fetch_add(1, Ordering::Relaxed);
+        if refused {
+            let _ = stream.write_all(REFUSAL.as_bytes()).await;
+        }
+        let _ = stream.write_all(ANSWER.as_bytes()).await;
+    }
+}
+
+/// Guards against a refusal that an upstream writes once more being taken for the answer to the
+/// retry: the request ran, was run a second time, or its caller was told that it did not run.
+#[ntex::test]
+async fn repeated_refusal_is_no_answer_to_the_retry() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let upstream = ScriptedUpstream {
+        address: listener.local_addr().unwrap(),
+        heads: Arc::default(),
+        aborted: Arc::default(),
+    };
+    let runs = Arc::<AtomicUsize>::default();
+    let counted = runs.clone();
+    ntex::rt::spawn(async move {
+        let mut is_first = true;
+        while let Ok((stream, _)) = listener.accept().await {
+            ntex::rt::spawn(repeat_refusal(stream, is_first, counted.clone()));
+            is_first = false;
+        }
+    });
+    let fixture = Fixture::start(RequestKind::NonIdempotent, 10_000, &[&upstream]).await;
+    let answer = fixture.call("/stock/1", &key()).await;
+    // The upstream may still be reading a request that must not have been sent.
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    assert_eq!(runs.load(Ordering::Relaxed), 1, "{answer}");
+    assert_eq!(status(&answer), 200, "{answer}");
+    fixture.daemon.stop().await;
+}
+
+/// Guards against an answer that an upstream cuts off within its head or body reaching the caller as
+/// a success.
+#[ntex::test]
+async fn answer_cut_at_any_byte_is_no_success() {
+    for answer in [
+        ANSWER,
+        "HTTP/1.1 200 OK\r\nx-id: r1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ] {
+        let scripts: Vec<&'static [Step]> = (0..answer.len())
+            .map(|end| {
+                &*Box::leak(Box::new([Step::Send(&answer[..end]), Step::Close])) as &[Step]
+            })
+            .collect();
+        let scripts: &'static [&'static [Step]] = Box::leak(scripts.into_boxed_slice());
+        let upstream = ScriptedUpstream::start(scripts).await;
+        let fixture = Fixture::start(RequestKind::NonIdempotent, 10_000, &[&upstream]).await;
+        while upstream.request_count() < scripts.len() {
+            let cut = upstream.request_count();
+            let reply = fixture.call("/stock/1", &key()).await;
+            assert_eq!(status(&reply), 502, "cut at {cut}: {reply}");
+        }
+        fixture.daemon.stop().await;
+    }
+}
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -37,6 +37,10 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
     closed: bool,
+    /// Number of requests sent on it.
+    requests: u32,
+    /// Tags of the requests that were refused on it.
+    refused: Vec<u64>,
 }
 
 /// Reason why a request failed; a request that was not sent is returned to the caller.
@@ -74,6 +78,8 @@
             sender,
             driver: Box::pin(driver),
             closed: false,
+            requests: 0,
+            refused: Vec::new(),
         })
     }
 
@@ -82,6 +88,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<hyper::Response<Incoming>, SendError> {
+        self.requests += 1;
         let mut sent = pin!(self.sender.try_send_request(request));
         let (driver, closed) = (&mut self.driver, &mut self.closed);
         let result = poll_fn(|context| {
@@ -95,6 +102,21 @@
         })
     }
 
+    /// Returns whether another request was sent on it before the last one.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
+    /// Records that the request with this tag was refused on it.
+    pub(crate) fn add_refused(&mut self, tag: u64) {
+        self.refused.push(tag);
+    }
+
+    /// Returns whether a request with this tag was refused on it.
+    pub(crate) fn has_refused(&self, tag: u64) -> bool {
+        self.refused.contains(&tag)
+    }
+
     /// Reads the next frame of a response body.
     pub(crate) async fn next(
         &mut self,
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -39,7 +39,8 @@
     /// Sends a request and waits for the response headers.
     ///
     /// A connection that was idle for longer than `idle_max` is not reused: the server may be about
-    /// to close it, and the request could be lost.
+    /// to close it, and the request could be lost. Nor is one on which a request with the same `tag`
+    /// was refused: a server that repeats the refusal would seem to refuse this one too.
     ///
     /// # Errors
     ///
@@ -50,9 +51,10 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         idle_max: Duration,
+        tag: u64,
     ) -> Result<Response, RequestError> {
         loop {
-            let pooled = self.take_reusable(address, idle_max).await;
+            let pooled = self.take_reusable(address, idle_max, tag).await;
             let reused = pooled.is_some();
             let mut connection = match pooled {
                 Some(connection) => connection,
@@ -121,9 +123,14 @@
     }
 
     /// Takes an idle connection that can still be reused.
-    async fn take_reusable(&self, address: SocketAddr, idle_max: Duration) -> Option<Connection> {
+    async fn take_reusable(
+        &self,
+        address: SocketAddr,
+        idle_max: Duration,
+        tag: u64,
+    ) -> Option<Connection> {
         loop {
-            let mut idle = self.pop(address)?;
+            let mut idle = self.pop(address, tag)?;
             let now = Instant::now();
             let is_fresh = now < idle.expires && now.duration_since(idle.since) <= idle_max;
             if is_fresh && idle.connection.is_reusable().await {
@@ -132,12 +139,16 @@
         }
     }
 
-    /// Removes the most recently used idle connection to an address.
-    fn pop(&self, address: SocketAddr) -> Option<Idle> {
+    /// Removes the most recently used idle connection to an address on which no request with this
+    /// tag was refused.
+    fn pop(&self, address: SocketAddr, tag: u64) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
         let index = idle
             .binary_search_by_key(&address, |&(address, _)| address)
             .ok()?;
-        idle[index].1.pop()
+        let connections = &mut idle[index].1;
+        let usable = |idle: &Idle| !idle.connection.has_refused(tag);
+        let index = connections.iter().rposition(usable)?;
+        Some(connections.remove(index))
     }
 }
--- a/crates/link/src/response.rs
+++ b/crates/link/src/response.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Weak};
 
 use bytes::{Bytes, BytesMut};
-use hyper::{HeaderMap, StatusCode, body::Incoming};
+use hyper::{HeaderMap, StatusCode, body::Incoming, header};
 use tokio::time::{Duration, Instant};
 
 use crate::{ConnectionPool, RequestError, connection::Connection};
@@ -51,6 +51,31 @@
         &self.headers
     }
 
+    /// Returns whether its connection carried another request before.
+    ///
+    /// An answer on such a connection may belong to the earlier request if nothing in it says
+    /// otherwise.
+    #[must_use]
+    pub fn is_on_reused_connection(&self) -> bool {
+        self.connection.as_ref().is_none_or(Connection::is_reused)
+    }
+
+    /// Returns whether the body has a length or chunks, so that its end is known.
+    ///
+    /// Any other body ends with its connection, also if the server fails.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        self.headers.contains_key(header::CONTENT_LENGTH)
+            || self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
+    /// Records that it refuses the request with this tag; see [`ConnectionPool::send`].
+    pub fn mark_refused(&mut self, tag: u64) {
+        if let Some(connection) = &mut self.connection {
+            connection.add_refused(tag);
+        }
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
     ///
     /// # Errors
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -73,7 +73,7 @@
 }
 
 async fn read(pool: &Rc<ConnectionPool>, address: SocketAddr) -> Result<Bytes, RequestError> {
-    let mut response: Response = pool.send(address, request(), MINUTE).await?;
+    let mut response: Response = pool.send(address, request(), MINUTE, 0).await?;
     response.read_body(1_000).await
 }
 
@@ -186,7 +186,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let pool = ConnectionPool::new(PoolOptions::default());
-    let call = pool.send(address, request(), MINUTE);
+    let call = pool.send(address, request(), MINUTE, 0);
     let closed = async {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut bytes = Vec::new();
