fix(daemon): don't pass on a cut stream without an event as a complete one

What callers saw: the head of a stream that was cut before its first event came back as a 200 with an empty, whole body.

Cause: a stream that ends without an event was taken for an empty answer, whatever its framing; without a length or chunks its end says nothing.

Ruled out: a head that is cut at any byte is no answer already (answer_cut_at_any_byte_is_no_success passed before); a stream that ends within an event was broken off visibly already.

Change: an unframed stream that ends before an event is a lost attempt.

stream_without_an_event_is_no_success_if_it_was_cut got a 200 with a length of 0 before; stream_that_ends_with_its_connection_is_passed_on passed before too.

--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -72,25 +72,25 @@
         return Err(Code::UpstreamLost.into());
     };
     let mut reply = reply::start_from(shared, response);
-    match first {
-        FirstPart::Error(body) => {
-            let status = response.status().as_u16();
-            info!(
-                "caller: answered request={} upstream={} status={status}",
-                relay.call.request_id, relay.upstream
-            );
-            relay.handle.finish(Outcome::Complete);
-            Ok(reply.body(to_ntex_bytes(&body)))
-        }
+    let whole_body = match first {
         FirstPart::Events(first) => {
             let waited_ms = relay.call.received_at.elapsed().as_millis();
             info!(
                 "caller: stream begun request={} upstream={} waited_ms={waited_ms}",
                 relay.call.request_id, relay.upstream
             );
-            Ok(reply.streaming(Box::pin(body(relay, first, caller))))
+            return Ok(reply.streaming(Box::pin(body(relay, first, caller))));
         }
-    }
+        FirstPart::Error(body) => body,
+        FirstPart::Empty => Bytes::new(),
+    };
+    let status = response.status().as_u16();
+    info!(
+        "caller: answered request={} upstream={} status={status}",
+        relay.call.request_id, relay.upstream
+    );
+    relay.handle.finish(Outcome::Complete);
+    Ok(reply.body(to_ntex_bytes(&whole_body)))
 }
 
 /// First part of an upstream's response.
@@ -99,6 +99,8 @@
     Events(Bytes),
     /// Complete body of an error response.
     Error(Bytes),
+    /// Complete stream without any event.
+    Empty,
 }
 
 /// Returns the body of the caller's response.
@@ -225,6 +227,7 @@
                 .map(FirstPart::Error)
                 .map_err(|_| Outcome::LostBeforeAnswer);
         }
+        let is_framed = response.is_framed();
         self.response = Some(response);
         match self.read().await {
             Ok(Some(events)) => {
@@ -232,8 +235,12 @@
                 self.handle.first_token();
                 Ok(FirstPart::Events(events))
             }
-            // A stream without any event is complete if the upstream ended it properly.
-            Ok(None) => Ok(FirstPart::Error(Bytes::new())),
+            Ok(None) if is_framed => Ok(FirstPart::Empty),
+            // Ended with its connection, as if the upstream had failed.
+            Ok(None) => {
+                self.log_loss("ended before an event");
+                Err(Outcome::LostBeforeAnswer)
+            }
             Err(()) => Err(Outcome::LostBeforeAnswer),
         }
     }
@@ -256,7 +263,7 @@
                 self.handle.finish(Outcome::LostMidStream { resumable });
                 match self.resume().await? {
                     FirstPart::Events(events) => Ok(Some(events)),
-                    FirstPart::Error(_) => Err(Code::StreamBroken),
+                    FirstPart::Error(_) | FirstPart::Empty => Err(Code::StreamBroken),
                 }
             }
         }
--- a/crates/daemon/tests/faulty_answers.rs
+++ b/crates/daemon/tests/faulty_answers.rs
@@ -21,6 +21,8 @@
     "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok";
 
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
 fn key() -> String {
     format!("x-key: {KEY}\r\n")
 }
@@ -106,3 +108,64 @@
         fixture.daemon.stop().await;
     }
 }
+
+/// Guards against a stream that an upstream cuts off before its first event reaching the caller as a
+/// complete and empty one, also where the answer has neither a length nor chunks.
+#[ntex::test]
+async fn stream_without_an_event_is_no_success_if_it_was_cut() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\r\n";
+    let scripts: &'static [&'static [Step]] = &[
+        &[Step::Send(HEAD), Step::Close],
+        &[Step::Send(HEAD), Step::Send("id: 1\nda"), Step::Close],
+        &[Step::Send(STREAM_HEAD), Step::Close],
+        &[
+            Step::Send(STREAM_HEAD),
+            Step::Send("f\r\nid: 1"),
+            Step::Close,
+        ],
+    ];
+    let upstream = ScriptedUpstream::start(scripts).await;
+    let fixture = Fixture::start(RequestKind::Stream, 10_000, &[&upstream]).await;
+    while upstream.request_count() < scripts.len() {
+        let script = upstream.request_count();
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), 502, "script {script}: {answer}");
+    }
+    fixture.daemon.stop().await;
+}
+
+/// Guards against a stream without a length or chunks that isn't passed on whole, or looks complete
+/// although it ended within an event.
+#[ntex::test]
+async fn stream_that_ends_with_its_connection_is_passed_on() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\n\r\n";
+    let cases: [(&'static [&'static [Step]], bool); 2] = [
+        (
+            &[&[
+                Step::Send(HEAD),
+                Step::Send("id: 1\ndata: a\n\n"),
+                Step::Send("id: 2\ndata: b\n\n"),
+                Step::Close,
+            ]],
+            true,
+        ),
+        (
+            &[&[
+                Step::Send(HEAD),
+                Step::Send("id: 1\ndata: a\n\nid: 2\nda"),
+                Step::Close,
+            ]],
+            false,
+        ),
+    ];
+    for (scripts, is_complete) in cases {
+        let upstream = ScriptedUpstream::start(scripts).await;
+        let fixture = Fixture::start(RequestKind::Stream, 10_000, &[&upstream]).await;
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), 200, "{answer}");
+        assert!(answer.contains("id: 1\ndata: a\n\n"), "{answer}");
+        assert_eq!(answer.contains("id: 2"), is_complete, "{answer}");
+        assert_eq!(answer.ends_with("0\r\n\r\n"), is_complete, "{answer}");
+        fixture.daemon.stop().await;
+    }
+}
