fix(daemon): let a resumed stream go on with nothing but its next events

Report of other operators: a stream had begun and broke off; the next server answered with an error, whose text or head stood in the middle of the stream, or the stream ended as complete.

What callers saw here: a 200 of the next upstream whose body held no events, or the stream from its start again, was passed on behind what they had, and ended as complete. A stream that had broken off after its last event ended as broken although the next upstream said that nothing was left.

Ruled out: error answers, refusals and heads that are cut, with bodies like events or not, broke the stream off visibly before too.

A properly framed answer without an event ends the stream.

resumed_stream_holds_nothing_but_its_next_events on the code before: 'another body' had the text in the stream and ended it as complete, 'from the start again' had event 1 twice, 'had ended' ended as broken; four cases passed.

--- a/crates/daemon/src/routed/events_tests.rs
+++ b/crates/daemon/src/routed/events_tests.rs
@@ -1,6 +1,6 @@
 use bytes::Bytes;
 
-use super::{EVENT_MAX_BYTES, EventBuffer, EventTooLarge};
+use super::{EVENT_MAX_BYTES, EventBuffer, EventError};
 
 /// Guards against passing on an incomplete event, which a resumed stream would send again.
 #[test]
@@ -50,7 +50,7 @@
         held_bytes += chunk.len();
         assert!(held_bytes <= EVENT_MAX_BYTES, "{held_bytes}");
     };
-    assert_eq!(refused, EventTooLarge);
+    assert_eq!(refused, EventError::TooLarge);
     assert_eq!(events.last_id().as_deref(), Some("1"));
     assert!(events.take_partial().is_empty());
 }
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -229,6 +229,7 @@
         }
         let is_framed = response.is_framed();
         self.response = Some(response);
+        self.events.restart();
         match self.read().await {
             Ok(Some(events)) => {
                 self.begun_at = Some(Instant::now());
@@ -263,7 +264,12 @@
                 self.handle.finish(Outcome::LostMidStream { resumable });
                 match self.resume().await? {
                     FirstPart::Events(events) => Ok(Some(events)),
-                    FirstPart::Error(_) | FirstPart::Empty => Err(Code::StreamBroken),
+                    FirstPart::Error(_) => Err(Code::StreamBroken),
+                    // The first upstream failed after its last event.
+                    FirstPart::Empty => {
+                        self.handle.finish(Outcome::Complete);
+                        Ok(None)
+                    }
                 }
             }
         }
@@ -284,11 +290,14 @@
         loop {
             match response.next_chunk().await {
                 Ok(Some(chunk)) => {
-                    let Ok(events) = self.events.push(chunk) else {
-                        log_failure(&self.call, &self.upstream, "event without end");
-                        // Drops the connection, so that the upstream stops sending.
-                        self.response = None;
-                        return Err(());
+                    let events = match self.events.push(chunk) {
+                        Ok(events) => events,
+                        Err(error) => {
+                            log_failure(&self.call, &self.upstream, &error.to_string());
+                            // Drops the connection, so that the upstream stops sending.
+                            self.response = None;
+                            return Err(());
+                        }
                     };
                     if !events.is_empty() {
                         return Ok(Some(events));
--- a/crates/daemon/tests/faulty_answers.rs
+++ b/crates/daemon/tests/faulty_answers.rs
@@ -22,6 +22,12 @@
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 2\r\n\r\nok";
 
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const FIRST_EVENT: &str = "f\r\nid: 1\ndata: a\n\n\r\n";
+const STREAM_BEGUN: &[Step] = &[
+    Step::Send(STREAM_HEAD),
+    Step::Send(FIRST_EVENT),
+    Step::Close,
+];
 
 fn key() -> String {
     format!("x-key: {KEY}\r\n")
@@ -169,3 +175,81 @@
         fixture.daemon.stop().await;
     }
 }
+
+/// Guards against anything but the next events in a stream that goes on at another upstream, and
+/// against its end as a complete one.
+#[ntex::test]
+async fn resumed_stream_holds_nothing_but_its_next_events() {
+    const END: &str = "0\r\n\r\n";
+    let cases: [(&str, &'static [Step], &str, bool); 7] = [
+        (
+            "goes on",
+            &[
+                Step::Send(STREAM_HEAD),
+                Step::Send("f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"),
+            ],
+            "id: 2",
+            true,
+        ),
+        (
+            "had ended",
+            &[Step::Send(STREAM_HEAD), Step::Send(END)],
+            "",
+            true,
+        ),
+        (
+            "error with a body like events",
+            &[Step::Send(
+                "HTTP/1.1 500 Oops\r\nx-id: r1\r\ncontent-length: 12\r\n\r\ndata: oops\n\n",
+            )],
+            "",
+            false,
+        ),
+        (
+            "refusal",
+            &[Step::Send(
+                "HTTP/1.1 503 Oops\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 6\r\n\r\noops\n\n",
+            )],
+            "",
+            false,
+        ),
+        (
+            "another body",
+            &[Step::Send(
+                "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-type: text/plain\r\ncontent-length: 6\r\n\r\noops\n\n",
+            )],
+            "",
+            false,
+        ),
+        (
+            "from the start again",
+            &[
+                Step::Send(STREAM_HEAD),
+                Step::Send("f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"),
+            ],
+            "",
+            false,
+        ),
+        (
+            "cut head",
+            &[Step::Send("HTTP/1.1 500 Oops\r\nx"), Step::Close],
+            "",
+            false,
+        ),
+    ];
+    for (name, second, expected, is_complete) in cases {
+        let scripts: &'static [&'static [Step]] =
+            Box::leak(vec![STREAM_BEGUN, second].into_boxed_slice());
+        let upstream = ScriptedUpstream::start(scripts).await;
+        let kind = RequestKind::ResumableStream;
+        let fixture = Fixture::start(kind, 10_000, &[&upstream]).await;
+        let answer = fixture.call("/stock/1", &key()).await;
+        assert_eq!(status(&answer), 200, "{name}: {answer}");
+        assert_eq!(answer.matches("id: 1\n").count(), 1, "{name}: {answer}");
+        assert!(answer.contains(expected), "{name}: {answer}");
+        assert!(!answer.contains("oops"), "{name}: {answer}");
+        assert!(!answer[10..].contains("HTTP/1.1"), "{name}: {answer}");
+        assert_eq!(answer.ends_with(END), is_complete, "{name}: {answer}");
+        fixture.daemon.stop().await;
+    }
+}
