feat(route): upstreams that say themselves that they leave or want a pause

Decision logic without I/O; the daemon doesn't use it yet.

Leaving: it joins Departures, the one list of leaving upstreams. The word of an instance holds against every list that has the same instance as live, a newer configuration included, until the list had it as leaving or has another instance. The word of an instance that is no longer listed changes nothing.

A pause is kept by instance, outside of the members, since a row may lapse and return; 5 minutes are the longest. A paused upstream is no candidate, keeps its place as the home of shared prompt parts, and returns with an assumed capacity of one request that recovers as after a rejection. While all upstreams of a service pause, jobs whose deadline comes before the earliest return are refused with 4001 (not run) and the time until then, new ones and those that wait.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -24,6 +24,7 @@
 mod locality;
 mod member;
 mod partition;
+mod pauses;
 mod peer_loads;
 mod pending;
 mod pick;
@@ -41,6 +42,8 @@
 mod target;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod told_tests;
 mod tree_position;
 mod upstream_status;
 
@@ -54,7 +57,7 @@
     locality::Locality,
     peer_loads::PeerLoads,
     pick::Pick,
-    pool::Pool,
+    pool::{PAUSE_MAX_US, Pool},
     prompt_part::PromptPart,
     route_request::RouteRequest,
     target::Target,
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -103,6 +103,8 @@
     pub reinstated_us: Option<u64>,
     /// End of the ejection that failures caused, or of the reduced weight in its place.
     pub failing_until_us: u64,
+    /// End of the pause that it asked for; `None` once the pool has noticed that it is over.
+    pub paused_until_us: Option<u64>,
     /// Random fraction of a slot that orders equal upstreams differently in each daemon.
     pub jitter: f64,
     /// Slow-down at the last check for ejection; small changes are ignored.
@@ -145,6 +147,7 @@
             probe_due_us: 0,
             reinstated_us: None,
             failing_until_us: 0,
+            paused_until_us: None,
             jitter: 0.0,
             slowdown: 1.0,
             engine: EngineState::default(),
@@ -184,9 +187,14 @@
         self.configured && !self.leaving && self.settings.state == UpstreamLifecycle::Live
     }
 
-    /// Returns whether it accepts new work and this daemon's share isn't 0.
+    /// Returns whether it accepts new work, didn't ask for a pause, and this daemon's share isn't 0.
     pub fn is_usable(&self) -> bool {
-        self.is_live() && self.share != Some(0)
+        self.accepts_requests() && self.share != Some(0)
+    }
+
+    /// Returns whether requests may be sent to it now.
+    pub fn accepts_requests(&self) -> bool {
+        self.is_live() && self.paused_until_us.is_none()
     }
 
     /// Returns whether this daemon has a free slot on it.
@@ -214,7 +222,7 @@
 
     /// Returns the share of normal work that it gets, 0 to 1.
     pub fn weight(&self, now_us: u64) -> f64 {
-        let weight = if self.ejected || !self.is_live() {
+        let weight = if self.ejected || !self.accepts_requests() {
             0.0
         } else if self.is_failing(now_us) {
             FAILING_WEIGHT
@@ -245,7 +253,7 @@
 
     /// Returns the load key by which its groups order it; infinite if it can't be selected.
     pub fn key(&self, now_us: u64) -> f64 {
-        if self.is_live() && !self.ejected && self.has_room() {
+        if self.accepts_requests() && !self.ejected && self.has_room() {
             self.relative_wait(now_us)
         } else {
             f64::INFINITY
@@ -379,7 +387,23 @@
     /// Records that the upstream rejected one job while `running` others ran.
     pub fn record_rejection(&mut self, now_us: u64, running: u32) {
         self.capacity = self.capacity.min(f64::from(running)).max(1.0);
-        self.capacity_updated_us = now_us.saturating_add(REJECT_HOLD_US);
+        let hold_until_us = now_us.saturating_add(REJECT_HOLD_US);
+        self.capacity_updated_us = self.capacity_updated_us.max(hold_until_us);
+    }
+
+    /// Gives it no work until a time. After that it gets the smallest assumed capacity, which
+    /// recovers gradually, so that requests don't all return at once.
+    pub fn pause(&mut self, until_us: u64) {
+        self.paused_until_us = self.paused_until_us.max(Some(until_us));
+        self.capacity = 1.0;
+        self.capacity_updated_us = self.capacity_updated_us.max(until_us);
+    }
+
+    /// Ends a pause that is over; returns whether it did.
+    pub fn end_pause(&mut self, now_us: u64) -> bool {
+        self.paused_until_us
+            .take_if(|until_us| *until_us <= now_us)
+            .is_some()
     }
 
     /// Returns whether it is assumed to accept fewer jobs than it has slots, after a rejection.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Locality, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
-    departures::Departures, group::Group, link_budget::LinkBudget, member::Member,
+    departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
     prefix_table::PrefixTable,
 };
 
@@ -13,6 +13,9 @@
 mod layout;
 mod outlier_detection;
 mod placement;
+mod told;
+
+pub use self::told::PAUSE_MAX_US;
 
 /// Configured upstreams with this daemon's jobs on each and the observed performance of each.
 ///
@@ -42,6 +45,7 @@
     /// Indexes of the ejected members, in ascending order.
     ejected: Vec<u32>,
     departures: Departures,
+    pauses: Pauses,
     /// Number of live daemons, this one included.
     live_daemons: u32,
     /// Share of the other daemons that announced their load lately.
@@ -155,7 +159,7 @@
     #[must_use]
     pub fn is_recovering(&self) -> bool {
         let mut members = self.members.iter();
-        members.any(|member| member.is_live() && member.has_reduced_capacity())
+        members.any(|member| member.is_usable() && member.has_reduced_capacity())
     }
 
     /// Returns the status of each configured upstream, sorted by name.
--- a/crates/route/src/pool/layout.rs
+++ b/crates/route/src/pool/layout.rs
@@ -18,8 +18,9 @@
 impl Pool {
     /// Builds members, cohorts and groups from a configuration.
     pub(super) fn layout(&mut self, now_us: u64, config: &Config) {
-        self.departures.expire(now_us);
+        self.pauses.expire(now_us);
         self.update_members(now_us, config);
+        self.departures.expire(now_us);
         self.version = self.version.max(config.version);
         self.build_cohorts();
         self.build_groups();
@@ -37,11 +38,24 @@
             let mut member = known.unwrap_or_else(|| Member::new(upstream));
             member.set_settings(upstream);
             member.leaving = if is_leaving(upstream.state) {
-                self.departures.insert(now_us, &member.name, config.version);
+                self.departures.insert_listed(
+                    now_us,
+                    &member.name,
+                    config.version,
+                    upstream.started_ms,
+                );
                 true
             } else {
-                self.departures.still_leaving(&member.name, config.version)
+                self.departures.still_leaving(
+                    now_us,
+                    &member.name,
+                    config.version,
+                    upstream.started_ms,
+                )
             };
+            if let Some(until_us) = self.pauses.until_us(&member.name, upstream.started_ms) {
+                member.pause(until_us);
+            }
             if member.jitter == 0.0 {
                 member.jitter =
                     unit_interval(xxh3_64_with_seed(upstream.name.as_bytes(), self.seed));
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -201,6 +201,7 @@
         self.refresh_due_us = now_us.saturating_add(REFRESH_US);
         self.update_medians(now_us);
         self.update_partitions(now_us);
+        self.end_pauses(now_us);
         for index in 0..self.members.len() {
             self.members[index].recover_capacity(now_us);
             self.members[index].age_jitter();
--- a/crates/route/src/pool_fuzz_tests.rs
+++ b/crates/route/src/pool_fuzz_tests.rs
@@ -46,10 +46,20 @@
     Leave {
         upstream: usize,
     },
+    /// The upstream says itself that it is leaving.
+    SayLeaving {
+        upstream: usize,
+    },
+    /// The upstream asks for a pause.
+    Pause {
+        upstream: usize,
+        us: u64,
+    },
     Configure {
         version: u64,
         leaving: u8,
         withdrawn: u8,
+        restarted: u8,
     },
     Cache {
         upstream: usize,
@@ -73,7 +83,13 @@
     present: [bool; COUNT],
     /// Version up to which a configuration can't bring the upstream back, if it is leaving.
     leaving: [Option<u64>; COUNT],
-    /// Whether a rejection may have lowered the assumed capacity.
+    /// Whether the present instance of the upstream said itself that it is leaving.
+    said_leaving: [bool; COUNT],
+    /// Number of restarts of the upstream.
+    restarts: [u64; COUNT],
+    /// End of the pause that the present instance of the upstream asked for.
+    paused_until_us: [u64; COUNT],
+    /// Whether a rejection or a pause may have lowered the assumed capacity.
     rejected: [bool; COUNT],
     /// Upstream and start time of each running attempt.
     attempts: Vec<(usize, u64)>,
@@ -83,13 +99,14 @@
     format!("e{index}")
 }
 
-fn upstreams(leaving: u8, withdrawn: u8) -> Vec<Upstream> {
+fn upstreams(leaving: u8, withdrawn: u8, restarts: &[u64; COUNT]) -> Vec<Upstream> {
     let listed = (0..COUNT).filter(|index| withdrawn & (1 << index) == 0);
     let upstream = |index: usize| {
         let (region, zone) =
             [("costa", "norte"), ("costa", "sur"), ("sierra", "centro")][index % 3];
         let mut upstream = engine(&name(index), region, zone);
         upstream.slots = SLOTS;
+        upstream.started_ms = Some(restarts[index]);
         upstream.honours.resume = index.is_multiple_of(2);
         if leaving & (1 << index) != 0 {
             upstream.state = UpstreamLifecycle::Leaving;
@@ -100,15 +117,24 @@
 }
 
 impl Oracle {
-    fn configure(&mut self, version: u64, leaving: u8, withdrawn: u8) {
+    fn configure(&mut self, version: u64, leaving: u8, withdrawn: u8, restarted: u8) {
         for index in 0..COUNT {
             let bit = 1 << index;
             let listed = withdrawn & bit == 0;
             let was_present = self.present[index];
             let leaving_version = &mut self.leaving[index];
+            if listed && restarted & bit != 0 {
+                self.restarts[index] += 1;
+                self.paused_until_us[index] = 0;
+                if std::mem::take(&mut self.said_leaving[index]) {
+                    *leaving_version = None;
+                }
+            }
             if listed && leaving & bit != 0 {
+                self.said_leaving[index] = false;
                 *leaving_version = Some(leaving_version.unwrap_or(0).max(version));
             } else if listed
+                && !self.said_leaving[index]
                 && leaving_version.is_some_and(|leaving_version| version > leaving_version)
             {
                 *leaving_version = None;
@@ -125,7 +151,8 @@
     }
 
     fn is_live(&self, index: usize) -> bool {
-        self.listed[index] && self.leaving[index].is_none()
+        let paused = self.now_us < self.paused_until_us[index];
+        self.listed[index] && self.leaving[index].is_none() && !paused
     }
 
     fn has_room(&self, index: usize) -> bool {
@@ -139,7 +166,7 @@
 
     fn init_state() -> BoxedStrategy<Self> {
         let mut oracle = Self::default();
-        oracle.configure(1, 0, 0);
+        oracle.configure(1, 0, 0, 0);
         Just(oracle).boxed()
     }
 
@@ -171,9 +198,16 @@
             1 => (upstream.clone(), proptest::option::of(0..5_u32)).prop_map(|(upstream, slots)|
                 Event::Share { upstream, slots }),
             1 => upstream.clone().prop_map(|upstream| Event::Leave { upstream }),
-            1 => (1..9_u64, any::<u8>(), any::<u8>(), any::<u8>()).prop_map(
-                |(version, a, b, c)|
-                Event::Configure { version, leaving: a & b & c, withdrawn: a & b & !c }),
+            1 => upstream.clone().prop_map(|upstream| Event::SayLeaving { upstream }),
+            1 => (upstream.clone(), 1_000..9_000_000_u64).prop_map(|(upstream, us)|
+                Event::Pause { upstream, us }),
+            2 => (1..9_u64, any::<u8>(), any::<u8>(), any::<u8>(), any::<u8>()).prop_map(
+                |(version, a, b, c, d)| Event::Configure {
+                    version,
+                    leaving: a & b & c,
+                    withdrawn: a & b & !c,
+                    restarted: a & c & d,
+                }),
             1 => (upstream, 0..4_u64, any::<bool>()).prop_map(|(upstream, prefix_hash, added)|
                 Event::Cache { upstream, prefix_hash, added }),
             2 => (1_000..4_000_000_u64).prop_map(|us| Event::Wait { us }),
@@ -237,6 +271,26 @@
         oracle.attempts.push((index, oracle.now_us));
     }
 
+    fn say_leaving(&mut self, upstream: usize) {
+        let oracle = &mut self.oracle;
+        let started_ms = Some(oracle.restarts[upstream]);
+        self.pool
+            .set_told_leaving(oracle.now_us, &name(upstream), started_ms);
+        oracle.said_leaving[upstream] = true;
+        let leaving_version = &mut oracle.leaving[upstream];
+        *leaving_version = Some(leaving_version.unwrap_or(0).max(oracle.version));
+    }
+
+    fn pause(&mut self, upstream: usize, us: u64) {
+        let oracle = &mut self.oracle;
+        let started_ms = Some(oracle.restarts[upstream]);
+        self.pool
+            .pause(oracle.now_us, &name(upstream), started_ms, us);
+        let until_us = &mut oracle.paused_until_us[upstream];
+        *until_us = (oracle.now_us + us).max(*until_us);
+        oracle.rejected[upstream] = true;
+    }
+
     fn end(&mut self, attempt: Index, outcome: AttemptOutcome, waiting: bool) {
         let oracle = &mut self.oracle;
         if oracle.attempts.is_empty() {
@@ -262,7 +316,7 @@
 
     fn init_test(oracle: &Oracle) -> Self {
         let mut pool = Pool::new(Locality::new("costa", "norte"));
-        pool.configure(0, &config(1, &upstreams(0, 0)));
+        pool.configure(0, &config(1, &upstreams(0, 0, &[0; COUNT])));
         pool.set_link_budget(1_000_000);
         let oracle = oracle.clone();
         Self { pool, oracle }
@@ -341,14 +395,18 @@
                 let leaving_version = &mut subject.oracle.leaving[upstream];
                 *leaving_version = Some(leaving_version.unwrap_or(0).max(version));
             }
+            Event::SayLeaving { upstream } => subject.say_leaving(upstream),
+            Event::Pause { upstream, us } => subject.pause(upstream, us),
             Event::Configure {
                 version,
                 leaving,
                 withdrawn,
+                restarted,
             } => {
-                let config = config(version, &upstreams(leaving, withdrawn));
+                let oracle = &mut subject.oracle;
+                oracle.configure(version, leaving, withdrawn, restarted);
+                let config = config(version, &upstreams(leaving, withdrawn, &oracle.restarts));
                 subject.pool.configure(now_us, &config);
-                subject.oracle.configure(version, leaving, withdrawn);
             }
             Event::Cache {
                 upstream,
@@ -386,8 +444,8 @@
 prop_state_machine! {
     #![proptest_config(TestConfig { cases: 400, failure_persistence: None, ..TestConfig::default() })]
 
-    // Guards against slots that leak or are assigned twice, work on leaving upstreams, ejection of
-    // more than a third, and jobs that wait although an upstream is free.
+    // Guards against slots that leak or are assigned twice, work on leaving or paused upstreams,
+    // ejection of more than a third, and jobs that wait although an upstream is free.
     #[test]
     fn holds_leaving_and_slots_under_any_events(sequential 1..120 => Subject);
 }
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -61,14 +61,13 @@
             let item = entry.item.clone();
             if let Some(newest) = self.queue.newest_below(item.tier) {
                 let shed = JobId(newest.id);
-                let retry_after_ms = self
-                    .jobs
-                    .get(&shed)
-                    .map_or(RETRY_AFTER_MS, |entry| self.retry_after_ms(&entry.item));
+                let retry_after_ms = self.jobs.get(&shed).map_or(RETRY_AFTER_MS, |entry| {
+                    self.retry_after_ms(now_us, &entry.item)
+                });
                 let reason = Reason::Shed { by: id };
                 self.refuse(shed, Code::QueueFull, retry_after_ms, reason, actions);
             } else if !self.start_head_by_preempting_reserved(now_us, &item, actions) {
-                let retry_after_ms = self.retry_after_ms(&item);
+                let retry_after_ms = self.retry_after_ms(now_us, &item);
                 self.refuse(
                     id,
                     Code::QueueFull,
@@ -137,13 +136,17 @@
         true
     }
 
-    /// Returns the retry time for a job with the same needs, from its estimated wait.
-    pub(crate) fn retry_after_ms(&self, item: &Item) -> u64 {
-        self.estimate_wait_us(item)
-            .map_or(RETRY_AFTER_MS, |wait_us| {
-                let wait_ms = wait_us.div_ceil(1_000);
-                wait_ms.clamp(RETRY_AFTER_RANGE_MS.0, RETRY_AFTER_RANGE_MS.1)
-            })
+    /// Returns the retry time for a job with the same needs: its estimated wait, after the return of
+    /// the first upstream if all have asked for a pause.
+    pub(crate) fn retry_after_ms(&self, now_us: u64, item: &Item) -> u64 {
+        let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
+        let wait_ms = self
+            .estimate_wait_us(item)
+            .map(|wait_us| wait_us.div_ceil(1_000).clamp(min_ms, max_ms));
+        match self.returns_ms(now_us, item) {
+            Some(returns_ms) => (returns_ms + wait_ms.unwrap_or(0)).max(min_ms),
+            None => wait_ms.unwrap_or(RETRY_AFTER_MS),
+        }
     }
 
     /// Estimates how long a queued job waits; `None` without enough samples.
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -199,7 +199,7 @@
         if entry.item.deadline_us >= now_us {
             return false;
         }
-        let retry_after_ms = self.retry_after_ms(&entry.item);
+        let retry_after_ms = self.retry_after_ms(now_us, &entry.item);
         self.refuse(
             id,
             Code::DeadlinePassed,
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -167,7 +167,10 @@
             self.topology.lanes[lane].full[tier] = 0;
         }
         self.dispatch(now_us, self.topology.lanes[lane].group, actions);
-        if !self.is_queued(id) || self.enforce_queue_bound(now_us, id, actions) {
+        if !self.is_queued(id)
+            || self.refuse_while_paused(now_us, id, actions)
+            || self.enforce_queue_bound(now_us, id, actions)
+        {
             return;
         }
         let item = &self.jobs[&id].item;
@@ -326,7 +329,7 @@
                 continue;
             }
             if passed {
-                let retry_after_ms = self.retry_after_ms(&self.jobs[&id].item);
+                let retry_after_ms = self.retry_after_ms(now_us, &self.jobs[&id].item);
                 let code = Code::DeadlinePassed;
                 self.refuse(id, code, retry_after_ms, Reason::DeadlinePassed, actions);
             }
--- a/crates/sched/src/holds_complete_tests.rs
+++ b/crates/sched/src/holds_complete_tests.rs
@@ -61,6 +61,7 @@
         let outcome = prop_oneof![
             4 => Just(Outcome::Complete),
             1 => Just(Outcome::NotSent),
+            1 => Just(Outcome::Withheld),
             1 => Just(Outcome::Rejected),
             1 => Just(Outcome::LostBeforeAnswer),
             1 => any::<bool>().prop_map(|resumable| Outcome::LostMidStream { resumable }),
--- a/crates/sched/src/holds_refusal_tests.rs
+++ b/crates/sched/src/holds_refusal_tests.rs
@@ -10,8 +10,9 @@
 
 const ID: JobId = JobId(1);
 
-const OUTCOMES: [Outcome; 6] = [
+const OUTCOMES: [Outcome; 7] = [
     Outcome::NotSent,
+    Outcome::Withheld,
     Outcome::Rejected,
     Outcome::LostBeforeAnswer,
     Outcome::LostMidStream { resumable: true },
@@ -49,7 +50,10 @@
         if !started {
             break;
         }
-        may_have_run |= !matches!(outcome, Outcome::NotSent | Outcome::Rejected);
+        may_have_run |= !matches!(
+            outcome,
+            Outcome::NotSent | Outcome::Withheld | Outcome::Rejected
+        );
         if matches!(outcome, Outcome::LostMidStream { .. }) {
             dispatcher.record_first_token(now_us, ID, &mut actions);
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -44,6 +44,9 @@
 mod running;
 #[cfg(test)]
 mod tests;
+mod told;
+#[cfg(test)]
+mod told_tests;
 mod topology;
 
 pub use self::{
@@ -56,6 +59,6 @@
 };
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
-    EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality, PeerLoads,
-    PromptPart, Target, UpstreamStatus,
+    EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality, PAUSE_MAX_US,
+    PeerLoads, PromptPart, Target, UpstreamStatus,
 };
--- a/crates/sched/src/oracle.rs
+++ b/crates/sched/src/oracle.rs
@@ -114,7 +114,10 @@
         let tracked = self.jobs.get_mut(&id).unwrap();
         tracked.late |= now_us > tracked.job.deadline_us;
         if tracked.running.take().is_some() || outcome == Outcome::Complete {
-            tracked.may_have_run |= !matches!(outcome, Outcome::NotSent | Outcome::Rejected);
+            tracked.may_have_run |= !matches!(
+                outcome,
+                Outcome::NotSent | Outcome::Withheld | Outcome::Rejected
+            );
             if outcome == Outcome::Complete {
                 self.mark_ended(id);
             }
--- a/crates/sched/src/outcome.rs
+++ b/crates/sched/src/outcome.rs
@@ -5,6 +5,9 @@
     Complete,
     /// No byte of the request left this host.
     NotSent,
+    /// Nothing was sent: since it was chosen, the upstream has said that it is leaving or that it
+    /// wants a pause.
+    Withheld,
     /// The upstream rejected the request without running it.
     Rejected,
     /// The connection was lost before the first token; the request may have run.
--- a/crates/sched/src/reason.rs
+++ b/crates/sched/src/reason.rs
@@ -56,6 +56,11 @@
         /// Part.
         part: u64,
     },
+    /// Refused: all upstreams of the model or service have asked for a pause that ends too late.
+    UpstreamsPaused {
+        /// Time until the first one returns.
+        pause_us: u64,
+    },
     /// Refused: no slot became free before the deadline.
     DeadlinePassed,
     /// Refused: the attempt failed in a way that must not be retried.
@@ -88,6 +93,9 @@
             Self::Quarantined { part } => {
                 write!(f, "prompt part {part:016x} crashes upstreams")
             }
+            Self::UpstreamsPaused { pause_us } => {
+                write!(f, "all upstreams pause for {} ms or more", pause_us / 1_000)
+            }
             Self::DeadlinePassed => f.write_str("no free slot before the deadline"),
             Self::NotRetryable => f.write_str("the attempt must not be repeated"),
             Self::AttemptsExhausted => f.write_str("too many attempts failed"),
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -18,7 +18,7 @@
             return;
         };
         match outcome {
-            Outcome::NotSent => entry.unsent += 1,
+            Outcome::NotSent | Outcome::Withheld => entry.unsent += 1,
             Outcome::Rejected => entry.rejections += 1,
             _ => entry.failures += 1,
         }
@@ -31,15 +31,16 @@
         let lane = &mut self.topology.lanes[entry.item.lane];
         let resumable = lane.resumable;
         let retryable = match outcome {
-            Outcome::NotSent | Outcome::Rejected => true,
+            Outcome::NotSent | Outcome::Withheld | Outcome::Rejected => true,
             Outcome::LostBeforeAnswer => job.idempotent,
             Outcome::LostMidStream { resumable } => job.idempotent && resumable,
             Outcome::Failed => job.idempotent && policy.retries_errors,
             Outcome::Complete => false,
         } && (entry.tokens == 0 || resumable);
+        let is_unsent = matches!(outcome, Outcome::NotSent | Outcome::Withheld);
         let exhausted = entry.failures >= policy.attempts_max
             || outcome == Outcome::Rejected && entry.rejections >= policy.rejections_max
-            || outcome == Outcome::NotSent && entry.unsent >= policy.unsent_max;
+            || is_unsent && entry.unsent >= policy.unsent_max;
         let quarantined = self.quarantine.quarantined_part(&job.prompt_parts);
         let reason = if let Some(part) = quarantined {
             Reason::Quarantined { part }
@@ -47,18 +48,22 @@
             Reason::NotRetryable
         } else if exhausted {
             Reason::AttemptsExhausted
-        } else if outcome != Outcome::NotSent && !lane.budget.try_retry(now_us) {
+        } else if !is_unsent && !lane.budget.try_retry(now_us) {
             // Attempts of which nothing was sent put no load on upstreams and need no budget.
             Reason::RetryBudgetExhausted
         } else {
             self.requeue(now_us, id);
+            self.refuse_while_paused(now_us, id, actions);
             return;
         };
         let code = match reason {
             Reason::Quarantined { .. } => Code::PromptQuarantined,
             _ => code_of(outcome),
         };
-        self.refuse(id, code, RETRY_AFTER_MS, reason, actions);
+        let item = self.jobs.get(&id).map(|entry| &entry.item);
+        let returns_ms = item.and_then(|item| self.returns_ms(now_us, item));
+        let retry_after_ms = returns_ms.unwrap_or(0).max(RETRY_AFTER_MS);
+        self.refuse(id, code, retry_after_ms, reason, actions);
     }
 }
 
@@ -66,7 +71,7 @@
 const fn code_of(outcome: Outcome) -> Code {
     match outcome {
         Outcome::NotSent => Code::ConnectFailed,
-        Outcome::Rejected => Code::NoUpstream,
+        Outcome::Withheld | Outcome::Rejected => Code::NoUpstream,
         Outcome::LostBeforeAnswer => Code::UpstreamLost,
         Outcome::LostMidStream { .. } => Code::StreamBroken,
         Outcome::Complete | Outcome::Failed => Code::UpstreamError,
@@ -77,6 +82,7 @@
 pub(crate) const fn attempt_outcome(outcome: Outcome) -> AttemptOutcome {
     match outcome {
         Outcome::Complete => AttemptOutcome::Complete,
+        Outcome::Withheld => AttemptOutcome::Cancelled,
         Outcome::NotSent => AttemptOutcome::ConnectFailed,
         Outcome::Rejected => AttemptOutcome::Rejected,
         Outcome::LostBeforeAnswer | Outcome::LostMidStream { .. } => AttemptOutcome::Lost,
--- /dev/null
+++ b/crates/sched/src/told.rs
@@ -0,0 +1,83 @@
+//! What upstreams say of themselves: that they are leaving, and that they want a pause.
+
+use code::Code;
+use queue::Item;
+
+use crate::{Action, Dispatcher, JobId, Reason, entry::Entry};
+
+impl Dispatcher {
+    /// Gives no new work to the instance of an upstream, started at `started_ms`, that says itself
+    /// that it is leaving.
+    ///
+    /// Returns whether that is new.
+    pub fn set_told_leaving(
+        &mut self,
+        now_us: u64,
+        upstream: &str,
+        started_ms: Option<u64>,
+    ) -> bool {
+        let is_new = self.pool.set_told_leaving(now_us, upstream, started_ms);
+        if is_new && let Some(member) = self.topology.member_mut(upstream) {
+            member.live = false;
+            self.topology.count_slots();
+        }
+        is_new
+    }
+
+    /// Gives no work for so long to the instance of an upstream, started at `started_ms`, that asks
+    /// for a pause.
+    ///
+    /// Jobs that can't start before their deadline because of it are refused.
+    pub fn pause_upstream(
+        &mut self,
+        now_us: u64,
+        upstream: &str,
+        started_ms: Option<u64>,
+        pause_us: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        self.pool.pause(now_us, upstream, started_ms, pause_us);
+        let queued = self.jobs.values().filter(|entry| entry.running.is_none());
+        let queued: Vec<JobId> = queued.map(Entry::id).collect();
+        for id in queued {
+            self.refuse_while_paused(now_us, id, actions);
+        }
+    }
+
+    /// Returns whether requests may be sent to an upstream that was chosen for a job.
+    #[must_use]
+    pub fn accepts_requests(&self, upstream: &str) -> bool {
+        self.pool.accepts_requests(upstream)
+    }
+
+    /// Refuses a queued job if all of its upstreams have asked for pauses that end after its
+    /// deadline; returns whether it did.
+    pub(crate) fn refuse_while_paused(
+        &mut self,
+        now_us: u64,
+        id: JobId,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(entry) = self.jobs.get(&id).filter(|entry| entry.running.is_none()) else {
+            return false;
+        };
+        let Some(returns_us) = self.pool.returns_us(&entry.job.target) else {
+            return false;
+        };
+        if returns_us < entry.item.deadline_us {
+            return false;
+        }
+        let retry_after_ms = self.retry_after_ms(now_us, &entry.item);
+        let pause_us = returns_us.saturating_sub(now_us);
+        let reason = Reason::UpstreamsPaused { pause_us };
+        self.refuse(id, Code::NoUpstream, retry_after_ms, reason, actions);
+        true
+    }
+
+    /// Returns the time until the first upstream of a job returns, if all have asked for a pause.
+    pub(crate) fn returns_ms(&self, now_us: u64, item: &Item) -> Option<u64> {
+        let target = &self.topology.lanes[item.lane].target;
+        let returns_us = self.pool.returns_us(target)?;
+        Some(returns_us.saturating_sub(now_us).div_ceil(1_000))
+    }
+}
