feat(peer): pass on that the instance of an upstream said that it leaves

A help for upstreams that never report it to the store: the daemon that reads the word first tells the others by the gossip that exists for leaving upstreams. The observation carries the start of the instance, so that a late rumor doesn't take out the next one; the word of a later instance is news.

Datagrams get another format number: daemons of the version before drop them.

Size: up to 11 bytes for an observation more; nothing else is sent more often.

--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -29,6 +29,12 @@
         });
         if is_new {
             shared.metrics.record_upstream_departure();
+            if let Some(started_ms) = started_ms {
+                let now_us = shared.clock.now_us();
+                shared.peers.with(|membership| {
+                    membership.add_told_leaving(now_us, upstream, started_ms);
+                });
+            }
             info!("upstream: leaves name={upstream} request={request_id} sent_ms_ago={age_ms}");
         }
     }
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -102,9 +102,14 @@
             });
         }
         Output::ConfigConfirmed => shared.peers.freshness.confirm(shared.clock.now_us()),
-        Output::UpstreamLeaving { name } => {
+        Output::UpstreamLeaving { name, started_ms } => {
             info!("peer: upstream {name} was seen leaving");
-            shared.with_core(|_, core| core.dispatcher.set_leaving(&name));
+            shared.with_core(|now_us, core| match started_ms {
+                Some(_) => {
+                    core.dispatcher.set_told_leaving(now_us, &name, started_ms);
+                }
+                None => core.dispatcher.set_leaving(&name),
+            });
         }
         Output::Payload { from, bytes } => receive_payload(shared, &from, &bytes),
         // Already handled by `Peers::handle_event` and `handle_suspension`.
--- a/crates/peer/src/keys.rs
+++ b/crates/peer/src/keys.rs
@@ -7,7 +7,7 @@
 use crate::{KeyError, Reject};
 
 /// Format number of datagrams; an incompatible format gets another number.
-pub(crate) const DATAGRAM: u8 = 1;
+pub(crate) const DATAGRAM: u8 = 3;
 
 /// Format number of frames; the signature covers it, so no signed frame is a valid datagram.
 pub(crate) const FRAME: u8 = 2;
--- a/crates/peer/src/leaving_list.rs
+++ b/crates/peer/src/leaving_list.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Clone)]
 struct Observation {
     name: String,
+    /// Start of the instance that said so itself, in Unix milliseconds.
+    started_ms: Option<u64>,
     seen_us: u64,
     sends: u32,
 }
@@ -26,7 +28,13 @@
 
 impl LeavingList {
     /// Adds an observation and returns whether it is new.
-    pub(crate) fn add(&mut self, now_us: u64, name: &str, age_us: u64) -> bool {
+    pub(crate) fn add(
+        &mut self,
+        now_us: u64,
+        name: &str,
+        started_ms: Option<u64>,
+        age_us: u64,
+    ) -> bool {
         if age_us >= AGE_MAX_US || name.is_empty() || name.len() > NAME_MAX_BYTES {
             return false;
         }
@@ -35,7 +43,15 @@
             .observations
             .binary_search_by(|observation| observation.name.as_str().cmp(name))
         {
-            Ok(_) => false,
+            Ok(index) => {
+                // The word of a later instance is news.
+                let known = &mut self.observations[index];
+                let is_news = started_ms > known.started_ms;
+                if is_news {
+                    (known.started_ms, known.seen_us, known.sends) = (started_ms, seen_us, 0);
+                }
+                is_news
+            }
             Err(_) if self.observations.len() >= OBSERVATIONS_MAX => false,
             Err(index) => {
                 let name = name.to_owned();
@@ -44,6 +60,7 @@
                     index,
                     Observation {
                         name,
+                        started_ms,
                         seen_us,
                         sends,
                     },
@@ -89,8 +106,8 @@
         let mut taken = Vec::new();
         for index in order {
             let observation = &mut self.observations[index];
-            // Length prefix and age take at most 6 bytes.
-            let Some(rest) = remaining.checked_sub(observation.name.len() + 6) else {
+            // The length prefix and the age take at most 6 bytes, the start at most 11.
+            let Some(rest) = remaining.checked_sub(observation.name.len() + 17) else {
                 break;
             };
             remaining = rest;
@@ -98,9 +115,14 @@
             let age_ms = now_us.saturating_sub(observation.seen_us) / 1_000;
             taken.push(LeavingName {
                 name: observation.name.clone(),
+                started_ms: observation.started_ms,
                 age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
             });
         }
         taken
     }
 }
+
+#[cfg(test)]
+#[path = "leaving_list_tests.rs"]
+mod tests;
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -126,7 +126,13 @@
 
     /// Records that an upstream was seen leaving and spreads this to all peers.
     pub fn add_leaving(&mut self, now_us: u64, upstream: &str) {
-        self.leaving.add(now_us, upstream, 0);
+        self.leaving.add(now_us, upstream, None, 0);
+    }
+
+    /// Records that the instance of an upstream that started at `started_ms`, in Unix
+    /// milliseconds, said itself that it is leaving, and spreads this to all peers.
+    pub fn add_told_leaving(&mut self, now_us: u64, upstream: &str, started_ms: u64) {
+        self.leaving.add(now_us, upstream, Some(started_ms), 0);
     }
 
     /// Announces that this daemon is leaving: immediately pings a few members, which spread it
--- a/crates/peer/src/output.rs
+++ b/crates/peer/src/output.rs
@@ -36,6 +36,9 @@
     UpstreamLeaving {
         /// Name of the upstream.
         name: String,
+        /// Start of the instance that said so itself, in Unix milliseconds; `None` if a list of
+        /// the peer said so.
+        started_ms: Option<u64>,
     },
     /// An application payload arrived.
     Payload {
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -137,9 +137,12 @@
     ) {
         for leaving in datagram.leaving.iter().take(LEAVING_MAX) {
             let age_us = u64::from(leaving.age_ms) * 1_000;
-            if self.leaving.add(now_us, &leaving.name, age_us) {
-                let name = leaving.name.clone();
-                out.push(Output::UpstreamLeaving { name });
+            let (name, started_ms) = (&leaving.name, leaving.started_ms);
+            if self.leaving.add(now_us, name, started_ms, age_us) {
+                out.push(Output::UpstreamLeaving {
+                    name: name.clone(),
+                    started_ms,
+                });
             }
         }
         for bytes in &datagram.payloads {
--- a/crates/peer/tests/sim/mod.rs
+++ b/crates/peer/tests/sim/mod.rs
@@ -354,7 +354,9 @@
                         self.schedule(FETCH_US, Event::Fetched { node: index, from });
                     }
                 }
-                Output::UpstreamLeaving { name } => self.nodes[index].upstreams_leaving.push(name),
+                Output::UpstreamLeaving { name, .. } => {
+                    self.nodes[index].upstreams_leaving.push(name);
+                }
                 Output::Payload { from, bytes } => self.nodes[index].payloads.push((from, bytes)),
                 Output::Resumed { .. } => self.nodes[index].resumed += 1,
                 Output::ConfigConfirmed => self.nodes[index].confirmed += 1,
