--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -28,7 +28,7 @@
 ];
 
 /// Faults of upstreams to choose from.
-const UPSTREAM_FAULTS: [UpstreamFault; 11] = [
+const UPSTREAM_FAULTS: [UpstreamFault; 12] = [
     UpstreamFault::Garbled,
     UpstreamFault::Truncated,
     UpstreamFault::Unframed,
@@ -40,6 +40,7 @@
     UpstreamFault::AlternateErrors,
     UpstreamFault::BreaksStreams,
     UpstreamFault::FailsHealthChecks,
+    UpstreamFault::AsksForPause(Duration::from_millis(700)),
 ];
 
 /// Beginning or end of a fault.
