--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -2,19 +2,19 @@
 
 use std::sync::Arc;
 
-use rand::{Rng, seq::IndexedRandom as _};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    LossReport, Message, PromptParts, Verdict, VerdictState,
+    LossReport, PromptParts, Verdict, VerdictState,
     answered_parts::AnsweredParts,
     crash_log::CrashLog,
-    homes,
     prompt_parts::PARTS_MAX,
     trial_home,
     verdicts::{Known, Verdicts},
 };
 
+mod exchange;
+
 /// Time for which a part is suspected before it is quarantined. A rumor reaches 300 daemons, and
 /// the answer of one that clears the part comes back, in about this time.
 const CONFIRM_US: u64 = 1_000_000;
@@ -31,18 +31,9 @@
 /// Largest number of losses that wait to be reported; further ones are not reported.
 const REPORTS_MAX: usize = 64;
 
-/// Largest number of messages with losses that a daemon is sent at a time.
-const LOSS_MESSAGES_MAX: usize = 2;
-
 /// Largest number of parts whose last clearance is remembered.
 const CLEARANCES_MAX: usize = 1_024;
 
-/// Number of daemons that are told unsent verdicts at a time.
-const FANOUT: usize = 2;
-
-/// Time between two comparisons of all verdicts with another daemon.
-const COMPARE_INTERVAL_US: u64 = 500_000;
-
 /// Time after the start, or after a suspension, for which a daemon without verdicts asks others.
 const CATCH_UP_US: u64 = 10_000_000;
 
@@ -207,39 +198,6 @@
         held
     }
 
-    /// Handles a message of another daemon and returns the replies to it.
-    pub fn receive(&mut self, now_us: u64, message: &Message) -> Vec<Message> {
-        match message {
-            Message::Losses(reports) => {
-                for report in reports.iter().take(Message::LOSSES_MAX) {
-                    let age_us = u64::from(report.age_ms) * 1_000;
-                    self.add_loss(now_us.saturating_sub(age_us), report);
-                }
-                Vec::new()
-            }
-            Message::Verdicts(verdicts) => {
-                for verdict in verdicts.iter().take(Message::VERDICTS_MAX) {
-                    self.merge(now_us, *verdict);
-                }
-                Vec::new()
-            }
-            Message::Digest { digest, reply } => {
-                let own = self.verdicts.digest();
-                if own == *digest {
-                    return Vec::new();
-                }
-                let mut replies = self.all_verdicts(now_us);
-                if *reply {
-                    replies.push(Message::Digest {
-                        digest: own,
-                        reply: false,
-                    });
-                }
-                replies
-            }
-        }
-    }
-
     /// Judges the evidence; call it about every 100 ms.
     pub fn tick(&mut self, now_us: u64) {
         self.log.expire(now_us);
@@ -253,36 +211,6 @@
         }
     }
 
-    /// Returns the messages that are due, with their receivers; call it after [`Self::tick`].
-    pub fn take_messages<R>(&mut self, now_us: u64, rng: &mut R) -> Vec<(Arc<str>, Message)>
-    where
-        R: Rng + ?Sized,
-    {
-        let mut messages = Vec::new();
-        if self.live.is_empty() {
-            self.reports.clear();
-            return messages;
-        }
-        self.report_losses(now_us, &mut messages);
-        let verdicts = self.verdicts.take_unsent(now_us, Message::VERDICTS_MAX);
-        if !verdicts.is_empty() {
-            for peer in self.live.sample(rng, FANOUT) {
-                messages.push((peer.clone(), Message::Verdicts(verdicts.clone())));
-            }
-        }
-        let digest = self.verdicts.digest();
-        let compares = digest != 0 || now_us < self.catch_up_until_us;
-        if compares
-            && now_us >= self.next_compare_us
-            && let Some(peer) = self.live.choose(rng)
-        {
-            self.next_compare_us = now_us + COMPARE_INTERVAL_US;
-            let reply = true;
-            messages.push((peer.clone(), Message::Digest { digest, reply }));
-        }
-        messages
-    }
-
     /// Returns whether nothing is due before another event, but for comparisons.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -350,21 +278,6 @@
         self.log_changed = true;
     }
 
-    /// Merges a verdict of another daemon, and clears a suspected part to which an answer began.
-    fn merge(&mut self, now_us: u64, verdict: Verdict) {
-        if !self.verdicts.merge(now_us, verdict, self.sends()) {
-            return;
-        }
-        self.note_change(now_us, verdict.part);
-        match verdict.state {
-            VerdictState::Cleared => self.note_clearance(now_us, verdict.part),
-            VerdictState::Suspected if self.is_answered_since_clearance(verdict.part) => {
-                self.clear(now_us, verdict.part);
-            }
-            VerdictState::Suspected | VerdictState::Quarantined => {}
-        }
-    }
-
     /// Suspects, quarantines and clears parts by the evidence.
     fn judge(&mut self, now_us: u64) {
         let culprits = self.log.culprits(
@@ -459,46 +372,6 @@
         answered_us.is_some() && answered_us > clearance_us(&self.clearances, part)
     }
 
-    fn report_losses(&mut self, now_us: u64, messages: &mut Vec<(Arc<str>, Message)>) {
-        let count = self
-            .reports
-            .len()
-            .min(LOSS_MESSAGES_MAX * Message::LOSSES_MAX);
-        let reports: Vec<(u64, LossReport)> = self.reports.drain(..count).collect();
-        if reports.is_empty() {
-            return;
-        }
-        let live = self.live.iter().map(AsRef::as_ref);
-        let homes: Vec<Arc<str>> = homes(live.chain([self.name.as_ref()]))
-            .into_iter()
-            .filter(|home| *home != self.name.as_ref())
-            .map(Arc::from)
-            .collect();
-        for chunk in reports.chunks(Message::LOSSES_MAX) {
-            let losses = chunk.iter().map(|(at_us, report)| {
-                let age_ms = now_us.saturating_sub(*at_us) / 1_000;
-                LossReport {
-                    age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-                    ..report.clone()
-                }
-            });
-            let message = Message::Losses(losses.collect());
-            messages.extend(homes.iter().map(|home| (home.clone(), message.clone())));
-        }
-    }
-
-    fn all_verdicts(&self, now_us: u64) -> Vec<Message> {
-        let verdicts: Vec<Verdict> = self
-            .verdicts
-            .iter()
-            .map(|known| known.verdict(now_us))
-            .collect();
-        let chunks = verdicts.chunks(Message::VERDICTS_MAX);
-        chunks
-            .map(|chunk| Message::Verdicts(chunk.to_vec()))
-            .collect()
-    }
-
     /// Returns how many times a new verdict is passed on: enough for it to reach all daemons.
     const fn sends(&self) -> u32 {
         (self.live.len() + 1).ilog2() + 5
