refactor(route): plain names for what upstreams say; look at queued jobs only of paused lanes

set_told_leaving and its kin are set_instance_leaving now, returns_us is earliest_resume_us. A pause looked at every queued job, for each of which all upstreams of its target were searched; it looks at the lanes first, and at jobs only of those of which all upstreams pause. No other change of behaviour; the tests are the same.

--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -25,14 +25,14 @@
     if notice.leaving {
         let is_new = shared.with_core(|now_us, core| {
             core.dispatcher
-                .set_told_leaving(now_us, upstream, started_ms)
+                .set_instance_leaving(now_us, upstream, started_ms)
         });
         if is_new {
             shared.metrics.record_upstream_departure();
             if let Some(started_ms) = started_ms {
                 let now_us = shared.clock.now_us();
                 shared.peers.with(|membership| {
-                    membership.add_told_leaving(now_us, upstream, started_ms);
+                    membership.add_leaving_instance(now_us, upstream, started_ms);
                 });
             }
             info!("upstream: leaves name={upstream} request={request_id} sent_ms_ago={age_ms}");
--- a/crates/daemon/src/peers/socket.rs
+++ b/crates/daemon/src/peers/socket.rs
@@ -106,7 +106,8 @@
             info!("peer: upstream {name} was seen leaving");
             shared.with_core(|now_us, core| match started_ms {
                 Some(_) => {
-                    core.dispatcher.set_told_leaving(now_us, &name, started_ms);
+                    core.dispatcher
+                        .set_instance_leaving(now_us, &name, started_ms);
                 }
                 None => core.dispatcher.set_leaving(&name),
             });
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -131,7 +131,7 @@
 
     /// Records that the instance of an upstream that started at `started_ms`, in Unix
     /// milliseconds, said itself that it is leaving, and spreads this to all peers.
-    pub fn add_told_leaving(&mut self, now_us: u64, upstream: &str, started_ms: u64) {
+    pub fn add_leaving_instance(&mut self, now_us: u64, upstream: &str, started_ms: u64) {
         self.leaving.add(now_us, upstream, Some(started_ms), 0);
     }
 
--- a/crates/route/src/departures.rs
+++ b/crates/route/src/departures.rs
@@ -11,7 +11,7 @@
     version: u64,
     until_us: u64,
     /// Whether the upstream said so itself; no list of the same instance knows better.
-    is_told: bool,
+    is_self_reported: bool,
     /// Start of the instance that said so, in Unix milliseconds.
     started_ms: Option<u64>,
 }
@@ -30,7 +30,7 @@
     }
 
     /// Records that an instance of an upstream said itself that it is leaving.
-    pub fn insert_told(
+    pub fn insert_instance(
         &mut self,
         now_us: u64,
         name: &Arc<str>,
@@ -38,7 +38,7 @@
         started_ms: Option<u64>,
     ) {
         let entry = self.entry(now_us, name, version);
-        entry.is_told = true;
+        entry.is_self_reported = true;
         entry.started_ms = started_ms;
     }
 
@@ -52,9 +52,9 @@
         started_ms: Option<u64>,
     ) {
         self.entries.retain(|entry| {
-            entry.name != *name || !entry.is_told || entry.started_ms == started_ms
+            entry.name != *name || !entry.is_self_reported || entry.started_ms == started_ms
         });
-        self.entry(now_us, name, version).is_told = false;
+        self.entry(now_us, name, version).is_self_reported = false;
     }
 
     /// Returns whether an upstream that a configuration of this version lists as live is still
@@ -71,11 +71,11 @@
             return false;
         };
         let entry = &mut self.entries[index];
-        if entry.is_told && entry.started_ms == started_ms {
+        if entry.is_self_reported && entry.started_ms == started_ms {
             entry.until_us = now_us.saturating_add(LEAVING_US);
             return true;
         }
-        if !entry.is_told && version <= entry.version && now_us < entry.until_us {
+        if !entry.is_self_reported && version <= entry.version && now_us < entry.until_us {
             return true;
         }
         self.entries.remove(index);
@@ -96,7 +96,7 @@
                     name: name.clone(),
                     version,
                     until_us,
-                    is_told: false,
+                    is_self_reported: false,
                     started_ms: None,
                 };
                 self.entries.insert(index, entry);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,6 +23,8 @@
 mod load_report;
 mod locality;
 mod member;
+#[cfg(test)]
+mod notices_tests;
 mod partition;
 mod pauses;
 mod peer_loads;
@@ -42,8 +44,6 @@
 mod target;
 #[cfg(test)]
 mod tests;
-#[cfg(test)]
-mod told_tests;
 mod tree_position;
 mod upstream_status;
 
--- a/crates/route/src/notices_tests.rs
+++ b/crates/route/src/notices_tests.rs
@@ -58,7 +58,7 @@
     listed_leaving[0].state = UpstreamLifecycle::Leaving;
     let restarted = [instance("a", 2), live[1].clone()];
     let say = |pool: &mut Pool| {
-        pool.set_told_leaving(1, "a", Some(1));
+        pool.set_instance_leaving(1, "a", Some(1));
     };
     let cases: [(&str, &[Change<'_>], bool); 9] = [
         ("said", &[&say], false),
@@ -225,10 +225,10 @@
     let model = model();
     pool.pause(0, "a", Some(1), 5 * SECOND_US);
     pool.pause(0, "b", Some(1), 3 * SECOND_US);
-    assert_eq!(pool.returns_us(&model), None);
-    pool.set_told_leaving(0, "c", Some(1));
-    assert_eq!(pool.returns_us(&model), Some(3 * SECOND_US));
+    assert_eq!(pool.earliest_resume_us(&model), None);
+    pool.set_instance_leaving(0, "c", Some(1));
+    assert_eq!(pool.earliest_resume_us(&model), Some(3 * SECOND_US));
     assert_eq!(requests_for(&mut pool, 3 * SECOND_US - 1, "b"), 0);
     assert!(requests_for(&mut pool, 4 * SECOND_US, "b") > 0);
-    assert_eq!(pool.returns_us(&model), None);
+    assert_eq!(pool.earliest_resume_us(&model), None);
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -11,11 +11,11 @@
 
 mod choice;
 mod layout;
+mod notices;
 mod outlier_detection;
 mod placement;
-mod told;
 
-pub use self::told::PAUSE_MAX_US;
+pub use self::notices::PAUSE_MAX_US;
 
 /// Configured upstreams with this daemon's jobs on each and the observed performance of each.
 ///
--- a/crates/route/src/pool/notices.rs
+++ b/crates/route/src/pool/notices.rs
@@ -11,7 +11,7 @@
     /// `started_ms` gets no new work, whatever the lists say of it.
     ///
     /// Returns whether that is new.
-    pub fn set_told_leaving(
+    pub fn set_instance_leaving(
         &mut self,
         now_us: u64,
         upstream: &str,
@@ -24,7 +24,7 @@
         }
         let name = found.map_or_else(|| upstream.into(), |index| self.members[index].name.clone());
         self.departures
-            .insert_told(now_us, &name, self.version, started_ms);
+            .insert_instance(now_us, &name, self.version, started_ms);
         let Some(index) = found else {
             return true;
         };
@@ -64,7 +64,7 @@
     /// Returns when the first of the upstreams of a target returns, if all of them that are live
     /// have asked for a pause.
     #[must_use]
-    pub fn returns_us(&self, target: &Target) -> Option<u64> {
+    pub fn earliest_resume_us(&self, target: &Target) -> Option<u64> {
         let trees = self.groups[self.group(target)?].trees.iter();
         let members = trees.flat_map(CandidateTree::members);
         let live = members.map(|&index| &self.members[index as usize]);
--- a/crates/route/src/pool_fuzz_tests.rs
+++ b/crates/route/src/pool_fuzz_tests.rs
@@ -47,7 +47,7 @@
         upstream: usize,
     },
     /// The upstream says itself that it is leaving.
-    SayLeaving {
+    ReportLeaving {
         upstream: usize,
     },
     /// The upstream asks for a pause.
@@ -84,7 +84,7 @@
     /// Version up to which a configuration can't bring the upstream back, if it is leaving.
     leaving: [Option<u64>; COUNT],
     /// Whether the present instance of the upstream said itself that it is leaving.
-    said_leaving: [bool; COUNT],
+    self_reported: [bool; COUNT],
     /// Number of restarts of the upstream.
     restarts: [u64; COUNT],
     /// End of the pause that the present instance of the upstream asked for.
@@ -126,15 +126,15 @@
             if listed && restarted & bit != 0 {
                 self.restarts[index] += 1;
                 self.paused_until_us[index] = 0;
-                if std::mem::take(&mut self.said_leaving[index]) {
+                if std::mem::take(&mut self.self_reported[index]) {
                     *leaving_version = None;
                 }
             }
             if listed && leaving & bit != 0 {
-                self.said_leaving[index] = false;
+                self.self_reported[index] = false;
                 *leaving_version = Some(leaving_version.unwrap_or(0).max(version));
             } else if listed
-                && !self.said_leaving[index]
+                && !self.self_reported[index]
                 && leaving_version.is_some_and(|leaving_version| version > leaving_version)
             {
                 *leaving_version = None;
@@ -198,7 +198,7 @@
             1 => (upstream.clone(), proptest::option::of(0..5_u32)).prop_map(|(upstream, slots)|
                 Event::Share { upstream, slots }),
             1 => upstream.clone().prop_map(|upstream| Event::Leave { upstream }),
-            1 => upstream.clone().prop_map(|upstream| Event::SayLeaving { upstream }),
+            1 => upstream.clone().prop_map(|upstream| Event::ReportLeaving { upstream }),
             1 => (upstream.clone(), 1_000..9_000_000_u64).prop_map(|(upstream, us)|
                 Event::Pause { upstream, us }),
             2 => (1..9_u64, any::<u8>(), any::<u8>(), any::<u8>(), any::<u8>()).prop_map(
@@ -271,12 +271,12 @@
         oracle.attempts.push((index, oracle.now_us));
     }
 
-    fn say_leaving(&mut self, upstream: usize) {
+    fn report_leaving(&mut self, upstream: usize) {
         let oracle = &mut self.oracle;
         let started_ms = Some(oracle.restarts[upstream]);
         self.pool
-            .set_told_leaving(oracle.now_us, &name(upstream), started_ms);
-        oracle.said_leaving[upstream] = true;
+            .set_instance_leaving(oracle.now_us, &name(upstream), started_ms);
+        oracle.self_reported[upstream] = true;
         let leaving_version = &mut oracle.leaving[upstream];
         *leaving_version = Some(leaving_version.unwrap_or(0).max(oracle.version));
     }
@@ -395,7 +395,7 @@
                 let leaving_version = &mut subject.oracle.leaving[upstream];
                 *leaving_version = Some(leaving_version.unwrap_or(0).max(version));
             }
-            Event::SayLeaving { upstream } => subject.say_leaving(upstream),
+            Event::ReportLeaving { upstream } => subject.report_leaving(upstream),
             Event::Pause { upstream, us } => subject.pause(upstream, us),
             Event::Configure {
                 version,
--- a/crates/sched/src/admission.rs
+++ b/crates/sched/src/admission.rs
@@ -143,8 +143,8 @@
         let wait_ms = self
             .estimate_wait_us(item)
             .map(|wait_us| wait_us.div_ceil(1_000).clamp(min_ms, max_ms));
-        match self.returns_ms(now_us, item) {
-            Some(returns_ms) => (returns_ms + wait_ms.unwrap_or(0)).max(min_ms),
+        match self.resume_delay_ms(now_us, item) {
+            Some(resume_delay_ms) => (resume_delay_ms + wait_ms.unwrap_or(0)).max(min_ms),
             None => wait_ms.unwrap_or(RETRY_AFTER_MS),
         }
     }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -31,6 +31,9 @@
 mod lane;
 mod mean;
 mod member;
+mod notices;
+#[cfg(test)]
+mod notices_tests;
 #[cfg(test)]
 mod oracle;
 mod outcome;
@@ -44,9 +47,6 @@
 mod running;
 #[cfg(test)]
 mod tests;
-mod told;
-#[cfg(test)]
-mod told_tests;
 mod topology;
 
 pub use self::{
--- a/crates/sched/src/notices.rs
+++ b/crates/sched/src/notices.rs
@@ -10,13 +10,13 @@
     /// that it is leaving.
     ///
     /// Returns whether that is new.
-    pub fn set_told_leaving(
+    pub fn set_instance_leaving(
         &mut self,
         now_us: u64,
         upstream: &str,
         started_ms: Option<u64>,
     ) -> bool {
-        let is_new = self.pool.set_told_leaving(now_us, upstream, started_ms);
+        let is_new = self.pool.set_instance_leaving(now_us, upstream, started_ms);
         if is_new && let Some(member) = self.topology.member_mut(upstream) {
             member.live = false;
             self.topology.count_slots();
@@ -37,7 +37,17 @@
         actions: &mut Vec<Action>,
     ) {
         self.pool.pause(now_us, upstream, started_ms, pause_us);
-        let queued = self.jobs.values().filter(|entry| entry.running.is_none());
+        let lanes = (0..).zip(&self.topology.lanes);
+        let paused_lanes: Vec<usize> = lanes
+            .filter(|(_, lane)| self.pool.earliest_resume_us(&lane.target).is_some())
+            .map(|(number, _)| number)
+            .collect();
+        if paused_lanes.is_empty() {
+            return;
+        }
+        let queued = self.jobs.values().filter(|entry| {
+            entry.running.is_none() && paused_lanes.binary_search(&entry.item.lane).is_ok()
+        });
         let queued: Vec<JobId> = queued.map(Entry::id).collect();
         for id in queued {
             self.refuse_while_paused(now_us, id, actions);
@@ -61,23 +71,23 @@
         let Some(entry) = self.jobs.get(&id).filter(|entry| entry.running.is_none()) else {
             return false;
         };
-        let Some(returns_us) = self.pool.returns_us(&entry.job.target) else {
+        let Some(earliest_resume_us) = self.pool.earliest_resume_us(&entry.job.target) else {
             return false;
         };
-        if returns_us < entry.item.deadline_us {
+        if earliest_resume_us < entry.item.deadline_us {
             return false;
         }
         let retry_after_ms = self.retry_after_ms(now_us, &entry.item);
-        let pause_us = returns_us.saturating_sub(now_us);
+        let pause_us = earliest_resume_us.saturating_sub(now_us);
         let reason = Reason::UpstreamsPaused { pause_us };
         self.refuse(id, Code::NoUpstream, retry_after_ms, reason, actions);
         true
     }
 
     /// Returns the time until the first upstream of a job returns, if all have asked for a pause.
-    pub(crate) fn returns_ms(&self, now_us: u64, item: &Item) -> Option<u64> {
+    pub(crate) fn resume_delay_ms(&self, now_us: u64, item: &Item) -> Option<u64> {
         let target = &self.topology.lanes[item.lane].target;
-        let returns_us = self.pool.returns_us(target)?;
-        Some(returns_us.saturating_sub(now_us).div_ceil(1_000))
+        let earliest_resume_us = self.pool.earliest_resume_us(target)?;
+        Some(earliest_resume_us.saturating_sub(now_us).div_ceil(1_000))
     }
 }
--- a/crates/sched/src/notices_tests.rs
+++ b/crates/sched/src/notices_tests.rs
@@ -117,8 +117,8 @@
 #[test]
 fn retries_and_new_requests_avoid_an_upstream_that_says_it_leaves() {
     let (mut dispatcher, mut actions) = dispatcher();
-    assert!(dispatcher.set_told_leaving(0, "a", None));
-    assert!(!dispatcher.set_told_leaving(0, "a", None));
+    assert!(dispatcher.set_instance_leaving(0, "a", None));
+    assert!(!dispatcher.set_instance_leaving(0, "a", None));
     for id in 1..=4 {
         dispatcher.submit(0, job(id, 0), &mut actions);
     }
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -61,8 +61,8 @@
             _ => code_of(outcome),
         };
         let item = self.jobs.get(&id).map(|entry| &entry.item);
-        let returns_ms = item.and_then(|item| self.returns_ms(now_us, item));
-        let retry_after_ms = returns_ms.unwrap_or(0).max(RETRY_AFTER_MS);
+        let resume_delay_ms = item.and_then(|item| self.resume_delay_ms(now_us, item));
+        let retry_after_ms = resume_delay_ms.unwrap_or(0).max(RETRY_AFTER_MS);
         self.refuse(id, code, retry_after_ms, reason, actions);
     }
 }
