--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -2,7 +2,14 @@
 
 mod support;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use daemon::{Daemon, RunningDaemon};
 use futures::future::{AbortHandle, abortable};
@@ -162,3 +169,37 @@
     daemon.stop().await;
     platform.stop().await;
 }
+
+/// Guards against requests for an engine in the pause that it asked for, and against callers that
+/// wait for it in vain.
+#[ntex::test]
+async fn engine_that_asks_for_a_pause_gets_no_further_request() {
+    let busy = b"HTTP/1.1 503 Busy\r\nretry-after: 250.5\r\ncontent-length: 0\r\n\r\n";
+    let platform = Platform::start(0).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::<AtomicUsize>::default();
+    let counted = requests.clone();
+    let (serve, handle) = abortable(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = vec![0; 16 * 1024];
+            let received = stream.read(&mut request).await.unwrap_or(0);
+            // Pages with the load are asked for as well.
+            if request[..received].starts_with(b"POST") {
+                counted.fetch_add(1, Ordering::Relaxed);
+                let _ = stream.write_all(busy).await;
+            }
+        }
+    });
+    ntex::rt::spawn(serve);
+    let daemon = daemon_with(&platform, &sample_config(2, &[address], &[])).await;
+    for _ in 0..3 {
+        let answer = platform.chat(daemon.listen(), "hello", false).await;
+        assert_eq!(answer.code(), (4001, "no".to_owned()), "{}", answer.body);
+    }
+    assert_eq!(requests.load(Ordering::Relaxed), 1);
+    handle.abort();
+    daemon.stop().await;
+    platform.stop().await;
+}
