fix(link): give up responses that go on without a head or a body

Report of other operators: bytes that are no answer may come without end, in a head or a body, until the caller closes.

What callers would see: an attempt that ends only at the route's time, while its upstream's bytes use the host's link and processor.

Cause: informational responses, the digits of a chunk's size and the like are read and thrown away by the HTTP library for as long as they come.

Change: 256 KiB read without a head of a response or a part of a body end the exchange as lost.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,9 +1,11 @@
 //! Open HTTP/1.1 connection, driven by the task that waits on it.
 
 use std::{
+    cell::Cell,
     future::poll_fn,
     net::SocketAddr,
     pin::{Pin, pin},
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -20,6 +22,7 @@
     net::TcpStream,
     time::{Duration, timeout},
 };
+use tokio_util::io::InspectReader;
 
 use crate::{PoolOptions, RequestError};
 
@@ -30,13 +33,25 @@
 /// Largest size of a response's status line and headers.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+/// Largest number of bytes that are read without a response head or a part of a body in them, for
+/// example informational responses, chunk extensions or trailers. They may go on without end.
+const OVERHEAD_MAX_BYTES: usize = 256 * 1024;
+
+/// Description of a response that goes on without a head or a body.
+const WITHOUT_END: &str = "response without end";
+
+/// Connection of which each read is counted.
+type Stream = InspectReader<TcpStream, Box<dyn FnMut(&[u8])>>;
+
+type Driver = http1::Connection<TokioIo<Stream>, Full<Bytes>>;
 
 /// Open connection, which carries one request at a time.
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
     closed: bool,
+    /// Bytes that were read since the last head of a response or part of a body.
+    overhead_bytes: Rc<Cell<usize>>,
     /// Number of requests sent on it.
     requests: u32,
     /// Tags of the requests that were refused on it.
@@ -70,6 +85,10 @@
             .and_then(|()| socket.set_tcp_keepalive(&keepalive))
             .and_then(|()| socket.set_tcp_user_timeout(Some(options.unacked_timeout)));
         configured.map_err(|error| not_sent(error.to_string()))?;
+        let overhead_bytes = Rc::<Cell<usize>>::default();
+        let counted = overhead_bytes.clone();
+        let count = move |bytes: &[u8]| counted.set(counted.get() + bytes.len());
+        let stream = Stream::new(stream, Box::new(count));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(HEAD_MAX_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -78,6 +97,7 @@
             sender,
             driver: Box::pin(driver),
             closed: false,
+            overhead_bytes,
             requests: 0,
             refused: Vec::new(),
         })
@@ -89,13 +109,19 @@
         request: Request<Full<Bytes>>,
     ) -> Result<hyper::Response<Incoming>, SendError> {
         self.requests += 1;
+        self.overhead_bytes.set(0);
         let mut sent = pin!(self.sender.try_send_request(request));
         let (driver, closed) = (&mut self.driver, &mut self.closed);
         let result = poll_fn(|context| {
             drive(driver, closed, context);
-            sent.as_mut().poll(context)
+            let sent = sent.as_mut().poll(context);
+            give_up_without_end(&self.overhead_bytes, sent)
         })
         .await;
+        self.overhead_bytes.set(0);
+        let Some(result) = result else {
+            return Err(SendError::Lost(WITHOUT_END.to_owned()));
+        };
         result.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Lost(error.error().to_string()),
@@ -117,17 +143,23 @@
         self.refused.contains(&tag)
     }
 
-    /// Reads the next frame of a response body.
+    /// Reads the next frame of a response body; fails with a description.
     pub(crate) async fn next(
         &mut self,
         body: &mut Incoming,
-    ) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    ) -> Option<Result<Frame<Bytes>, String>> {
         let (driver, closed) = (&mut self.driver, &mut self.closed);
-        poll_fn(|context| {
+        let frame = poll_fn(|context| {
             drive(driver, closed, context);
-            Pin::new(&mut *body).poll_frame(context)
+            let frame = Pin::new(&mut *body).poll_frame(context);
+            give_up_without_end(&self.overhead_bytes, frame)
         })
-        .await
+        .await;
+        self.overhead_bytes.set(0);
+        match frame {
+            Some(frame) => frame.map(|frame| frame.map_err(|error| error.to_string())),
+            None => Some(Err(WITHOUT_END.to_owned())),
+        }
     }
 
     /// Returns whether another request can be sent: no unsolicited bytes arrived and nothing is in
@@ -143,6 +175,14 @@
     }
 }
 
+/// Ends a wait, with `None`, for which too many bytes were read already.
+fn give_up_without_end<T>(overhead_bytes: &Cell<usize>, polled: Poll<T>) -> Poll<Option<T>> {
+    if polled.is_pending() && overhead_bytes.get() > OVERHEAD_MAX_BYTES {
+        return Poll::Ready(None);
+    }
+    polled.map(Some)
+}
+
 /// Polls the connection's I/O and records when it has closed.
 fn drive(driver: &mut Pin<Box<Driver>>, closed: &mut bool, context: &mut Context<'_>) {
     if !*closed && driver.as_mut().poll(context).is_ready() {
--- a/crates/link/src/response.rs
+++ b/crates/link/src/response.rs
@@ -94,7 +94,7 @@
                 }
                 Some(Err(error)) => {
                     self.connection = None;
-                    return Err(RequestError::Lost(error.to_string()));
+                    return Err(RequestError::Lost(error));
                 }
                 None => {
                     self.return_to_pool().await;
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -217,3 +217,61 @@
     assert_eq!(sent.err(), Some(RequestError::Withheld));
     assert!(received.is_empty());
 }
+
+/// Guards against bytes without end in any part of a response, which would be read for as long as
+/// the server sends them.
+#[tokio::test]
+async fn responses_without_end_are_given_up() {
+    const SENT_MAX_BYTES: usize = 8 * 1024 * 1024;
+    let cases = [
+        ("status line", "HTTP/1.1 200 ", "x"),
+        ("header lines", "HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        ("one header", "HTTP/1.1 200 OK\r\na: ", "b"),
+        (
+            "informational answers",
+            "",
+            "HTTP/1.1 102 Processing\r\n\r\n",
+        ),
+        (
+            "chunk size",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "0",
+        ),
+        (
+            "chunk extension",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;",
+            "x",
+        ),
+        (
+            "trailers",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            "a: b\r\n",
+        ),
+        ("unframed body", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+    ];
+    for (name, begin, filler) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let pool = ConnectionPool::new(PoolOptions::default());
+        let server = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1_024];
+            let _ = stream.read(&mut request).await;
+            let filler = filler.repeat(4_096);
+            let mut sent_bytes = begin.len();
+            if stream.write_all(begin.as_bytes()).await.is_err() {
+                return sent_bytes;
+            }
+            while sent_bytes < SENT_MAX_BYTES && stream.write_all(filler.as_bytes()).await.is_ok() {
+                sent_bytes += filler.len();
+            }
+            sent_bytes
+        };
+        let (result, sent_bytes) = tokio::join!(read(&pool, address), server);
+        assert!(
+            matches!(result, Err(RequestError::Lost(_))),
+            "{name}: {result:?}"
+        );
+        assert!(sent_bytes < SENT_MAX_BYTES, "{name}: {sent_bytes} bytes");
+    }
+}
