fix(link): bound the refused requests that a connection remembers

Found by reading: each refusal on a kept connection was remembered for as long as the connection lived, and searched for each request; under hours of overload both grow without bound. The last 64 are kept: a request is retried within seconds after its refusal.

a_connection_remembers_the_last_refused_requests opened a connection for the second request before.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::Cell,
+    collections::VecDeque,
     future::poll_fn,
     net::SocketAddr,
     pin::{Pin, pin},
@@ -37,6 +38,9 @@
 /// example informational responses, chunk extensions or trailers. They may go on without end.
 const OVERHEAD_MAX_BYTES: usize = 256 * 1024;
 
+/// Number of refused requests that a connection remembers; earlier ones are not retried any more.
+const REFUSED_MAX: usize = 64;
+
 /// Description of a response that goes on without a head or a body.
 const WITHOUT_END: &str = "response without end";
 
@@ -54,8 +58,8 @@
     overhead_bytes: Rc<Cell<usize>>,
     /// Number of requests sent on it.
     requests: u32,
-    /// Tags of the requests that were refused on it.
-    refused: Vec<u64>,
+    /// Tags of the last requests that were refused on it, oldest first.
+    refused: VecDeque<u64>,
 }
 
 /// Reason why a request failed; a request that was not sent is returned to the caller.
@@ -99,7 +103,7 @@
             closed: false,
             overhead_bytes,
             requests: 0,
-            refused: Vec::new(),
+            refused: VecDeque::new(),
         })
     }
 
@@ -135,7 +139,10 @@
 
     /// Records that the request with this tag was refused on it.
     pub(crate) fn add_refused(&mut self, tag: u64) {
-        self.refused.push(tag);
+        if self.refused.len() >= REFUSED_MAX {
+            self.refused.pop_front();
+        }
+        self.refused.push_back(tag);
     }
 
     /// Returns whether a request with this tag was refused on it.
--- a/crates/link/src/tests.rs
+++ b/crates/link/src/tests.rs
@@ -275,3 +275,32 @@
         assert!(sent_bytes < SENT_MAX_BYTES, "{name}: {sent_bytes} bytes");
     }
 }
+
+/// Guards against a connection that remembers every request that was refused on it, and against one
+/// that forgets the last ones.
+#[tokio::test]
+async fn a_connection_remembers_the_last_refused_requests() {
+    const REFUSALS: u64 = 1_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut bytes = [0; 1_024];
+                while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
+                    stream.write_all(COMPLETE.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    let pool = ConnectionPool::new(PoolOptions::default());
+    let mut reused = Vec::new();
+    for tag in [0, 1, REFUSALS] {
+        let sent = pool.send(address, request(), MINUTE, tag, || true).await;
+        let mut response = sent.ok().unwrap();
+        reused.push(response.is_on_reused_connection());
+        (1..=REFUSALS).for_each(|tag| response.mark_refused(tag));
+        response.read_body(1_000).await.unwrap();
+    }
+    assert_eq!(reused, [false, true, false]);
+}
