fix(quarantine): keep what is known of deadly prompt parts over the end of all daemons

What callers saw: upstreams crash on one part of a prompt as often as the first time, after all daemons were killed together.

Cause: evidence and verdicts live in the daemons, and each passes them on to the others; when all end, both are gone.

Change: the first of the daemons that gather evidence writes it, with the verdicts, in one row of the store, under a condition and at most once a second; a daemon that becomes one of them reads it. Ages go on by the wall clock.

--- a/crates/daemon/src/claimed.rs
+++ b/crates/daemon/src/claimed.rs
@@ -1,14 +1,13 @@
 //! Runs a non-idempotent call under a claim: drives the claim's state machine with I/O.
 
-use std::{
-    future::Future,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{future::Future, time::Duration};
 
 use claim::{CallResult, Claim, ClaimStep, Record, Reply};
 use log::warn;
 use store::Table;
 
+use crate::clock::unix_ms;
+
 /// Margin after a service's response time limit before a claim counts as abandoned.
 const BUSY_MARGIN_MS: u64 = 10_000;
 
@@ -63,11 +62,3 @@
         tokio::time::sleep(Duration::from_millis(after_ms)).await;
     }
 }
-
-/// Returns the wall-clock time; it is used only for display and for the age of a claim.
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::time::Instant;
 
@@ -26,3 +26,11 @@
         self.start.elapsed()
     }
 }
+
+/// Returns the wall-clock time; it is used only for display and for ages that outlive a process.
+pub(crate) fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod pending_calls;
 mod progress;
 mod prompt_evidence;
+mod prompt_store;
 mod refusal;
 mod relay;
 mod routed;
--- a/crates/daemon/src/prompt_evidence.rs
+++ b/crates/daemon/src/prompt_evidence.rs
@@ -68,7 +68,7 @@
 }
 
 /// Logs the changed verdicts, and refuses the queued requests that they concern.
-fn apply_changes(core: &mut Core, now_us: u64) {
+pub(crate) fn apply_changes(core: &mut Core, now_us: u64) {
     let changes = core.dispatcher.quarantine_mut().take_changes();
     if changes.is_empty() {
         return;
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -18,7 +18,7 @@
     web::{self, App, HttpServer},
 };
 use settings::Host;
-use store::HttpTable;
+use store::{HttpTable, Table};
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
@@ -33,6 +33,7 @@
     models,
     peers::{Peers, exchange_datagrams, fetch_configs, follow_hosts, serve_config},
     prompt_evidence::exchange_prompt_evidence,
+    prompt_store::keep_prompt_evidence,
     routed,
     running::RunningDaemon,
     services::{self, ServiceClients},
@@ -80,6 +81,8 @@
     pub headers: Arc<dyn HeaderAdapter>,
     /// Opens a connection to the store; each task that reads the store has its own.
     pub connect_store: Box<dyn Fn() -> Box<dyn StoreAdapter>>,
+    /// Opens a connection to the table of the store that holds rows of the router's own.
+    pub connect_table: Box<dyn Fn() -> Box<dyn Table>>,
 }
 
 /// Daemon of one host, before it is started.
@@ -153,10 +156,13 @@
             running.spawn(follow_daemons(shared.clone(), connect_store()));
             running.spawn(follow_peer(shared.clone()));
             running.spawn(announce_loads(shared.clone()));
+            let table = (platform.connect_table)();
+            running.spawn(keep_prompt_evidence(shared.clone(), table));
         } else {
             let table = store_client(&shared).await;
             running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
-            running.spawn(follow_hosts(shared.clone(), Box::new(table)));
+            running.spawn(follow_hosts(shared.clone(), Box::new(table.clone())));
+            running.spawn(keep_prompt_evidence(shared.clone(), Box::new(table)));
             running.spawn(read_loads(shared.clone(), upstream_client().await));
             running.spawn(share_slots(shared.clone()));
         }
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -21,7 +21,7 @@
     UpstreamLifecycle, hash_api_key,
 };
 use standin::sample_host;
-use store::StoreError;
+use store::{MemoryTable, StoreError};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -310,6 +310,7 @@
                     rows: store_rows.clone(),
                 })
             }),
+            connect_table: Box::new(|| Box::new(MemoryTable::default())),
         };
         let daemon = Daemon::new(host)
             .with_platform(platform)
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -1,5 +1,7 @@
 //! Evidence: which requests were lost at which crashes, and the parts that explain them.
 
+use crate::LossReport;
+
 /// Largest number of crashes that are kept.
 const CRASHES_MAX: usize = 256;
 
@@ -73,8 +75,8 @@
 }
 
 impl CrashLog {
-    /// Adds a lost request to the crash of its upstream.
-    pub(crate) fn record(&mut self, at_us: u64, upstream: u64, parts: &[u64], own: u64) {
+    /// Adds a lost request to the crash of its upstream; returns whether it is new.
+    pub(crate) fn record(&mut self, at_us: u64, upstream: u64, parts: &[u64], own: u64) -> bool {
         let loss = Loss {
             parts: parts.to_vec(),
             own,
@@ -83,10 +85,11 @@
             crash.upstream == upstream && crash.at_us.abs_diff(at_us) < SAME_CRASH_US
         });
         if let Some(crash) = same {
-            if crash.losses.len() < LOSSES_MAX && !crash.losses.contains(&loss) {
+            let is_new = crash.losses.len() < LOSSES_MAX && !crash.losses.contains(&loss);
+            if is_new {
                 crash.losses.push(loss);
             }
-            return;
+            return is_new;
         }
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.remove(0);
@@ -96,6 +99,20 @@
             at_us,
             losses: vec![loss],
         });
+        true
+    }
+
+    /// Returns reports of the lost requests, those of the last crashes first.
+    pub(crate) fn reports(&self, now_us: u64) -> impl Iterator<Item = LossReport> {
+        self.crashes.iter().rev().flat_map(move |crash| {
+            let age_ms = now_us.saturating_sub(crash.at_us) / 1_000;
+            crash.losses.iter().map(move |loss| LossReport {
+                upstream: crash.upstream,
+                age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+                parts: loss.parts.clone(),
+                own: loss.own,
+            })
+        })
     }
 
     /// Forgets crashes that are too old.
--- a/crates/quarantine/src/homes.rs
+++ b/crates/quarantine/src/homes.rs
@@ -17,16 +17,31 @@
 where
     I: IntoIterator<Item = &'a str>,
 {
-    let mut ranked: Vec<(u64, &str)> = live
-        .into_iter()
-        .map(|name| (xxh3_64_with_seed(name.as_bytes(), HOMES_SEED), name))
-        .collect();
+    let mut ranked: Vec<(u64, &str)> = live.into_iter().map(weighed).collect();
     ranked.sort_unstable();
     ranked.dedup();
     ranked.truncate(HOMES);
     ranked.into_iter().map(|(_, name)| name).collect()
 }
 
+/// Returns the position of a daemon among [`homes`], if it is one; `others` are the other live
+/// daemons.
+#[must_use]
+pub fn home_rank<'a, I>(name: &str, others: I) -> Option<usize>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let own = weighed(name);
+    let better = others.into_iter().filter(|other| weighed(other) < own);
+    let rank = better.take(HOMES).count();
+    (rank < HOMES).then_some(rank)
+}
+
+/// Returns a name with its weight in the ranking.
+fn weighed(name: &str) -> (u64, &str) {
+    (xxh3_64_with_seed(name.as_bytes(), HOMES_SEED), name)
+}
+
 /// Returns the daemon that tries a quarantined part again.
 #[must_use]
 pub fn trial_home<'a, I>(live: I, part: u64) -> Option<&'a str>
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,9 +13,13 @@
 //! | [`PromptParts`] | what a request's prompt consists of |
 //! | [`LossReport`] | a lost request, reported to the daemons that gather evidence |
 //! | [`Verdict`] | what is known of a part, spread to all daemons |
+//! | [`Snapshot`] | evidence and verdicts, as a row of the platform's store holds them |
+//! | [`Persistence`] | when a daemon reads and writes that row |
 //!
 //! Nothing here reads a clock or does I/O. Reports go to the few daemons that [`homes`] names, so
-//! their number does not grow with the number of daemons; verdicts are rare and go to all.
+//! their number does not grow with the number of daemons; verdicts are rare and go to all. Daemons
+//! keep nothing when they stop, so the first of the homes saves what it knows in the store, and
+//! daemons that become homes read it there.
 //!
 //! ```
 //! use quarantine::{Admission, PromptParts, Quarantine};
@@ -38,8 +42,10 @@
 mod crash_log;
 mod homes;
 mod message;
+mod persistence;
 mod prompt_parts;
 mod quarantine;
+mod snapshot;
 mod verdict;
 mod verdicts;
 
@@ -50,12 +56,16 @@
 #[cfg(test)]
 mod fuzz_tests;
 #[cfg(test)]
+mod persistence_tests;
+#[cfg(test)]
 mod quarantine_tests;
 
 pub use self::{
-    homes::{homes, trial_home},
+    homes::{home_rank, homes, trial_home},
     message::{LossReport, Message},
+    persistence::{Persistence, PersistenceStep},
     prompt_parts::PromptParts,
     quarantine::{Admission, Quarantine, QuarantinedPart},
+    snapshot::{Snapshot, SnapshotError},
     verdict::{Verdict, VerdictState},
 };
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -14,6 +14,10 @@
 };
 
 mod exchange;
+mod snapshots;
+
+/// Age that times before the start of the daemon may have; its own clock starts at 0.
+const BEFORE_START_US: u64 = 3_600_000_000;
 
 /// Time for which a part is suspected before it is quarantined. A rumor reaches 300 daemons, and
 /// the answer of one that clears the part comes back, in about this time.
@@ -96,6 +100,8 @@
     reports: Vec<(u64, LossReport)>,
     /// Verdicts that have changed since they were last taken.
     changes: Vec<Verdict>,
+    /// Number of changes of the evidence and the verdicts.
+    revision: u64,
     next_compare_us: u64,
     catch_up_until_us: u64,
 }
@@ -117,12 +123,14 @@
 
     /// Makes the daemon ask others for their verdicts: at its start, or after it was suspended.
     pub const fn catch_up(&mut self, now_us: u64) {
+        let now_us = since_origin(now_us);
         self.catch_up_until_us = now_us + CATCH_UP_US;
         self.next_compare_us = now_us;
     }
 
     /// Decides whether a request may be sent to an upstream.
     pub fn admit(&mut self, now_us: u64, parts: &PromptParts) -> Admission {
+        let now_us = since_origin(now_us);
         let mut admission = Admission::Admitted;
         for &part in parts.shared() {
             match self.admit_part(now_us, part) {
@@ -150,6 +158,7 @@
 
     /// Records that an answer to a request began: none of its parts crashes upstreams.
     pub fn record_answer(&mut self, now_us: u64, parts: &PromptParts) {
+        let now_us = since_origin(now_us);
         for &part in parts.shared() {
             self.answered.insert(now_us, part);
             let state = self.state(part);
@@ -164,6 +173,7 @@
         if parts.shared().is_empty() {
             return;
         }
+        let now_us = since_origin(now_us);
         let sends = self.sends();
         let trials = std::mem::take(&mut self.trials);
         let (failed, running) = trials
@@ -190,6 +200,7 @@
     ///
     /// Returns whether it was suspected or quarantined.
     pub fn release(&mut self, now_us: u64, part: u64) -> bool {
+        let now_us = since_origin(now_us);
         let state = self.state(part);
         let held = state.is_some_and(|state| state != VerdictState::Cleared);
         if held {
@@ -200,6 +211,7 @@
 
     /// Judges the evidence; call it about every 100 ms.
     pub fn tick(&mut self, now_us: u64) {
+        let now_us = since_origin(now_us);
         self.log.expire(now_us);
         self.verdicts.expire(now_us);
         let pending = self
@@ -229,6 +241,7 @@
     /// Returns the suspected and quarantined parts.
     #[must_use]
     pub fn parts(&self, now_us: u64) -> Vec<QuarantinedPart> {
+        let now_us = since_origin(now_us);
         let known = self.verdicts.iter();
         let held = known.filter(|known| known.state() != VerdictState::Cleared);
         held.map(|known| QuarantinedPart {
@@ -274,8 +287,10 @@
 
     fn add_loss(&mut self, at_us: u64, report: &LossReport) {
         let parts = &report.parts[..report.parts.len().min(PARTS_MAX)];
-        self.log.record(at_us, report.upstream, parts, report.own);
-        self.log_changed = true;
+        if self.log.record(at_us, report.upstream, parts, report.own) {
+            self.log_changed = true;
+            self.revision += 1;
+        }
     }
 
     /// Suspects, quarantines and clears parts by the evidence.
@@ -348,11 +363,11 @@
         self.note_change(now_us, part);
     }
 
-    fn note_clearance(&mut self, now_us: u64, part: u64) {
+    fn note_clearance(&mut self, at_us: u64, part: u64) {
         let clearances = &mut self.clearances;
         match clearances.binary_search_by_key(&part, |&(part, _)| part) {
-            Ok(index) => clearances[index].1 = now_us,
-            Err(index) => clearances.insert(index, (part, now_us)),
+            Ok(index) => clearances[index].1 = clearances[index].1.max(at_us),
+            Err(index) => clearances.insert(index, (part, at_us)),
         }
         if clearances.len() > CLEARANCES_MAX
             && let Some(oldest) = (0..clearances.len()).min_by_key(|&index| clearances[index].1)
@@ -362,6 +377,7 @@
     }
 
     fn note_change(&mut self, now_us: u64, part: u64) {
+        self.revision += 1;
         if let Some(known) = self.verdicts.get(part) {
             self.changes.push(known.verdict(now_us));
         }
@@ -378,6 +394,11 @@
     }
 }
 
+/// Returns a time of the daemon's clock as the time since [`BEFORE_START_US`] before its start.
+const fn since_origin(now_us: u64) -> u64 {
+    now_us + BEFORE_START_US
+}
+
 /// Returns the time between two trials of a part after this many failed ones.
 fn trial_interval_us(failed_trials: u32) -> u64 {
     let interval_us = TRIAL_AFTER_US.saturating_mul(1 << failed_trials.min(10));
--- a/crates/quarantine/src/quarantine/exchange.rs
+++ b/crates/quarantine/src/quarantine/exchange.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, seq::IndexedRandom as _};
 
-use super::Quarantine;
+use super::{Quarantine, since_origin};
 use crate::{LossReport, Message, Verdict, VerdictState, homes};
 
 /// Largest number of messages with losses that a daemon is sent at a time.
@@ -19,6 +19,7 @@
 impl Quarantine {
     /// Handles a message of another daemon and returns the replies to it.
     pub fn receive(&mut self, now_us: u64, message: &Message) -> Vec<Message> {
+        let now_us = since_origin(now_us);
         match message {
             Message::Losses(reports) => {
                 for report in reports.iter().take(Message::LOSSES_MAX) {
@@ -55,6 +56,7 @@
     where
         R: Rng + ?Sized,
     {
+        let now_us = since_origin(now_us);
         let mut messages = Vec::new();
         if self.live.is_empty() {
             self.reports.clear();
@@ -81,7 +83,7 @@
     }
 
     /// Merges a verdict of another daemon, and clears a suspected part to which an answer began.
-    fn merge(&mut self, now_us: u64, verdict: Verdict) {
+    pub(super) fn merge(&mut self, now_us: u64, verdict: Verdict) {
         if !self.verdicts.merge(now_us, verdict, self.sends()) {
             return;
         }
