fix(sched): tell callers of queued and lost requests when a deadly part is tried again

What callers saw: a new request with a quarantined part was refused with the time until the next trial (60 s at first), one that was queued, or whose attempt was not sent, with 1 s; it came back and was refused again.

Cause: the two refusals used the constant of refusals without an estimate. Ruled out: the verdict itself, which all three have. Change: one estimate for all refusals of a part.

callers_are_told_when_a_part_is_tried_again: 1000, 60000, 1000 ms before, 60000 for all three now.

--- a/crates/daemon/src/prompt_evidence.rs
+++ b/crates/daemon/src/prompt_evidence.rs
@@ -77,7 +77,7 @@
         log_verdict(verdict);
     }
     core.dispatch(now_us, |dispatcher, actions| {
-        dispatcher.refuse_quarantined(actions);
+        dispatcher.refuse_quarantined(now_us, actions);
     });
 }
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -156,6 +156,15 @@
         parts.find(|&part| self.state(part) == Some(VerdictState::Quarantined))
     }
 
+    /// Returns when the caller of a request with a quarantined part may come back.
+    #[must_use]
+    pub fn retry_after_ms(&self, now_us: u64, part: u64) -> u64 {
+        let now_us = since_origin(now_us);
+        let known = self.verdicts.get(part);
+        let due_us = known.map_or(now_us, |known| self.trial_due_us(known));
+        retry_after_ms(now_us, due_us)
+    }
+
     /// Records that an answer to a request began: none of its parts crashes upstreams.
     pub fn record_answer(&mut self, now_us: u64, parts: &PromptParts) {
         let now_us = since_origin(now_us);
@@ -265,21 +274,22 @@
         if known.state() != VerdictState::Quarantined {
             return Admission::Admitted;
         }
-        let interval_us = trial_interval_us(known.failed_trials());
-        let tried = self.trials.iter().find(|trial| trial.part == part);
-        let since_us = tried.map_or(known.changed_us, |trial| trial.started_us);
-        let due_us = since_us.saturating_add(interval_us);
+        let due_us = self.trial_due_us(known);
         if now_us >= due_us && self.is_trial_home(part) {
             return Admission::Trial { part };
         }
-        let left_ms = due_us.saturating_sub(now_us).div_ceil(1_000);
-        let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
         Admission::Refused {
             part,
-            retry_after_ms: left_ms.clamp(min_ms, max_ms),
+            retry_after_ms: retry_after_ms(now_us, due_us),
         }
     }
 
+    fn trial_due_us(&self, known: &Known) -> u64 {
+        let tried = self.trials.iter().find(|trial| trial.part == known.part());
+        let since_us = tried.map_or(known.changed_us, |trial| trial.started_us);
+        since_us.saturating_add(trial_interval_us(known.failed_trials()))
+    }
+
     fn is_trial_home(&self, part: u64) -> bool {
         let live = self.live.iter().map(AsRef::as_ref);
         trial_home(live.chain([self.name.as_ref()]), part) == Some(self.name.as_ref())
@@ -399,6 +409,13 @@
     now_us + BEFORE_START_US
 }
 
+/// Returns when a refused caller may come back, if the next trial is due at `due_us`.
+fn retry_after_ms(now_us: u64, due_us: u64) -> u64 {
+    let left_ms = due_us.saturating_sub(now_us).div_ceil(1_000);
+    let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
+    left_ms.clamp(min_ms, max_ms)
+}
+
 /// Returns the time between two trials of a part after this many failed ones.
 fn trial_interval_us(failed_trials: u32) -> u64 {
     let interval_us = TRIAL_AFTER_US.saturating_mul(1 << failed_trials.min(10));
--- a/crates/sched/src/prompts.rs
+++ b/crates/sched/src/prompts.rs
@@ -3,9 +3,7 @@
 use code::Code;
 use quarantine::{Admission, Quarantine};
 
-use crate::{
-    Action, Dispatcher, JobId, Outcome, Reason, admission::RETRY_AFTER_MS, running::Running,
-};
+use crate::{Action, Dispatcher, JobId, Outcome, Reason, running::Running};
 
 /// Time from the first token after which an answer shows that its prompt crashes no upstream: an
 /// upstream that crashes as it begins to answer may have sent some bytes.
@@ -24,7 +22,7 @@
     }
 
     /// Refuses the queued jobs whose prompts are quarantined.
-    pub fn refuse_quarantined(&mut self, actions: &mut Vec<Action>) {
+    pub fn refuse_quarantined(&mut self, now_us: u64, actions: &mut Vec<Action>) {
         let queued = self.jobs.values().filter(|entry| entry.running.is_none());
         let quarantined: Vec<(JobId, u64)> = queued
             .filter_map(|entry| {
@@ -34,7 +32,8 @@
             .collect();
         for (id, part) in quarantined {
             let reason = Reason::Quarantined { part };
-            self.refuse(id, Code::PromptQuarantined, RETRY_AFTER_MS, reason, actions);
+            let retry_after_ms = self.quarantine.retry_after_ms(now_us, part);
+            self.refuse(id, Code::PromptQuarantined, retry_after_ms, reason, actions);
         }
     }
 
--- a/crates/sched/src/prompts_tests.rs
+++ b/crates/sched/src/prompts_tests.rs
@@ -40,7 +40,7 @@
 
 fn quarantine(dispatcher: &mut Dispatcher, actions: &mut Vec<Action>) {
     dispatcher.quarantine_mut().tick(6 * S_US);
-    dispatcher.refuse_quarantined(actions);
+    dispatcher.refuse_quarantined(6 * S_US, actions);
 }
 
 fn refusals(actions: &[Action]) -> Vec<(u64, Code)> {
@@ -85,6 +85,28 @@
     assert_eq!(refusals(&actions), expected);
 }
 
+/// Guards against callers that are told to come back while requests with the part are still refused,
+/// whether theirs is new, queued or was lost.
+#[test]
+fn callers_are_told_when_a_part_is_tried_again() {
+    let mut dispatcher = suspecting();
+    let mut actions = Vec::new();
+    for (id, part) in [(10, DEADLY), (11, 8), (12, DEADLY)] {
+        dispatcher.submit(5 * S_US, job_with(id, part), &mut actions);
+    }
+    quarantine(&mut dispatcher, &mut actions);
+    dispatcher.submit(6 * S_US, job_with(13, DEADLY), &mut actions);
+    dispatcher.finish(6 * S_US, JobId(10), Outcome::NotSent, &mut actions);
+    let told = actions.iter().filter_map(|action| match action {
+        Action::Refuse {
+            id, retry_after_ms, ..
+        } => Some((id.0, *retry_after_ms)),
+        _ => None,
+    });
+    let told: Vec<(u64, u64)> = told.collect();
+    assert_eq!(told, [(12, 60_000), (13, 60_000), (10, 60_000)]);
+}
+
 /// Guards against a stream that is lost after it began being held against its prompt, and one that
 /// is lost as it begins not being held against it.
 #[test]
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -56,13 +56,16 @@
             self.refuse_while_paused(now_us, id, actions);
             return;
         };
-        let code = match reason {
-            Reason::Quarantined { .. } => Code::PromptQuarantined,
-            _ => code_of(outcome),
-        };
         let item = self.jobs.get(&id).map(|entry| &entry.item);
         let resume_delay_ms = item.and_then(|item| self.resume_delay_ms(now_us, item));
-        let retry_after_ms = resume_delay_ms.unwrap_or(0).max(RETRY_AFTER_MS);
+        let (code, delay_ms) = match reason {
+            Reason::Quarantined { part } => {
+                let delay_ms = self.quarantine.retry_after_ms(now_us, part);
+                (Code::PromptQuarantined, delay_ms)
+            }
+            _ => (code_of(outcome), resume_delay_ms.unwrap_or(0)),
+        };
+        let retry_after_ms = delay_ms.max(RETRY_AFTER_MS);
         self.refuse(id, code, retry_after_ms, reason, actions);
     }
 }
