feat(daemon): show operators the crashes that speak against a prompt part

The latest sixteen crashes of each part are listed with their age, the hash of the upstream's name and the last part of each lost prompt, which the lines `attempt: lost` have beside the request and the upstream. No message changes.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -8,7 +8,7 @@
     HttpResponse,
     types::{Path, State},
 };
-use quarantine::{QuarantinedPart, VerdictState};
+use quarantine::{CrashEvidence, QuarantinedPart, VerdictState};
 use sched::UpstreamStatus;
 use serde_json::json;
 
@@ -126,6 +126,15 @@
 /// Serves `/admin/prompts`: the parts of prompts that are suspected or quarantined.
 pub(crate) async fn prompts(shared: State<Arc<Shared>>) -> HttpResponse {
     let parts = shared.with_core(|now_us, core| core.dispatcher.quarantine().parts(now_us));
+    let crash = |crash: &CrashEvidence| {
+        let requests = crash.requests.iter();
+        let requests: Vec<String> = requests.map(|own| format!("{own:016x}")).collect();
+        json!({
+            "age_ms": crash.age_ms,
+            "upstream_hash": format!("{:016x}", crash.upstream),
+            "last_parts": requests,
+        })
+    };
     let entry = |part: &QuarantinedPart| {
         json!({
             "part": format!("{:016x}", part.part),
@@ -133,6 +142,7 @@
             "age_ms": part.age_ms,
             "crashes": part.crashes,
             "failed_trials": part.failed_trials,
+            "evidence": part.evidence.iter().map(crash).collect::<Vec<_>>(),
         })
     };
     HttpResponse::Ok().json(&parts.iter().map(entry).collect::<Vec<_>>())
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -57,6 +57,15 @@
     pub(crate) crashes: u32,
 }
 
+/// Crash at which requests with a part were lost.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CrashWithPart {
+    pub(crate) at_us: u64,
+    pub(crate) upstream: u64,
+    /// Parts of these requests alone.
+    pub(crate) requests: Vec<u64>,
+}
+
 /// Candidate with what decides between it and others.
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
@@ -115,6 +124,23 @@
         })
     }
 
+    /// Returns the crashes at which requests with a part were lost, the latest first.
+    pub(crate) fn crashes_with(
+        &self,
+        part: u64,
+        cleared_us: Option<u64>,
+    ) -> impl Iterator<Item = CrashWithPart> {
+        let crashes = self.crashes.iter().rev();
+        let crashes = crashes.filter(move |crash| {
+            crash.has(part) && cleared_us.is_none_or(|cleared_us| crash.at_us > cleared_us)
+        });
+        crashes.map(move |crash| CrashWithPart {
+            at_us: crash.at_us,
+            upstream: crash.upstream,
+            requests: crash.losses_with(part).map(|loss| loss.own).collect(),
+        })
+    }
+
     /// Forgets crashes that are too old.
     pub(crate) fn expire(&mut self, now_us: u64) {
         self.crashes
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -65,7 +65,7 @@
     message::{LossReport, Message},
     persistence::{Persistence, PersistenceStep},
     prompt_parts::PromptParts,
-    quarantine::{Admission, Quarantine, QuarantinedPart},
+    quarantine::{Admission, CrashEvidence, Quarantine, QuarantinedPart},
     snapshot::{Snapshot, SnapshotError},
     verdict::{Verdict, VerdictState},
 };
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -38,6 +38,9 @@
 /// Largest number of parts whose last clearance is remembered.
 const CLEARANCES_MAX: usize = 1_024;
 
+/// Largest number of crashes that an operator is shown for a part.
+const EVIDENCE_MAX: usize = 16;
+
 /// Time after the start, or after a suspension, for which a daemon without verdicts asks others.
 const CATCH_UP_US: u64 = 10_000_000;
 
@@ -60,8 +63,19 @@
     },
 }
 
+/// Crash that speaks against a part, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Hash of the upstream's name.
+    pub upstream: u64,
+    /// Last parts of the prompts that were lost, which tell the requests apart.
+    pub requests: Vec<u64>,
+}
+
 /// Suspected or quarantined part, for operators.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantinedPart {
     /// Identifier of the part.
     pub part: u64,
@@ -73,6 +87,9 @@
     pub crashes: u32,
     /// Number of failed trials.
     pub failed_trials: u32,
+    /// The latest of these crashes, as far as this daemon knows them: those that gather the evidence
+    /// know all, others only their own losses.
+    pub evidence: Vec<CrashEvidence>,
 }
 
 /// Trial of a quarantined part at this daemon.
@@ -259,10 +276,22 @@
             age_ms: known.verdict(now_us).age_ms,
             crashes: known.crashes(),
             failed_trials: known.failed_trials(),
+            evidence: self.evidence(now_us, known.part()),
         })
         .collect()
     }
 
+    fn evidence(&self, now_us: u64, part: u64) -> Vec<CrashEvidence> {
+        let cleared_us = clearance_us(&self.clearances, part);
+        let crashes = self.log.crashes_with(part, cleared_us);
+        let evidence = crashes.take(EVIDENCE_MAX).map(|crash| CrashEvidence {
+            age_ms: now_us.saturating_sub(crash.at_us) / 1_000,
+            upstream: crash.upstream,
+            requests: crash.requests,
+        });
+        evidence.collect()
+    }
+
     fn state(&self, part: u64) -> Option<VerdictState> {
         Some(self.verdicts.get(part)?.state())
     }
--- a/crates/quarantine/src/quarantine_tests.rs
+++ b/crates/quarantine/src/quarantine_tests.rs
@@ -134,6 +134,20 @@
     assert_eq!(tried.count(), 1);
 }
 
+/// Guards against a part that is held back without an operator being able to see why.
+#[test]
+fn operator_sees_the_crashes_of_a_part() {
+    let quarantine = quarantined();
+    let held = quarantine.parts(QUARANTINED_US);
+    assert_eq!(held.len(), 1);
+    let evidence = held[0].evidence.iter();
+    let seen: Vec<_> = evidence
+        .map(|crash| (crash.age_ms, &crash.requests[..]))
+        .collect();
+    let expected: [(u64, &[u64]); 3] = [(2_000, &[3]), (3_000, &[2]), (4_000, &[1])];
+    assert_eq!(seen, expected);
+}
+
 /// Guards against an operator who can't release a part, or whose release doesn't last.
 #[test]
 fn operator_releases_a_part() {
