fix(quarantine): find a deadly part anywhere in a long prompt

A prompt of more than 17 parts was cut off after the 16th, so that a deadly part behind it was never suspected. Found by reading.

Cause: the bound on the size of a report was a bound on the prompt. Now 256 parts of a prompt are tracked, and a report of a long prompt has the last 16 parts to which no answer is known on the daemon that lost it.

deadly_part_of_a_long_prompt_is_found: position 20 of 60 not found before.

--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -11,12 +11,17 @@
     pub upstream: u64,
     /// Time since the loss, in milliseconds.
     pub age_ms: u32,
-    /// Shared parts of its prompt, in order.
+    /// Shared parts of its prompt, in order, [`Self::PARTS_MAX`] at most.
     pub parts: Vec<u64>,
     /// Part of the request alone.
     pub own: u64,
 }
 
+impl LossReport {
+    /// Largest number of parts in a report.
+    pub const PARTS_MAX: usize = 16;
+}
+
 /// Message between the quarantines of two daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
--- a/crates/quarantine/src/prompt_parts.rs
+++ b/crates/quarantine/src/prompt_parts.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 /// Largest number of parts of one prompt that are tracked; further ones are ignored.
-pub(crate) const PARTS_MAX: usize = 16;
+const PARTS_MAX: usize = 256;
 
 /// Identifiers of the parts of a request's prompt.
 ///
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -8,7 +8,6 @@
     LossReport, PromptParts, Verdict, VerdictState,
     answered_parts::AnsweredParts,
     crash_log::CrashLog,
-    prompt_parts::PARTS_MAX,
     trial_home,
     verdicts::{Known, Verdicts},
 };
@@ -213,7 +212,7 @@
         let report = LossReport {
             upstream: xxh3_64(upstream.as_bytes()),
             age_ms: 0,
-            parts: parts.shared().to_vec(),
+            parts: self.reported_parts(parts),
             own: parts.own(),
         };
         self.add_loss(now_us, &report);
@@ -324,8 +323,24 @@
         trial_home(live.chain([self.name.as_ref()]), part) == Some(self.name.as_ref())
     }
 
+    /// Returns the parts that may be responsible for a loss. Of a long prompt these are the last ones
+    /// to which no answer is known; earlier parts are shared by more requests and answered sooner.
+    fn reported_parts(&self, parts: &PromptParts) -> Vec<u64> {
+        let shared = parts.shared();
+        if shared.len() <= LossReport::PARTS_MAX {
+            return shared.to_vec();
+        }
+        let unanswered = shared.iter().copied();
+        let mut unanswered: Vec<u64> = unanswered
+            .filter(|&part| self.answered.last_us(part).is_none())
+            .collect();
+        let excess = unanswered.len().saturating_sub(LossReport::PARTS_MAX);
+        unanswered.drain(..excess);
+        unanswered
+    }
+
     fn add_loss(&mut self, at_us: u64, report: &LossReport) {
-        let parts = &report.parts[..report.parts.len().min(PARTS_MAX)];
+        let parts = &report.parts[..report.parts.len().min(LossReport::PARTS_MAX)];
         if self.log.record(at_us, report.upstream, parts, report.own) {
             self.log_changed = true;
             self.revision += 1;
--- a/crates/quarantine/src/quarantine_tests.rs
+++ b/crates/quarantine/src/quarantine_tests.rs
@@ -221,3 +221,25 @@
         assert!(postcard::to_stdvec(&message).unwrap().len() <= 790);
     }
 }
+
+/// Guards against a part of a long prompt that is never suspected because of its position.
+#[test]
+fn deadly_part_of_a_long_prompt_is_found() {
+    for position in [0, 10, 20, 59] {
+        let prompt = |own: u64| {
+            let mut parts: Vec<u64> = (100..160).collect();
+            parts.insert(position, 9);
+            parts.push(own);
+            PromptParts::new(parts)
+        };
+        let mut quarantine = Quarantine::new("a");
+        quarantine.record_answer(0, &PromptParts::new((100..160).chain([1])));
+        for crash in 1..=3 {
+            quarantine.record_loss(crash * S_US, &format!("engine-{crash}"), &prompt(crash));
+        }
+        quarantine.tick(3 * S_US);
+        quarantine.tick(4 * S_US);
+        let held = quarantine.quarantined_part(&prompt(4));
+        assert_eq!(held, Some(9), "position {position}");
+    }
+}
