refactor(quarantine): admission, operators' view and the simulated fleet in files of their own

Items are moved as they were; `restore` is written plainer, with the same tests. The checks and bounds of the tests are unchanged.

--- /dev/null
+++ b/crates/quarantine/src/fleet_tests/simulation.rs
@@ -0,0 +1,414 @@
+//! Simulated fleet: requests, crashes, messages between daemons, and the row in the store.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+
+use crate::{Admission, Message, Persistence, PersistenceStep, PromptParts, Quarantine, Snapshot};
+
+const MS_US: u64 = 1_000;
+pub(super) const S_US: u64 = 1_000_000;
+
+/// Step of the simulation.
+pub(super) const STEP_US: u64 = 10 * MS_US;
+
+/// Time after which killed daemons are back.
+const DOWN_US: u64 = S_US;
+
+/// Interval at which a daemon asks whether a call of the store is due.
+const STORE_INTERVAL_US: u64 = 500 * MS_US;
+
+/// Time within which the daemons must know of the fifth crash.
+const CONTACT_US: u64 = 4 * S_US;
+
+/// Requests with a deadly part that may reach upstreams later than that.
+pub(super) const SENDS_MAX: usize = 3;
+
+/// Part that crashes upstreams.
+pub(super) const DEADLY: u64 = 1 << 40;
+
+/// Conditions of one run.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Plan {
+    pub(super) seed: u64,
+    pub(super) daemons: usize,
+    pub(super) upstreams: usize,
+    pub(super) requests_per_s: f64,
+    /// Share of the requests that have the deadly part.
+    pub(super) deadly_share: f64,
+    /// Position of the deadly part among the shared parts.
+    pub(super) deadly_position: usize,
+    /// Number of times that a sixth of the upstreams crashes by itself.
+    pub(super) ordinary_crashes: u64,
+    /// Share of the answers that are lost on the way although their upstream lives.
+    pub(super) lost_answers: f64,
+    /// Share of the messages between daemons that are lost.
+    pub(super) lost_messages: f64,
+    /// Number of different subjects of sound requests.
+    pub(super) subjects: u64,
+    /// Largest number of attempts of a request.
+    pub(super) attempts: u32,
+    /// Time at which all daemons are killed.
+    pub(super) killed_us: Option<u64>,
+}
+
+impl Plan {
+    pub(super) const fn small(seed: u64) -> Self {
+        Self {
+            seed,
+            daemons: 6,
+            upstreams: 9,
+            requests_per_s: 30.0,
+            deadly_share: 0.05,
+            deadly_position: 2,
+            ordinary_crashes: 0,
+            lost_answers: 0.0,
+            lost_messages: 0.03,
+            subjects: 80,
+            attempts: 1,
+            killed_us: None,
+        }
+    }
+
+    pub(super) const fn large(seed: u64) -> Self {
+        Self {
+            daemons: 300,
+            upstreams: 300,
+            requests_per_s: 1_500.0,
+            subjects: 2_000,
+            ..Self::small(seed)
+        }
+    }
+}
+
+/// Request on an upstream.
+struct Running {
+    daemon: usize,
+    upstream: usize,
+    parts: PromptParts,
+    is_deadly: bool,
+    attempt: u32,
+    begins_us: u64,
+    ends_us: u64,
+    reported: bool,
+    answer_lost: bool,
+}
+
+/// What happened in a run.
+#[derive(Debug, Default)]
+pub(super) struct Outcome {
+    pub(super) crashes_us: Vec<u64>,
+    /// Times at which deadly requests were sent.
+    pub(super) deadly_sends_us: Vec<u64>,
+    /// Sound requests with the companions of the deadly part that were sent and refused, late.
+    pub(super) companions: (usize, usize),
+    /// Sound requests that were refused at any time.
+    pub(super) sound_refused: usize,
+    /// Sound parts that were quarantined at the end.
+    pub(super) innocent: usize,
+    pub(super) messages: usize,
+    pub(super) quarantined_us: Option<u64>,
+}
+
+impl Outcome {
+    /// Counts the deadly requests that were sent too late. After a restart the daemons have the same
+    /// time again.
+    pub(super) fn late_sends(&self, plan: &Plan) -> usize {
+        let Some(&fifth_us) = self.crashes_us.get(4) else {
+            return 0;
+        };
+        let is_excused = |at_us: u64| {
+            plan.killed_us.is_some_and(|killed_us| {
+                (killed_us..=killed_us + DOWN_US + CONTACT_US).contains(&at_us)
+            })
+        };
+        let sends = self.deadly_sends_us.iter();
+        sends
+            .filter(|&&at_us| at_us > fifth_us + CONTACT_US && !is_excused(at_us))
+            .count()
+    }
+}
+
+fn start_daemons(names: &[Arc<str>]) -> Vec<Quarantine> {
+    let daemons = names.iter().map(|name| {
+        let mut daemon = Quarantine::new(name);
+        let others = names.iter().filter(|other| *other != name);
+        daemon.set_live(others.cloned().collect());
+        daemon
+    });
+    daemons.collect()
+}
+
+pub(super) struct Fleet {
+    plan: Plan,
+    rng: StdRng,
+    pub(super) daemons: Vec<Quarantine>,
+    persistence: Vec<Persistence>,
+    /// Row of the store with its version.
+    row: Option<(u64, Snapshot)>,
+    names: Vec<Arc<str>>,
+    /// Number of restarts and the time from which it runs, of each upstream.
+    upstreams: Vec<(u64, u64)>,
+    running: Vec<Running>,
+    /// Messages by their time of arrival.
+    in_flight: BTreeMap<(u64, usize), (usize, usize, Message)>,
+    outcome: Outcome,
+    requests: u64,
+}
+
+impl Fleet {
+    pub(super) fn new(plan: Plan) -> Self {
+        let names: Vec<Arc<str>> = (0..plan.daemons)
+            .map(|number| format!("entry-{number}").into())
+            .collect();
+        Self {
+            rng: StdRng::seed_from_u64(plan.seed),
+            daemons: start_daemons(&names),
+            persistence: vec![Persistence::default(); names.len()],
+            row: None,
+            names,
+            upstreams: vec![(0, 0); plan.upstreams],
+            running: Vec::new(),
+            in_flight: BTreeMap::new(),
+            outcome: Outcome::default(),
+            requests: 0,
+            plan,
+        }
+    }
+
+    pub(super) fn run(mut self, length_us: u64) -> Outcome {
+        let mut now_us = 0;
+        while now_us < length_us {
+            now_us += STEP_US;
+            if let Some(killed_us) = self.plan.killed_us
+                && now_us >= killed_us
+                && now_us < killed_us + DOWN_US
+            {
+                self.kill_all();
+                continue;
+            }
+            self.deliver(now_us);
+            let mut arrivals = self.plan.requests_per_s * 0.01;
+            while arrivals > 0.0 {
+                if self.rng.random_bool(arrivals.min(1.0)) {
+                    self.arrive(now_us);
+                }
+                arrivals -= 1.0;
+            }
+            self.crash_by_themselves(now_us, length_us);
+            self.advance(now_us);
+            self.tick(now_us);
+        }
+        let innocent = self.daemons[0].parts(now_us);
+        self.outcome.innocent = innocent.iter().filter(|part| part.part != DEADLY).count();
+        self.outcome
+    }
+
+    fn kill_all(&mut self) {
+        self.daemons = start_daemons(&self.names);
+        self.persistence = vec![Persistence::default(); self.names.len()];
+        self.running.clear();
+        self.in_flight.clear();
+    }
+
+    /// Makes the calls of the store that are due at a daemon.
+    fn call_store(&mut self, now_us: u64, index: usize) {
+        let unix_ms = now_us / MS_US;
+        let (daemon, persistence) = (&mut self.daemons[index], &mut self.persistence[index]);
+        let stored_version = self.row.as_ref().map(|(version, _)| *version);
+        match persistence.next_step(now_us, unix_ms, daemon) {
+            PersistenceStep::Wait => {}
+            PersistenceStep::Write { version, snapshot } if version == stored_version => {
+                let version = version.unwrap_or(0) + 1;
+                self.row = Some((version, snapshot));
+                persistence.handle_write(now_us, version);
+            }
+            PersistenceStep::Read | PersistenceStep::Write { .. } => {
+                let snapshot = self.row.as_ref().map(|(_, snapshot)| snapshot);
+                persistence.handle_read(now_us, unix_ms, stored_version, snapshot, daemon);
+            }
+        }
+    }
+
+    /// Draws a request: a common first part, a subject, and a part of its own. Deadly requests have
+    /// the deadly part besides, and always the same other parts.
+    pub(super) fn arrive(&mut self, now_us: u64) {
+        self.requests += 1;
+        let is_deadly = now_us > 4 * S_US && self.rng.random_bool(self.plan.deadly_share);
+        let (first, subject) = if is_deadly {
+            (1, 100)
+        } else {
+            let first = self.rng.random_range(1..=4);
+            (
+                first,
+                100 * first + self.rng.random_range(0..self.plan.subjects) * 1_000,
+            )
+        };
+        let mut parts = vec![first, subject];
+        if is_deadly {
+            parts.insert(self.plan.deadly_position, DEADLY);
+        }
+        let parts = PromptParts::new(parts.into_iter().chain([(1 << 50) + self.requests]));
+        let daemon = self.rng.random_range(0..self.daemons.len());
+        let is_companion = !is_deadly && first == 1;
+        let fifth_us = self.outcome.crashes_us.get(4).copied();
+        let is_late = fifth_us.is_some_and(|fifth_us| now_us > fifth_us + 2 * CONTACT_US);
+        if let Admission::Refused { .. } = self.daemons[daemon].admit(now_us, &parts) {
+            if is_deadly {
+                self.outcome.quarantined_us.get_or_insert(now_us);
+            } else {
+                self.outcome.sound_refused += 1;
+                self.outcome.companions.1 += usize::from(is_companion && is_late);
+            }
+            return;
+        }
+        if is_deadly {
+            self.outcome.deadly_sends_us.push(now_us);
+        }
+        self.outcome.companions.0 += usize::from(is_companion && is_late);
+        self.start(now_us, daemon, parts, is_deadly, 1);
+    }
+
+    /// Sends a request to an upstream that is up.
+    fn start(
+        &mut self,
+        now_us: u64,
+        daemon: usize,
+        parts: PromptParts,
+        is_deadly: bool,
+        attempt: u32,
+    ) {
+        let up: Vec<usize> = (0..self.upstreams.len())
+            .filter(|&upstream| self.upstreams[upstream].1 <= now_us)
+            .collect();
+        if up.is_empty() {
+            return;
+        }
+        let upstream = up[self.rng.random_range(0..up.len())];
+        let begins_us = now_us + self.rng.random_range(50..700) * MS_US;
+        self.running.push(Running {
+            daemon,
+            upstream,
+            parts,
+            is_deadly,
+            attempt,
+            begins_us,
+            ends_us: begins_us + self.rng.random_range(200..2_000) * MS_US,
+            reported: false,
+            answer_lost: self.rng.random_bool(self.plan.lost_answers),
+        });
+    }
+
+    fn crash_by_themselves(&mut self, now_us: u64, length_us: u64) {
+        let count = self.plan.ordinary_crashes;
+        if count == 0 || !(now_us / STEP_US).is_multiple_of(length_us / STEP_US / count) {
+            return;
+        }
+        for upstream in 0..self.upstreams.len() {
+            if self.rng.random_bool(1.0 / 6.0) {
+                self.crash(now_us, upstream);
+            }
+        }
+    }
+
+    fn crash(&mut self, now_us: u64, upstream: usize) {
+        let name = format!("engine-{upstream}-{}", self.upstreams[upstream].0);
+        self.upstreams[upstream].0 += 1;
+        self.upstreams[upstream].1 = now_us + 3 * S_US;
+        let lost = self
+            .running
+            .extract_if(.., |request| request.upstream == upstream);
+        for request in lost.collect::<Vec<_>>() {
+            if request.is_deadly || request.begins_us >= now_us {
+                self.lose(now_us, &name, request);
+            }
+        }
+    }
+
+    /// Records that a request was lost before its answer began, and tries it again.
+    fn lose(&mut self, now_us: u64, upstream: &str, request: Running) {
+        let daemon = &mut self.daemons[request.daemon];
+        daemon.record_loss(now_us, upstream, &request.parts);
+        let is_held = daemon.quarantined_part(&request.parts).is_some();
+        if request.attempt < self.plan.attempts && !is_held {
+            if request.is_deadly {
+                self.outcome.deadly_sends_us.push(now_us);
+            }
+            let (parts, attempt) = (request.parts, request.attempt + 1);
+            self.start(now_us, request.daemon, parts, request.is_deadly, attempt);
+        }
+    }
+
+    pub(super) fn advance(&mut self, now_us: u64) {
+        let mut index = 0;
+        while index < self.running.len() {
+            let request = &mut self.running[index];
+            if request.begins_us > now_us {
+                index += 1;
+                continue;
+            }
+            if request.is_deadly {
+                let upstream = request.upstream;
+                self.outcome.crashes_us.push(now_us);
+                self.crash(now_us, upstream);
+                index = 0;
+                continue;
+            }
+            if request.answer_lost {
+                let request = self.running.swap_remove(index);
+                let restarts = self.upstreams[request.upstream].0;
+                let name = format!("engine-{}-{restarts}", request.upstream);
+                self.lose(now_us, &name, request);
+                continue;
+            }
+            if !request.reported && request.begins_us + 100 * MS_US <= now_us {
+                request.reported = true;
+                self.daemons[request.daemon].record_answer(now_us, &request.parts);
+            }
+            if request.ends_us <= now_us {
+                self.running.swap_remove(index);
+            } else {
+                index += 1;
+            }
+        }
+    }
+
+    pub(super) fn tick(&mut self, now_us: u64) {
+        for index in 0..self.daemons.len() {
+            let offset_us = now_us + index as u64 * STEP_US;
+            if offset_us.is_multiple_of(STORE_INTERVAL_US) {
+                self.call_store(now_us, index);
+            }
+            if !offset_us.is_multiple_of(10 * STEP_US) {
+                continue;
+            }
+            self.daemons[index].tick(now_us);
+            for (to, message) in self.daemons[index].take_messages(now_us, &mut self.rng) {
+                let to = self.names.iter().position(|name| *name == to).unwrap();
+                self.send(now_us, index, to, message);
+            }
+        }
+    }
+
+    fn send(&mut self, now_us: u64, from: usize, to: usize, message: Message) {
+        self.outcome.messages += 1;
+        if self.rng.random_bool(self.plan.lost_messages) {
+            return;
+        }
+        let at_us = now_us + self.rng.random_range(1..60) * MS_US;
+        let key = (at_us, self.outcome.messages);
+        self.in_flight.insert(key, (from, to, message));
+    }
+
+    pub(super) fn deliver(&mut self, now_us: u64) {
+        while let Some(entry) = self.in_flight.first_entry() {
+            if entry.key().0 > now_us {
+                break;
+            }
+            let (from, to, message) = entry.remove();
+            for reply in self.daemons[to].receive(now_us, &message) {
+                self.send(now_us, to, from, reply);
+            }
+        }
+    }
+}
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -8,13 +8,20 @@
     LossReport, PromptParts, Verdict, VerdictState,
     answered_parts::AnsweredParts,
     crash_log::CrashLog,
-    trial_home,
     verdicts::{Known, Verdicts},
 };
 
+mod admission;
 mod exchange;
+mod operators;
 mod snapshots;
 
+use self::admission::Trial;
+pub use self::{
+    admission::Admission,
+    operators::{CrashEvidence, QuarantinedPart},
+};
+
 /// Age that times before the start of the daemon may have; its own clock starts at 0.
 const BEFORE_START_US: u64 = 3_600_000_000;
 
@@ -22,82 +29,15 @@
 /// the answer of one that clears the part comes back, in about this time.
 const CONFIRM_US: u64 = 1_000_000;
 
-/// Time from a quarantine to its first trial; each failed trial doubles it.
-const TRIAL_AFTER_US: u64 = 60_000_000;
-
-/// Longest time between two trials.
-const TRIAL_AFTER_MAX_US: u64 = 1_800_000_000;
-
-/// Bounds of the time after which a refused caller may come back.
-const RETRY_AFTER_RANGE_MS: (u64, u64) = (5_000, 60_000);
-
 /// Largest number of losses that wait to be reported; further ones are not reported.
 const REPORTS_MAX: usize = 64;
 
 /// Largest number of parts whose last clearance is remembered.
 const CLEARANCES_MAX: usize = 1_024;
 
-/// Largest number of crashes that an operator is shown for a part.
-const EVIDENCE_MAX: usize = 16;
-
 /// Time after the start, or after a suspension, for which a daemon without verdicts asks others.
 const CATCH_UP_US: u64 = 10_000_000;
 
-/// Whether a request may be sent to an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// It may.
-    Admitted,
-    /// It may, as the trial of a quarantined part.
-    Trial {
-        /// Quarantined part.
-        part: u64,
-    },
-    /// It may not.
-    Refused {
-        /// Quarantined part.
-        part: u64,
-        /// Time until the part may have been released.
-        retry_after_ms: u64,
-    },
-}
-
-/// Crash that speaks against a part, for operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CrashEvidence {
-    /// Time since the crash, in milliseconds.
-    pub age_ms: u64,
-    /// Hash of the upstream's name.
-    pub upstream: u64,
-    /// Last parts of the prompts that were lost, which tell the requests apart.
-    pub requests: Vec<u64>,
-}
-
-/// Suspected or quarantined part, for operators.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuarantinedPart {
-    /// Identifier of the part.
-    pub part: u64,
-    /// State.
-    pub state: VerdictState,
-    /// Time since its state last changed, in milliseconds.
-    pub age_ms: u32,
-    /// Number of crashes that it explained when it was suspected.
-    pub crashes: u32,
-    /// Number of failed trials.
-    pub failed_trials: u32,
-    /// The latest of these crashes, as far as this daemon knows them: those that gather the evidence
-    /// know all, others only their own losses.
-    pub evidence: Vec<CrashEvidence>,
-}
-
-/// Trial of a quarantined part at this daemon.
-#[derive(Debug, Clone, Copy)]
-struct Trial {
-    part: u64,
-    started_us: u64,
-}
-
 /// Quarantine of prompt parts, as one daemon knows it.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
@@ -144,43 +84,6 @@
         self.next_compare_us = now_us;
     }
 
-    /// Decides whether a request may be sent to an upstream.
-    pub fn admit(&mut self, now_us: u64, parts: &PromptParts) -> Admission {
-        let now_us = since_origin(now_us);
-        let mut admission = Admission::Admitted;
-        for &part in parts.shared() {
-            match self.admit_part(now_us, part) {
-                Admission::Admitted => {}
-                trial @ Admission::Trial { .. } => admission = trial,
-                refused @ Admission::Refused { .. } => return refused,
-            }
-        }
-        if let Admission::Trial { part } = admission {
-            self.trials.retain(|trial| trial.part != part);
-            self.trials.push(Trial {
-                part,
-                started_us: now_us,
-            });
-        }
-        admission
-    }
-
-    /// Returns the quarantined part of a prompt, if it has one.
-    #[must_use]
-    pub fn quarantined_part(&self, parts: &PromptParts) -> Option<u64> {
-        let mut parts = parts.shared().iter().copied();
-        parts.find(|&part| self.state(part) == Some(VerdictState::Quarantined))
-    }
-
-    /// Returns when the caller of a request with a quarantined part may come back.
-    #[must_use]
-    pub fn retry_after_ms(&self, now_us: u64, part: u64) -> u64 {
-        let now_us = since_origin(now_us);
-        let known = self.verdicts.get(part);
-        let due_us = known.map_or(now_us, |known| self.trial_due_us(known));
-        retry_after_ms(now_us, due_us)
-    }
-
     /// Records that an answer to a request began: none of its parts crashes upstreams.
     pub fn record_answer(&mut self, now_us: u64, parts: &PromptParts) {
         let now_us = since_origin(now_us);
@@ -221,19 +124,6 @@
         }
     }
 
-    /// Releases a part, as an operator asks.
-    ///
-    /// Returns whether it was suspected or quarantined.
-    pub fn release(&mut self, now_us: u64, part: u64) -> bool {
-        let now_us = since_origin(now_us);
-        let state = self.state(part);
-        let held = state.is_some_and(|state| state != VerdictState::Cleared);
-        if held {
-            self.clear(now_us, part);
-        }
-        held
-    }
-
     /// Judges the evidence; call it about every 100 ms.
     pub fn tick(&mut self, now_us: u64) {
         let now_us = since_origin(now_us);
@@ -263,66 +153,10 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns the suspected and quarantined parts.
-    #[must_use]
-    pub fn parts(&self, now_us: u64) -> Vec<QuarantinedPart> {
-        let now_us = since_origin(now_us);
-        let known = self.verdicts.iter();
-        let held = known.filter(|known| known.state() != VerdictState::Cleared);
-        held.map(|known| QuarantinedPart {
-            part: known.part(),
-            state: known.state(),
-            age_ms: known.verdict(now_us).age_ms,
-            crashes: known.crashes(),
-            failed_trials: known.failed_trials(),
-            evidence: self.evidence(now_us, known.part()),
-        })
-        .collect()
-    }
-
-    fn evidence(&self, now_us: u64, part: u64) -> Vec<CrashEvidence> {
-        let cleared_us = clearance_us(&self.clearances, part);
-        let crashes = self.log.crashes_with(part, cleared_us);
-        let evidence = crashes.take(EVIDENCE_MAX).map(|crash| CrashEvidence {
-            age_ms: now_us.saturating_sub(crash.at_us) / 1_000,
-            upstream: crash.upstream,
-            requests: crash.requests,
-        });
-        evidence.collect()
-    }
-
     fn state(&self, part: u64) -> Option<VerdictState> {
         Some(self.verdicts.get(part)?.state())
     }
 
-    fn admit_part(&self, now_us: u64, part: u64) -> Admission {
-        let Some(known) = self.verdicts.get(part) else {
-            return Admission::Admitted;
-        };
-        if known.state() != VerdictState::Quarantined {
-            return Admission::Admitted;
-        }
-        let due_us = self.trial_due_us(known);
-        if now_us >= due_us && self.is_trial_home(part) {
-            return Admission::Trial { part };
-        }
-        Admission::Refused {
-            part,
-            retry_after_ms: retry_after_ms(now_us, due_us),
-        }
-    }
-
-    fn trial_due_us(&self, known: &Known) -> u64 {
-        let tried = self.trials.iter().find(|trial| trial.part == known.part());
-        let since_us = tried.map_or(known.changed_us, |trial| trial.started_us);
-        since_us.saturating_add(trial_interval_us(known.failed_trials()))
-    }
-
-    fn is_trial_home(&self, part: u64) -> bool {
-        let live = self.live.iter().map(AsRef::as_ref);
-        trial_home(live.chain([self.name.as_ref()]), part) == Some(self.name.as_ref())
-    }
-
     /// Returns the parts that may be responsible for a loss. Of a long prompt these are the last ones
     /// to which no answer is known; earlier parts are shared by more requests and answered sooner.
     fn reported_parts(&self, parts: &PromptParts) -> Vec<u64> {
@@ -453,19 +287,6 @@
     now_us + BEFORE_START_US
 }
 
-/// Returns when a refused caller may come back, if the next trial is due at `due_us`.
-fn retry_after_ms(now_us: u64, due_us: u64) -> u64 {
-    let left_ms = due_us.saturating_sub(now_us).div_ceil(1_000);
-    let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
-    left_ms.clamp(min_ms, max_ms)
-}
-
-/// Returns the time between two trials of a part after this many failed ones.
-fn trial_interval_us(failed_trials: u32) -> u64 {
-    let interval_us = TRIAL_AFTER_US.saturating_mul(1 << failed_trials.min(10));
-    interval_us.min(TRIAL_AFTER_MAX_US)
-}
-
 /// Returns when a part was last cleared.
 fn clearance_us(clearances: &[(u64, u64)], part: u64) -> Option<u64> {
     let found = clearances.binary_search_by_key(&part, |&(part, _)| part);
--- /dev/null
+++ b/crates/quarantine/src/quarantine/admission.rs
@@ -0,0 +1,119 @@
+//! Whether a request may be sent to an upstream.
+
+use super::{Quarantine, since_origin};
+use crate::{PromptParts, VerdictState, trial_home, verdicts::Known};
+
+/// Time from a quarantine to its first trial; each failed trial doubles it.
+const TRIAL_AFTER_US: u64 = 60_000_000;
+
+/// Longest time between two trials.
+const TRIAL_AFTER_MAX_US: u64 = 1_800_000_000;
+
+/// Bounds of the time after which a refused caller may come back.
+const RETRY_AFTER_RANGE_MS: (u64, u64) = (5_000, 60_000);
+
+/// Whether a request may be sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It may.
+    Admitted,
+    /// It may, as the trial of a quarantined part.
+    Trial {
+        /// Quarantined part.
+        part: u64,
+    },
+    /// It may not.
+    Refused {
+        /// Quarantined part.
+        part: u64,
+        /// Time until the part may have been released.
+        retry_after_ms: u64,
+    },
+}
+
+/// Trial of a quarantined part at this daemon.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Trial {
+    pub(super) part: u64,
+    pub(super) started_us: u64,
+}
+
+impl Quarantine {
+    /// Decides whether a request may be sent to an upstream.
+    pub fn admit(&mut self, now_us: u64, parts: &PromptParts) -> Admission {
+        let now_us = since_origin(now_us);
+        let mut admission = Admission::Admitted;
+        for &part in parts.shared() {
+            match self.admit_part(now_us, part) {
+                Admission::Admitted => {}
+                trial @ Admission::Trial { .. } => admission = trial,
+                refused @ Admission::Refused { .. } => return refused,
+            }
+        }
+        if let Admission::Trial { part } = admission {
+            self.trials.retain(|trial| trial.part != part);
+            self.trials.push(Trial {
+                part,
+                started_us: now_us,
+            });
+        }
+        admission
+    }
+
+    /// Returns the quarantined part of a prompt, if it has one.
+    #[must_use]
+    pub fn quarantined_part(&self, parts: &PromptParts) -> Option<u64> {
+        let mut parts = parts.shared().iter().copied();
+        parts.find(|&part| self.state(part) == Some(VerdictState::Quarantined))
+    }
+
+    /// Returns when the caller of a request with a quarantined part may come back.
+    #[must_use]
+    pub fn retry_after_ms(&self, now_us: u64, part: u64) -> u64 {
+        let now_us = since_origin(now_us);
+        let known = self.verdicts.get(part);
+        let due_us = known.map_or(now_us, |known| self.trial_due_us(known));
+        retry_after_ms(now_us, due_us)
+    }
+
+    fn admit_part(&self, now_us: u64, part: u64) -> Admission {
+        let Some(known) = self.verdicts.get(part) else {
+            return Admission::Admitted;
+        };
+        if known.state() != VerdictState::Quarantined {
+            return Admission::Admitted;
+        }
+        let due_us = self.trial_due_us(known);
+        if now_us >= due_us && self.is_trial_home(part) {
+            return Admission::Trial { part };
+        }
+        Admission::Refused {
+            part,
+            retry_after_ms: retry_after_ms(now_us, due_us),
+        }
+    }
+
+    fn trial_due_us(&self, known: &Known) -> u64 {
+        let tried = self.trials.iter().find(|trial| trial.part == known.part());
+        let since_us = tried.map_or(known.changed_us, |trial| trial.started_us);
+        since_us.saturating_add(trial_interval_us(known.failed_trials()))
+    }
+
+    fn is_trial_home(&self, part: u64) -> bool {
+        let live = self.live.iter().map(AsRef::as_ref);
+        trial_home(live.chain([self.name.as_ref()]), part) == Some(self.name.as_ref())
+    }
+}
+
+/// Returns when a refused caller may come back, if the next trial is due at `due_us`.
+fn retry_after_ms(now_us: u64, due_us: u64) -> u64 {
+    let left_ms = due_us.saturating_sub(now_us).div_ceil(1_000);
+    let (min_ms, max_ms) = RETRY_AFTER_RANGE_MS;
+    left_ms.clamp(min_ms, max_ms)
+}
+
+/// Returns the time between two trials of a part after this many failed ones.
+fn trial_interval_us(failed_trials: u32) -> u64 {
+    let interval_us = TRIAL_AFTER_US.saturating_mul(1 << failed_trials.min(10));
+    interval_us.min(TRIAL_AFTER_MAX_US)
+}
--- a/crates/quarantine/src/quarantine/snapshots.rs
+++ b/crates/quarantine/src/quarantine/snapshots.rs
@@ -1,7 +1,7 @@
 //! Snapshots for daemons that start later.
 
 use super::{Quarantine, since_origin};
-use crate::{LossReport, Snapshot, Verdict, VerdictState, home_rank};
+use crate::{Snapshot, Verdict, VerdictState, home_rank};
 
 impl Quarantine {
     /// Returns the number of changes of the evidence and the verdicts.
@@ -42,50 +42,45 @@
         let now_us = since_origin(now_us);
         let elapsed_ms = unix_ms.saturating_sub(snapshot.taken_unix_ms);
         let elapsed_ms = u32::try_from(elapsed_ms).unwrap_or(u32::MAX);
-        let age = |age_ms: u32| {
-            let age_ms = age_ms.saturating_add(elapsed_ms);
-            (age_ms, now_us.checked_sub(u64::from(age_ms) * 1_000))
-        };
+        // What is older than the clock can tell has expired anyway.
+        let at_us = |age_ms: u32| now_us.checked_sub(u64::from(age_ms) * 1_000);
         for &(part, age_ms) in &snapshot.answered {
-            if let (_, Some(answered_us)) = age(age_ms)
+            let answered_us = at_us(age_ms.saturating_add(elapsed_ms));
+            if let Some(answered_us) = answered_us
                 && self.answered.last_us(part) < Some(answered_us)
             {
                 self.answered.insert(answered_us, part);
             }
         }
         for verdict in &snapshot.verdicts {
-            let (age_ms, Some(changed_us)) = age(verdict.age_ms) else {
+            let mut verdict = *verdict;
+            verdict.age_ms = verdict.age_ms.saturating_add(elapsed_ms);
+            let Some(changed_us) = at_us(verdict.age_ms) else {
                 continue;
             };
-            let restored = Verdict { age_ms, ..*verdict };
             match verdict.state {
-                // Only crashes before its clearance are excused, not all before the restart.
-                VerdictState::Cleared if self.verdicts.merge(now_us, restored, 0) => {
-                    self.note_clearance(changed_us, verdict.part);
-                    self.note_change(now_us, verdict.part);
+                VerdictState::Cleared => self.restore_clearance(now_us, verdict, changed_us),
+                VerdictState::Suspected => {
+                    // Daemons that started lately need their time to see an answer to it.
+                    verdict.age_ms = 0;
+                    self.merge(now_us, verdict);
                 }
-                VerdictState::Cleared => {}
-                // Daemons that started lately need their time to see an answer to it.
-                VerdictState::Suspected => self.merge(
-                    now_us,
-                    Verdict {
-                        age_ms: 0,
-                        ..*verdict
-                    },
-                ),
-                VerdictState::Quarantined => self.merge(now_us, restored),
+                VerdictState::Quarantined => self.merge(now_us, verdict),
             }
         }
         // The log groups crashes in the order of their arrival.
         for report in snapshot.losses.iter().rev() {
-            let (age_ms, at_us) = age(report.age_ms);
-            if let Some(at_us) = at_us {
-                let report = LossReport {
-                    age_ms,
-                    ..report.clone()
-                };
-                self.add_loss(at_us, &report);
+            if let Some(at_us) = at_us(report.age_ms.saturating_add(elapsed_ms)) {
+                self.add_loss(at_us, report);
             }
         }
     }
+
+    /// Merges a clearance that excuses only the crashes before it, not all before the restart.
+    fn restore_clearance(&mut self, now_us: u64, verdict: Verdict, cleared_us: u64) {
+        if self.verdicts.merge(now_us, verdict, 0) {
+            self.note_clearance(cleared_us, verdict.part);
+            self.note_change(now_us, verdict.part);
+        }
+    }
 }
