--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -61,8 +61,8 @@
     run_seed("207", "8");
 }
 
-/// Guards against what a run of this seed showed: a request of the final load that was served late.
-/// The whole machine had stood still for seconds, other programs on it too.
+/// Guards against a request of the final load that isn't served in time. Its one failure followed a
+/// suspension of all daemons, whose cause is not known.
 #[test]
 fn holds_promises_of_seed_423() {
     run_seed("423", "8");
