fix(quarantine): the release of a part blames no other part for its crashes

What operators saw: after they had released a part, another part of the same requests was quarantined a second later, by the same crashes.

Cause: a release excused the crashes before it for the released part alone. The next loss that was reported, also one from before the release, had all evidence judged again, and the part that stood beside the released one in each lost request explained all of it.

Change: a release is a state of its own. Crashes at which a request with the part was lost until then are settled: they count against no part, whichever daemon reports them and when, and are not saved in the store any more. A clearance by an answer stays as it was: there the part is innocent, so that others have to explain its crashes.

--- a/crates/daemon/src/prompt_evidence.rs
+++ b/crates/daemon/src/prompt_evidence.rs
@@ -86,6 +86,7 @@
         VerdictState::Suspected => "suspected",
         VerdictState::Quarantined => "quarantined",
         VerdictState::Cleared => "cleared",
+        VerdictState::Released => "released",
     };
     warn!(
         "prompt: part {state} part={:016x} epoch={} crashes={} failed_trials={} age_ms={}",
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -47,6 +47,15 @@
     fn has(&self, part: u64) -> bool {
         self.losses_with(part).next().is_some()
     }
+
+    /// Returns whether a part of a lost request was released since.
+    fn is_settled<R>(&self, released_us: R) -> bool
+    where
+        R: Fn(u64) -> Option<u64>,
+    {
+        let mut parts = self.losses.iter().flat_map(|loss| &loss.parts);
+        parts.any(|&part| released_us(part) >= Some(self.at_us))
+    }
 }
 
 /// Part that explains several crashes.
@@ -111,9 +120,14 @@
         true
     }
 
-    /// Returns reports of the lost requests, those of the last crashes first.
-    pub(crate) fn reports(&self, now_us: u64) -> impl Iterator<Item = LossReport> {
-        self.crashes.iter().rev().flat_map(move |crash| {
+    /// Returns reports of the lost requests that still count, those of the last crashes first.
+    pub(crate) fn reports<R>(&self, now_us: u64, released_us: R) -> impl Iterator<Item = LossReport>
+    where
+        R: Fn(u64) -> Option<u64>,
+    {
+        let crashes = self.crashes.iter().rev();
+        let crashes = crashes.filter(move |crash| !crash.is_settled(&released_us));
+        crashes.flat_map(move |crash| {
             let age_ms = now_us.saturating_sub(crash.at_us) / 1_000;
             crash.losses.iter().map(move |loss| LossReport {
                 upstream: crash.upstream,
@@ -125,14 +139,20 @@
     }
 
     /// Returns the crashes at which requests with a part were lost, the latest first.
-    pub(crate) fn crashes_with(
+    pub(crate) fn crashes_with<R>(
         &self,
         part: u64,
         cleared_us: Option<u64>,
-    ) -> impl Iterator<Item = CrashWithPart> {
+        released_us: R,
+    ) -> impl Iterator<Item = CrashWithPart>
+    where
+        R: Fn(u64) -> Option<u64>,
+    {
         let crashes = self.crashes.iter().rev();
         let crashes = crashes.filter(move |crash| {
-            crash.has(part) && cleared_us.is_none_or(|cleared_us| crash.at_us > cleared_us)
+            crash.has(part)
+                && cleared_us.is_none_or(|cleared_us| crash.at_us > cleared_us)
+                && !crash.is_settled(&released_us)
         });
         crashes.map(move |crash| CrashWithPart {
             at_us: crash.at_us,
@@ -148,30 +168,40 @@
     }
 
     /// Returns whether enough crashes after its clearance speak against a part.
-    pub(crate) fn is_evident(&self, part: u64, cleared_us: Option<u64>) -> bool {
-        let crashes = self
-            .crashes
-            .iter()
-            .filter(|crash| cleared_us.is_none_or(|cleared_us| crash.at_us > cleared_us));
+    pub(crate) fn is_evident<R>(&self, part: u64, cleared_us: Option<u64>, released_us: R) -> bool
+    where
+        R: Fn(u64) -> Option<u64>,
+    {
+        let crashes = self.crashes.iter().filter(|crash| {
+            cleared_us.is_none_or(|cleared_us| crash.at_us > cleared_us)
+                && !crash.is_settled(&released_us)
+        });
         count_evidence(part, crashes) >= EVIDENCE_MIN
     }
 
     /// Returns the parts that explain the crashes, as few as possible, with the most likely first.
     ///
     /// `cleared_us` returns when a part was last cleared: earlier crashes don't count against it.
-    /// `is_answered` returns whether an answer to a part is known to have begun at any time, and
+    /// `released_us` returns when a part was last released: earlier crashes with it count against
+    /// no part. `is_answered` returns whether an answer to a part is known to have begun at any time, and
     /// `is_quarantined` whether a part is a known culprit, which explains its crashes first.
-    pub(crate) fn culprits<C, A, Q>(
+    pub(crate) fn culprits<C, R, A, Q>(
         &self,
         cleared_us: C,
+        released_us: R,
         is_answered: A,
         is_quarantined: Q,
     ) -> Vec<Culprit>
     where
         C: Fn(u64) -> Option<u64>,
+        R: Fn(u64) -> Option<u64>,
         A: Fn(u64) -> bool,
         Q: Fn(u64) -> bool,
     {
+        let crashes = self.crashes.iter();
+        let settled: Vec<bool> = crashes
+            .map(|crash| crash.is_settled(&released_us))
+            .collect();
         let counts = |crash: &Crash, part: u64| {
             cleared_us(part).is_none_or(|cleared_us| crash.at_us > cleared_us)
         };
@@ -180,7 +210,7 @@
             let crashes = crashes.filter(|(crash, explained)| !**explained && counts(crash, part));
             count_evidence(part, crashes.map(|(crash, _)| crash))
         };
-        let mut explained = vec![false; self.crashes.len()];
+        let mut explained = settled.clone();
         let explain = |explained: &mut [bool], part: u64| {
             for (explained, crash) in explained.iter_mut().zip(&self.crashes) {
                 *explained |= counts(crash, part) && crash.has(part);
@@ -210,11 +240,10 @@
             candidates.retain(|candidate| candidate.part != culprit.part);
             chosen.push(culprit);
         }
-        self.drop_redundant(&mut chosen, &evidence);
-        let unexplained = vec![false; self.crashes.len()];
+        self.drop_redundant(&mut chosen, &settled, &evidence);
         let culprits = chosen.into_iter().map(|candidate| Culprit {
             part: candidate.part,
-            crashes: evidence(candidate.part, &unexplained),
+            crashes: evidence(candidate.part, &settled),
         });
         culprits.collect()
     }
@@ -290,15 +319,14 @@
     /// Drops parts whose crashes the others explain too, those with the least evidence first.
     ///
     /// A part that occurs only behind another one stays: requests with it are held back anyway.
-    fn drop_redundant<E>(&self, chosen: &mut Vec<Candidate>, evidence: &E)
+    fn drop_redundant<E>(&self, chosen: &mut Vec<Candidate>, settled: &[bool], evidence: &E)
     where
         E: Fn(u64, &[bool]) -> u32,
     {
         if chosen.len() < 2 {
             return;
         }
-        let unexplained = vec![false; self.crashes.len()];
-        chosen.sort_by_key(|candidate| std::cmp::Reverse(evidence(candidate.part, &unexplained)));
+        chosen.sort_by_key(|candidate| std::cmp::Reverse(evidence(candidate.part, settled)));
         let mut index = chosen.len();
         while index > 0 {
             index -= 1;
@@ -310,7 +338,8 @@
             let explained: Vec<bool> = self
                 .crashes
                 .iter()
-                .map(|crash| others.iter().any(|&other| crash.has(other)))
+                .zip(settled)
+                .map(|(crash, settled)| *settled || others.iter().any(|&other| crash.has(other)))
                 .collect();
             if evidence(part, &explained) < EVIDENCE_MIN {
                 chosen.remove(index);
--- a/crates/quarantine/src/crash_log_tests.rs
+++ b/crates/quarantine/src/crash_log_tests.rs
@@ -111,7 +111,12 @@
         for &(at, upstream, parts, own) in losses {
             log.record(at * S_US / 10, upstream, parts, own);
         }
-        let culprits = log.culprits(|_| None, |part| (1..=3).contains(&part), |_| false);
+        let culprits = log.culprits(
+            |_| None,
+            |_| None,
+            |part| (1..=3).contains(&part),
+            |_| false,
+        );
         let mut parts: Vec<u64> = culprits.iter().map(|culprit| culprit.part).collect();
         parts.sort_unstable();
         assert_eq!(parts, expected, "{name}");
@@ -125,11 +130,11 @@
     for crash in 1..=4 {
         log.record(crash * S_US, crash, &[9], 100 + crash);
     }
-    let culprits = |cleared_us| log.culprits(|_| Some(cleared_us), |_| false, |_| false);
+    let culprits = |cleared_us| log.culprits(|_| Some(cleared_us), |_| None, |_| false, |_| false);
     assert_eq!(culprits(S_US)[0].crashes, 3);
     assert!(culprits(2 * S_US).is_empty());
-    assert!(log.is_evident(9, Some(S_US)));
-    assert!(!log.is_evident(9, Some(2 * S_US)));
+    assert!(log.is_evident(9, Some(S_US), |_| None));
+    assert!(!log.is_evident(9, Some(2 * S_US), |_| None));
 }
 
 /// Guards against a known culprit that is taken for innocent because requests with the part before
@@ -141,7 +146,36 @@
         let parts: &[u64] = if crash <= 3 { &[5, 9] } else { &[5] };
         log.record(crash * 10 * S_US, crash, parts, 100 + crash);
     }
-    let culprits = log.culprits(|_| None, |_| false, |part| part == 9);
+    let culprits = log.culprits(|_| None, |_| None, |_| false, |part| part == 9);
     let parts: Vec<u64> = culprits.iter().map(|culprit| culprit.part).collect();
     assert_eq!(parts, [5, 9]);
 }
+
+/// Guards against crashes that still count after one of their parts was released: against the parts
+/// beside it, and against requests that were lost with it by chance.
+#[test]
+fn crashes_before_a_release_do_not_count() {
+    let mut log = CrashLog::default();
+    for crash in 1..=3 {
+        log.record(crash * S_US, crash, &[5, 9], 100 + crash);
+        log.record(crash * S_US, crash, &[6], 200 + crash);
+    }
+    let parts = |log: &CrashLog, released_us| -> Vec<u64> {
+        let released_us = |part| (part == 9).then_some(released_us);
+        let culprits = log.culprits(released_us, released_us, |_| false, |_| false);
+        culprits.iter().map(|culprit| culprit.part).collect()
+    };
+    assert_eq!(parts(&log, 0), [9]);
+    assert!(parts(&log, 3 * S_US).is_empty());
+    let released_us = |part| (part == 9).then_some(3 * S_US);
+    assert!(!log.is_evident(6, None, released_us));
+    assert_eq!(log.crashes_with(5, None, released_us).count(), 0);
+    assert_eq!(log.reports(4 * S_US, released_us).count(), 0);
+    // A loss that is reported late belongs to a crash before the release.
+    log.record(3 * S_US + 1, 3, &[6], 204);
+    assert!(parts(&log, 3 * S_US).is_empty());
+    for crash in 4..=6 {
+        log.record(crash * S_US, crash, &[5], 100 + crash);
+    }
+    assert_eq!(parts(&log, 3 * S_US), [5]);
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -42,6 +42,7 @@
 mod crash_log;
 mod homes;
 mod message;
+mod part_times;
 mod persistence;
 mod prompt_parts;
 mod quarantine;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -8,6 +8,7 @@
     LossReport, PromptParts, Verdict, VerdictState,
     answered_parts::AnsweredParts,
     crash_log::CrashLog,
+    part_times::PartTimes,
     verdicts::{Known, Verdicts},
 };
 
@@ -32,9 +33,6 @@
 /// Largest number of losses that wait to be reported; further ones are not reported.
 const REPORTS_MAX: usize = 64;
 
-/// Largest number of parts whose last clearance is remembered.
-const CLEARANCES_MAX: usize = 1_024;
-
 /// Time after the start, or after a suspension, for which a daemon without verdicts asks others.
 const CATCH_UP_US: u64 = 10_000_000;
 
@@ -49,8 +47,10 @@
     log_changed: bool,
     answered: AnsweredParts,
     verdicts: Verdicts,
-    /// Part and time of the last clearance, sorted by part.
-    clearances: Vec<(u64, u64)>,
+    /// Earlier crashes don't count against these parts.
+    clearances: PartTimes,
+    /// Earlier crashes with these parts count against no part.
+    releases: PartTimes,
     trials: Vec<Trial>,
     /// Losses that are still to be reported, with their time.
     reports: Vec<(u64, LossReport)>,
@@ -90,7 +90,7 @@
         for &part in parts.shared() {
             self.answered.insert(now_us, part);
             let state = self.state(part);
-            if state.is_some_and(|state| state != VerdictState::Cleared) {
+            if state.is_some_and(VerdictState::is_held) {
                 self.clear(now_us, part);
             }
         }
@@ -184,7 +184,8 @@
     /// Suspects, quarantines and clears parts by the evidence.
     fn judge(&mut self, now_us: u64) {
         let culprits = self.log.culprits(
-            |part| clearance_us(&self.clearances, part),
+            |part| self.clearances.last_us(part),
+            |part| self.releases.last_us(part),
             |part| self.answered.last_us(part).is_some(),
             |part| self.state(part) == Some(VerdictState::Quarantined),
         );
@@ -196,14 +197,16 @@
             });
             let next = match state {
                 VerdictState::Quarantined => continue,
-                VerdictState::Cleared if self.is_answered_since_clearance(culprit.part) => {
+                VerdictState::Cleared | VerdictState::Released
+                    if self.is_answered_since_clearance(culprit.part) =>
+                {
                     // The rest is judged again without its crashes.
                     self.clear(now_us, culprit.part);
                     self.log_changed = true;
                     all_quarantined = false;
                     continue;
                 }
-                VerdictState::Cleared => VerdictState::Suspected,
+                VerdictState::Cleared | VerdictState::Released => VerdictState::Suspected,
                 VerdictState::Suspected if now_us.saturating_sub(changed_us) < CONFIRM_US => {
                     all_quarantined = false;
                     continue;
@@ -225,7 +228,7 @@
     /// Clears parts whose evidence the culprits explain.
     fn clear_explained(&mut self, now_us: u64, culprits: &[u64]) {
         let held = self.verdicts.iter();
-        let held = held.filter(|known| known.state() != VerdictState::Cleared);
+        let held = held.filter(|known| known.state().is_held());
         let explained: Vec<u64> = held
             .map(Known::part)
             .filter(|&part| {
@@ -233,8 +236,9 @@
                 culprits.all(|&culprit| culprit != part && !self.log.is_nested(part, culprit))
             })
             .filter(|&part| {
-                let cleared_us = clearance_us(&self.clearances, part);
-                self.log.is_evident(part, cleared_us)
+                let cleared_us = self.clearances.last_us(part);
+                let released_us = |part| self.releases.last_us(part);
+                self.log.is_evident(part, cleared_us, released_us)
             })
             .collect();
         for part in explained {
@@ -243,24 +247,25 @@
     }
 
     fn clear(&mut self, now_us: u64, part: u64) {
+        self.set_free(now_us, part, VerdictState::Cleared);
+    }
+
+    /// Ends the suspicion or quarantine of a part.
+    fn set_free(&mut self, now_us: u64, part: u64, state: VerdictState) {
         self.trials.retain(|trial| trial.part != part);
         let sends = self.sends();
-        self.verdicts
-            .set(now_us, part, VerdictState::Cleared, 0, sends);
-        self.note_clearance(now_us, part);
+        self.verdicts.set(now_us, part, state, 0, sends);
+        self.note_freed(now_us, part, state);
         self.note_change(now_us, part);
     }
 
-    fn note_clearance(&mut self, at_us: u64, part: u64) {
-        let clearances = &mut self.clearances;
-        match clearances.binary_search_by_key(&part, |&(part, _)| part) {
-            Ok(index) => clearances[index].1 = clearances[index].1.max(at_us),
-            Err(index) => clearances.insert(index, (part, at_us)),
+    /// Records from when on crashes count again, if the state of a part says so.
+    fn note_freed(&mut self, at_us: u64, part: u64, state: VerdictState) {
+        if !state.is_held() {
+            self.clearances.note(at_us, part);
         }
-        if clearances.len() > CLEARANCES_MAX
-            && let Some(oldest) = (0..clearances.len()).min_by_key(|&index| clearances[index].1)
-        {
-            clearances.remove(oldest);
+        if state == VerdictState::Released {
+            self.releases.note(at_us, part);
         }
     }
 
@@ -273,7 +278,7 @@
 
     fn is_answered_since_clearance(&self, part: u64) -> bool {
         let answered_us = self.answered.last_us(part);
-        answered_us.is_some() && answered_us > clearance_us(&self.clearances, part)
+        answered_us.is_some() && answered_us > self.clearances.last_us(part)
     }
 
     /// Returns how many times a new verdict is passed on: enough for it to reach all daemons.
@@ -286,9 +291,3 @@
 const fn since_origin(now_us: u64) -> u64 {
     now_us + BEFORE_START_US
 }
-
-/// Returns when a part was last cleared.
-fn clearance_us(clearances: &[(u64, u64)], part: u64) -> Option<u64> {
-    let found = clearances.binary_search_by_key(&part, |&(part, _)| part);
-    found.ok().map(|index| clearances[index].1)
-}
--- a/crates/quarantine/src/quarantine/exchange.rs
+++ b/crates/quarantine/src/quarantine/exchange.rs
@@ -88,12 +88,11 @@
             return;
         }
         self.note_change(now_us, verdict.part);
-        match verdict.state {
-            VerdictState::Cleared => self.note_clearance(now_us, verdict.part),
-            VerdictState::Suspected if self.is_answered_since_clearance(verdict.part) => {
-                self.clear(now_us, verdict.part);
-            }
-            VerdictState::Suspected | VerdictState::Quarantined => {}
+        self.note_freed(now_us, verdict.part, verdict.state);
+        if verdict.state == VerdictState::Suspected
+            && self.is_answered_since_clearance(verdict.part)
+        {
+            self.clear(now_us, verdict.part);
         }
     }
 
--- a/crates/quarantine/src/quarantine/operators.rs
+++ b/crates/quarantine/src/quarantine/operators.rs
@@ -1,6 +1,6 @@
 //! What operators see of the parts, and their release.
 
-use super::{Quarantine, clearance_us, since_origin};
+use super::{Quarantine, since_origin};
 use crate::VerdictState;
 
 /// Largest number of crashes that an operator is shown for a part.
@@ -41,7 +41,7 @@
     pub fn parts(&self, now_us: u64) -> Vec<QuarantinedPart> {
         let now_us = since_origin(now_us);
         let known = self.verdicts.iter();
-        let held = known.filter(|known| known.state() != VerdictState::Cleared);
+        let held = known.filter(|known| known.state().is_held());
         held.map(|known| QuarantinedPart {
             part: known.part(),
             state: known.state(),
@@ -53,22 +53,23 @@
         .collect()
     }
 
-    /// Releases a part, as an operator asks.
+    /// Releases a part, as an operator asks. No other part is blamed for its crashes until then.
     ///
     /// Returns whether it was suspected or quarantined.
     pub fn release(&mut self, now_us: u64, part: u64) -> bool {
         let now_us = since_origin(now_us);
         let state = self.state(part);
-        let held = state.is_some_and(|state| state != VerdictState::Cleared);
+        let held = state.is_some_and(VerdictState::is_held);
         if held {
-            self.clear(now_us, part);
+            self.set_free(now_us, part, VerdictState::Released);
         }
         held
     }
 
     fn evidence(&self, now_us: u64, part: u64) -> Vec<CrashEvidence> {
-        let cleared_us = clearance_us(&self.clearances, part);
-        let crashes = self.log.crashes_with(part, cleared_us);
+        let cleared_us = self.clearances.last_us(part);
+        let released_us = |part| self.releases.last_us(part);
+        let crashes = self.log.crashes_with(part, cleared_us, released_us);
         let evidence = crashes.take(EVIDENCE_MAX).map(|crash| CrashEvidence {
             age_ms: now_us.saturating_sub(crash.at_us) / 1_000,
             upstream: crash.upstream,
--- a/crates/quarantine/src/quarantine/snapshots.rs
+++ b/crates/quarantine/src/quarantine/snapshots.rs
@@ -21,7 +21,9 @@
     pub fn snapshot(&self, now_us: u64, unix_ms: u64) -> Snapshot {
         let now_us = since_origin(now_us);
         let verdicts = self.verdicts.iter().map(|known| known.verdict(now_us));
-        let snapshot = Snapshot::new(unix_ms, self.log.reports(now_us), verdicts.collect());
+        let released_us = |part| self.releases.last_us(part);
+        let losses = self.log.reports(now_us, released_us);
+        let snapshot = Snapshot::new(unix_ms, losses, verdicts.collect());
         let losses = snapshot.losses.iter();
         let mut parts: Vec<u64> = losses.flat_map(|loss| loss.parts.clone()).collect();
         parts.sort_unstable();
@@ -59,7 +61,9 @@
                 continue;
             };
             match verdict.state {
-                VerdictState::Cleared => self.restore_clearance(now_us, verdict, changed_us),
+                VerdictState::Cleared | VerdictState::Released => {
+                    self.restore_free(now_us, verdict, changed_us);
+                }
                 VerdictState::Suspected => {
                     // Daemons that started lately need their time to see an answer to it.
                     verdict.age_ms = 0;
@@ -76,10 +80,11 @@
         }
     }
 
-    /// Merges a clearance that excuses only the crashes before it, not all before the restart.
-    fn restore_clearance(&mut self, now_us: u64, verdict: Verdict, cleared_us: u64) {
+    /// Merges a verdict of a free part, which excuses only the crashes before it, not all before the
+    /// restart.
+    fn restore_free(&mut self, now_us: u64, verdict: Verdict, freed_us: u64) {
         if self.verdicts.merge(now_us, verdict, 0) {
-            self.note_clearance(cleared_us, verdict.part);
+            self.note_freed(freed_us, verdict.part, verdict.state);
             self.note_change(now_us, verdict.part);
         }
     }
--- a/crates/quarantine/src/quarantine_tests.rs
+++ b/crates/quarantine/src/quarantine_tests.rs
@@ -158,6 +158,58 @@
     assert!(is_admitted(&mut quarantine, QUARANTINED_US + 5 * S_US));
 }
 
+/// Guards against the release of a part that puts another part of the same requests in its place,
+/// as soon as one more of these requests is reported lost.
+#[test]
+fn release_of_a_part_blames_no_other() {
+    let request = |own| PromptParts::new([8, 9, own]);
+    let late_report = Message::Losses(vec![LossReport {
+        upstream: 7,
+        age_ms: 2_100,
+        parts: vec![8, 9],
+        own: 4,
+    }]);
+    let mut releasing = Quarantine::new("a");
+    let mut other = Quarantine::new("b");
+    for crash in 1..=3 {
+        for daemon in [&mut releasing, &mut other] {
+            daemon.record_loss(crash * S_US, &format!("engine-{crash}"), &request(crash));
+        }
+    }
+    for daemon in [&mut releasing, &mut other] {
+        daemon.set_live(vec!["a".into(), "b".into()]);
+        daemon.tick(3 * S_US);
+        daemon.tick(4 * S_US);
+        assert_eq!(daemon.quarantined_part(&request(0)), Some(9));
+    }
+    assert!(releasing.release(QUARANTINED_US, 9));
+    let mut rng = StdRng::seed_from_u64(1);
+    for (_, message) in releasing.take_messages(QUARANTINED_US, &mut rng) {
+        other.receive(QUARANTINED_US, &message);
+    }
+    for daemon in [&mut releasing, &mut other] {
+        daemon.receive(QUARANTINED_US + S_US, &late_report);
+        for second in 1..=3 {
+            daemon.tick(QUARANTINED_US + second * S_US);
+            assert_eq!(daemon.parts(QUARANTINED_US + second * S_US), []);
+        }
+    }
+}
+
+/// Guards against a released part that crashes upstreams on and is never held back again.
+#[test]
+fn released_part_is_quarantined_by_new_crashes() {
+    let mut quarantine = quarantined();
+    assert!(quarantine.release(QUARANTINED_US, 9));
+    for crash in 6..=8 {
+        assert!(is_admitted(&mut quarantine, crash * S_US));
+        quarantine.record_loss(crash * S_US, &format!("engine-{crash}"), &request(crash));
+        quarantine.tick(crash * S_US);
+    }
+    quarantine.tick(9 * S_US);
+    assert_eq!(quarantine.quarantined_part(&request(0)), Some(9));
+}
+
 /// Guards against a daemon that starts, or was cut off, and never learns what the others know.
 #[test]
 fn daemon_that_starts_learns_the_verdicts() {
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -3,15 +3,25 @@
 /// State of a part.
 ///
 /// In the order of precedence among verdicts of the same epoch, so that a daemon that clears a part
-/// prevails over one that quarantines it at the same moment.
+/// prevails over one that quarantines it at the same moment, and an operator over both.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum VerdictState {
     /// It explains several crashes; daemons that have seen an answer to it clear it.
     Suspected,
     /// Requests with it are refused.
     Quarantined,
-    /// An answer to it began, or an operator released it.
+    /// An answer to it began, so that another part is to blame for its crashes.
     Cleared,
+    /// An operator released it; its crashes until then speak against no part.
+    Released,
+}
+
+impl VerdictState {
+    /// Returns whether the part is suspected or quarantined.
+    #[must_use]
+    pub const fn is_held(self) -> bool {
+        matches!(self, Self::Suspected | Self::Quarantined)
+    }
 }
 
 /// What is known of a part, as daemons tell it to each other.
--- a/crates/quarantine/src/verdicts.rs
+++ b/crates/quarantine/src/verdicts.rs
@@ -4,7 +4,7 @@
 
 use crate::{Verdict, VerdictState};
 
-/// Largest number of verdicts; beyond it the oldest one is forgotten, cleared ones first.
+/// Largest number of verdicts; beyond it the oldest one is forgotten, those of free parts first.
 const VERDICTS_MAX: usize = 512;
 
 /// Time after its last change at which a verdict is forgotten.
@@ -163,7 +163,7 @@
         }
         let least = (0..self.known.len()).min_by_key(|&index| {
             let known = &self.known[index];
-            (known.state() != VerdictState::Cleared, known.changed_us)
+            (known.state().is_held(), known.changed_us)
         });
         if let Some(index) = least {
             self.known.remove(index);
