fix(quarantine): sound parts that are held back by mistake hide no deadly part

Cause: a part whose evidence the quarantined parts explain was cleared, as if an answer to it had begun: all crashes until then were excused for good. With so many upstreams down, sound parts are lost often and answered rarely, so that some were quarantined; these explained the crashes of the deadly part, which was cleared three times in ten seconds, and a deadly part that was quarantined already was freed again.

Ruled out: an answer (no request with either part was lost after its answer began, and none was answered), and that the evidence didn't arrive (both were suspected at their third crash).

Change: a suspected part that others explain is dismissed: it is free, but its crashes go on to count, and only after the second in which daemons may clear it. A quarantined part is freed by an answer, a trial or an operator, by nothing else.

--- a/crates/daemon/src/prompt_evidence.rs
+++ b/crates/daemon/src/prompt_evidence.rs
@@ -87,6 +87,7 @@
         VerdictState::Quarantined => "quarantined",
         VerdictState::Cleared => "cleared",
         VerdictState::Released => "released",
+        VerdictState::Dismissed => "dismissed",
     };
     warn!(
         "prompt: part {state} part={:016x} epoch={} crashes={} failed_trials={} age_ms={}",
--- a/crates/quarantine/src/fleet_tests.rs
+++ b/crates/quarantine/src/fleet_tests.rs
@@ -13,9 +13,10 @@
         outcome.late_sends(&plan) <= SENDS_MAX,
         "{plan:?} {outcome:?}"
     );
-    let (sent, refused) = outcome.companions;
-    assert!(sent >= refused, "{plan:?} {outcome:?}");
-    outcome.crashes_us.len()
+    for (sent, refused) in outcome.companions {
+        assert!(sent >= refused, "{plan:?} {outcome:?}");
+    }
+    outcome.crashes_us[0].len()
 }
 
 /// Guards against a deadly part that is sent again and again, wherever it stands in the prompt and
@@ -135,3 +136,72 @@
         assert_eq!(states, [(DEADLY, VerdictState::Quarantined)]);
     }
 }
+
+/// Plans with two deadly parts and answers that begin late, so that sound parts are lost often and
+/// answered rarely.
+fn plans_of_two_deadly_parts(seed: u64) -> impl Iterator<Item = Plan> {
+    let loads = [(0.0, 700), (0.5, 700), (0.5, 2_000), (0.0, 2_000)];
+    loads
+        .into_iter()
+        .flat_map(move |(hot_share, begins_max_ms)| {
+            [0.05, 0.1, 0.2].into_iter().flat_map(move |deadly_share| {
+                [(1, 0), (1, 10), (2, 0), (2, 10)].into_iter().map(
+                    move |(attempts, ordinary_crashes)| Plan {
+                        deadly_share,
+                        deadly_parts: 2,
+                        hot_share,
+                        begins_max_ms,
+                        attempts,
+                        ordinary_crashes,
+                        ..Plan::small(seed)
+                    },
+                )
+            })
+        })
+}
+
+/// Plans on which a deadly part is still sent too often, or sound companions are refused.
+const OPEN_PLANS: [Plan; 3] = [
+    Plan {
+        deadly_share: 0.2,
+        ordinary_crashes: 10,
+        begins_max_ms: 2_000,
+        ..two_deadly_parts_and_a_hot_subject(3)
+    },
+    Plan {
+        deadly_share: 0.2,
+        ordinary_crashes: 10,
+        begins_max_ms: 2_000,
+        attempts: 2,
+        ..two_deadly_parts_and_a_hot_subject(1_061)
+    },
+    two_deadly_parts_and_a_hot_subject(1_085),
+];
+
+const fn two_deadly_parts_and_a_hot_subject(seed: u64) -> Plan {
+    Plan {
+        deadly_parts: 2,
+        hot_share: 0.5,
+        ..Plan::small(seed)
+    }
+}
+
+/// Guards against a deadly part that is taken for innocent because sound parts, quarantined by
+/// mistake, explain its crashes.
+#[test]
+fn deadly_part_is_found_beside_another_one() {
+    for seed in 1..=10 {
+        let plans = plans_of_two_deadly_parts(seed);
+        for plan in plans.filter(|plan| !OPEN_PLANS.contains(plan)) {
+            check(plan);
+        }
+    }
+}
+
+/// Guards against the same on the plans that are still open.
+#[test]
+fn deadly_part_is_found_beside_another_one_on_open_plans() {
+    for plan in OPEN_PLANS {
+        check(plan);
+    }
+}
--- a/crates/quarantine/src/fleet_tests/simulation.rs
+++ b/crates/quarantine/src/fleet_tests/simulation.rs
@@ -27,15 +27,20 @@
 /// Part that crashes upstreams.
 pub(super) const DEADLY: u64 = 1 << 40;
 
+/// Times from which requests have the first and the second deadly part.
+const DEADLY_FROM_US: [u64; 2] = [4 * S_US, 7 * S_US];
+
 /// Conditions of one run.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Plan {
     pub(super) seed: u64,
     pub(super) daemons: usize,
     pub(super) upstreams: usize,
     pub(super) requests_per_s: f64,
-    /// Share of the requests that have the deadly part.
+    /// Share of the requests that have a deadly part, for each of them.
     pub(super) deadly_share: f64,
+    /// Number of different deadly parts, two at most.
+    pub(super) deadly_parts: u64,
     /// Position of the deadly part among the shared parts.
     pub(super) deadly_position: usize,
     /// Number of times that a sixth of the upstreams crashes by itself.
@@ -46,6 +51,10 @@
     pub(super) lost_messages: f64,
     /// Number of different subjects of sound requests.
     pub(super) subjects: u64,
+    /// Share of the sound requests that have the same subject.
+    pub(super) hot_share: f64,
+    /// Longest time after which an answer begins.
+    pub(super) begins_max_ms: u64,
     /// Largest number of attempts of a request.
     pub(super) attempts: u32,
     /// Time at which all daemons are killed.
@@ -60,11 +69,14 @@
             upstreams: 9,
             requests_per_s: 30.0,
             deadly_share: 0.05,
+            deadly_parts: 1,
             deadly_position: 2,
             ordinary_crashes: 0,
             lost_answers: 0.0,
             lost_messages: 0.03,
             subjects: 80,
+            hot_share: 0.0,
+            begins_max_ms: 700,
             attempts: 1,
             killed_us: None,
         }
@@ -86,7 +98,8 @@
     daemon: usize,
     upstream: usize,
     parts: PromptParts,
-    is_deadly: bool,
+    /// Number of its deadly part.
+    deadly: Option<usize>,
     attempt: u32,
     begins_us: u64,
     ends_us: u64,
@@ -97,11 +110,12 @@
 /// What happened in a run.
 #[derive(Debug, Default)]
 pub(super) struct Outcome {
-    pub(super) crashes_us: Vec<u64>,
-    /// Times at which deadly requests were sent.
-    pub(super) deadly_sends_us: Vec<u64>,
-    /// Sound requests with the companions of the deadly part that were sent and refused, late.
-    pub(super) companions: (usize, usize),
+    /// Times of the crashes by each deadly part.
+    pub(super) crashes_us: [Vec<u64>; 2],
+    /// Times at which requests with each deadly part were sent.
+    pub(super) deadly_sends_us: [Vec<u64>; 2],
+    /// Sound requests with the companions of each deadly part that were sent and refused, late.
+    pub(super) companions: [(usize, usize); 2],
     /// Sound requests that were refused at any time.
     pub(super) sound_refused: usize,
     /// Sound parts that were quarantined at the end.
@@ -111,10 +125,15 @@
 }
 
 impl Outcome {
-    /// Counts the deadly requests that were sent too late. After a restart the daemons have the same
-    /// time again.
+    /// Counts the requests with the deadly part that was sent too late most often. After a restart
+    /// the daemons have the same time again.
     pub(super) fn late_sends(&self, plan: &Plan) -> usize {
-        let Some(&fifth_us) = self.crashes_us.get(4) else {
+        let late_sends = (0..2).map(|deadly| self.late_sends_of(plan, deadly));
+        late_sends.max().unwrap_or(0)
+    }
+
+    fn late_sends_of(&self, plan: &Plan, deadly: usize) -> usize {
+        let Some(&fifth_us) = self.crashes_us[deadly].get(4) else {
             return 0;
         };
         let is_excused = |at_us: u64| {
@@ -122,7 +141,7 @@
                 (killed_us..=killed_us + DOWN_US + CONTACT_US).contains(&at_us)
             })
         };
-        let sends = self.deadly_sends_us.iter();
+        let sends = self.deadly_sends_us[deadly].iter();
         sends
             .filter(|&&at_us| at_us > fifth_us + CONTACT_US && !is_excused(at_us))
             .count()
@@ -200,7 +219,8 @@
             self.tick(now_us);
         }
         let innocent = self.daemons[0].parts(now_us);
-        self.outcome.innocent = innocent.iter().filter(|part| part.part != DEADLY).count();
+        let innocent = innocent.iter().filter(|part| !is_deadly(part.part));
+        self.outcome.innocent = innocent.count();
         self.outcome
     }
 
@@ -231,12 +251,14 @@
     }
 
     /// Draws a request: a common first part, a subject, and a part of its own. Deadly requests have
-    /// the deadly part besides, and always the same other parts.
+    /// a deadly part besides, and always the same other parts.
     pub(super) fn arrive(&mut self, now_us: u64) {
         self.requests += 1;
-        let is_deadly = now_us > 4 * S_US && self.rng.random_bool(self.plan.deadly_share);
-        let (first, subject) = if is_deadly {
-            (1, 100)
+        let deadly = self.draw_deadly(now_us);
+        let (first, subject) = if let Some(number) = deadly {
+            (number as u64 + 1, 100 * (number as u64 + 1))
+        } else if self.plan.hot_share > 0.0 && self.rng.random_bool(self.plan.hot_share) {
+            (3, 300)
         } else {
             let first = self.rng.random_range(1..=4);
             (
@@ -245,28 +267,42 @@
             )
         };
         let mut parts = vec![first, subject];
-        if is_deadly {
-            parts.insert(self.plan.deadly_position, DEADLY);
+        if let Some(number) = deadly {
+            parts.insert(self.plan.deadly_position, DEADLY + number as u64);
         }
         let parts = PromptParts::new(parts.into_iter().chain([(1 << 50) + self.requests]));
         let daemon = self.rng.random_range(0..self.daemons.len());
-        let is_companion = !is_deadly && first == 1;
-        let fifth_us = self.outcome.crashes_us.get(4).copied();
-        let is_late = fifth_us.is_some_and(|fifth_us| now_us > fifth_us + 2 * CONTACT_US);
+        // A sound request with the first part of a deadly one, late.
+        let companion = (0..2).find(|&number| {
+            let fifth_us = self.outcome.crashes_us[number].get(4);
+            deadly.is_none()
+                && first == number as u64 + 1
+                && fifth_us.is_some_and(|fifth_us| now_us > fifth_us + 2 * CONTACT_US)
+        });
         if let Admission::Refused { .. } = self.daemons[daemon].admit(now_us, &parts) {
-            if is_deadly {
+            if deadly.is_some() {
                 self.outcome.quarantined_us.get_or_insert(now_us);
             } else {
                 self.outcome.sound_refused += 1;
-                self.outcome.companions.1 += usize::from(is_companion && is_late);
+            }
+            if let Some(number) = companion {
+                self.outcome.companions[number].1 += 1;
             }
             return;
         }
-        if is_deadly {
-            self.outcome.deadly_sends_us.push(now_us);
+        if let Some(number) = deadly {
+            self.outcome.deadly_sends_us[number].push(now_us);
         }
-        self.outcome.companions.0 += usize::from(is_companion && is_late);
-        self.start(now_us, daemon, parts, is_deadly, 1);
+        if let Some(number) = companion {
+            self.outcome.companions[number].0 += 1;
+        }
+        self.start(now_us, daemon, parts, deadly, 1);
+    }
+
+    fn draw_deadly(&mut self, now_us: u64) -> Option<usize> {
+        let parts = 0..usize::try_from(self.plan.deadly_parts).unwrap();
+        let mut live = parts.filter(|&number| now_us > DEADLY_FROM_US[number]);
+        live.find(|_| self.rng.random_bool(self.plan.deadly_share))
     }
 
     /// Sends a request to an upstream that is up.
@@ -275,7 +311,7 @@
         now_us: u64,
         daemon: usize,
         parts: PromptParts,
-        is_deadly: bool,
+        deadly: Option<usize>,
         attempt: u32,
     ) {
         let up: Vec<usize> = (0..self.upstreams.len())
@@ -285,12 +321,12 @@
             return;
         }
         let upstream = up[self.rng.random_range(0..up.len())];
-        let begins_us = now_us + self.rng.random_range(50..700) * MS_US;
+        let begins_us = now_us + self.rng.random_range(50..self.plan.begins_max_ms) * MS_US;
         self.running.push(Running {
             daemon,
             upstream,
             parts,
-            is_deadly,
+            deadly,
             attempt,
             begins_us,
             ends_us: begins_us + self.rng.random_range(200..2_000) * MS_US,
@@ -319,7 +355,7 @@
             .running
             .extract_if(.., |request| request.upstream == upstream);
         for request in lost.collect::<Vec<_>>() {
-            if request.is_deadly || request.begins_us >= now_us {
+            if request.deadly.is_some() || request.begins_us >= now_us {
                 self.lose(now_us, &name, request);
             }
         }
@@ -331,11 +367,11 @@
         daemon.record_loss(now_us, upstream, &request.parts);
         let is_held = daemon.quarantined_part(&request.parts).is_some();
         if request.attempt < self.plan.attempts && !is_held {
-            if request.is_deadly {
-                self.outcome.deadly_sends_us.push(now_us);
+            if let Some(number) = request.deadly {
+                self.outcome.deadly_sends_us[number].push(now_us);
             }
             let (parts, attempt) = (request.parts, request.attempt + 1);
-            self.start(now_us, request.daemon, parts, request.is_deadly, attempt);
+            self.start(now_us, request.daemon, parts, request.deadly, attempt);
         }
     }
 
@@ -347,9 +383,9 @@
                 index += 1;
                 continue;
             }
-            if request.is_deadly {
+            if let Some(number) = request.deadly {
                 let upstream = request.upstream;
-                self.outcome.crashes_us.push(now_us);
+                self.outcome.crashes_us[number].push(now_us);
                 self.crash(now_us, upstream);
                 index = 0;
                 continue;
@@ -412,3 +448,7 @@
         }
     }
 }
+
+fn is_deadly(part: u64) -> bool {
+    (DEADLY..DEADLY + 2).contains(&part)
+}
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -197,7 +197,7 @@
             });
             let next = match state {
                 VerdictState::Quarantined => continue,
-                VerdictState::Cleared | VerdictState::Released
+                VerdictState::Dismissed | VerdictState::Cleared | VerdictState::Released
                     if self.is_answered_since_clearance(culprit.part) =>
                 {
                     // The rest is judged again without its crashes.
@@ -206,7 +206,9 @@
                     all_quarantined = false;
                     continue;
                 }
-                VerdictState::Cleared | VerdictState::Released => VerdictState::Suspected,
+                VerdictState::Dismissed | VerdictState::Cleared | VerdictState::Released => {
+                    VerdictState::Suspected
+                }
                 VerdictState::Suspected if now_us.saturating_sub(changed_us) < CONFIRM_US => {
                     all_quarantined = false;
                     continue;
@@ -221,15 +223,20 @@
         }
         if all_quarantined && !culprits.is_empty() {
             let culprits: Vec<u64> = culprits.iter().map(|culprit| culprit.part).collect();
-            self.clear_explained(now_us, &culprits);
+            self.dismiss_explained(now_us, &culprits);
         }
     }
 
-    /// Clears parts whose evidence the culprits explain.
-    fn clear_explained(&mut self, now_us: u64, culprits: &[u64]) {
-        let held = self.verdicts.iter();
-        let held = held.filter(|known| known.state().is_held());
-        let explained: Vec<u64> = held
+    /// Dismisses suspected parts whose evidence the culprits explain.
+    ///
+    /// Nobody has seen an answer to them, so their evidence still counts: the culprits may be the
+    /// innocent ones. For the same reason only a trial frees a quarantined part.
+    fn dismiss_explained(&mut self, now_us: u64, culprits: &[u64]) {
+        let suspected = self.verdicts.iter().filter(|known| {
+            known.state() == VerdictState::Suspected
+                && now_us.saturating_sub(known.changed_us) >= CONFIRM_US
+        });
+        let explained: Vec<u64> = suspected
             .map(Known::part)
             .filter(|&part| {
                 let mut culprits = culprits.iter();
@@ -242,7 +249,7 @@
             })
             .collect();
         for part in explained {
-            self.clear(now_us, part);
+            self.set_free(now_us, part, VerdictState::Dismissed);
         }
     }
 
@@ -250,7 +257,7 @@
         self.set_free(now_us, part, VerdictState::Cleared);
     }
 
-    /// Ends the suspicion or quarantine of a part.
+    /// Ends that a part is held.
     fn set_free(&mut self, now_us: u64, part: u64, state: VerdictState) {
         self.trials.retain(|trial| trial.part != part);
         let sends = self.sends();
@@ -261,7 +268,7 @@
 
     /// Records from when on crashes count again, if the state of a part says so.
     fn note_freed(&mut self, at_us: u64, part: u64, state: VerdictState) {
-        if !state.is_held() {
+        if matches!(state, VerdictState::Cleared | VerdictState::Released) {
             self.clearances.note(at_us, part);
         }
         if state == VerdictState::Released {
--- a/crates/quarantine/src/quarantine/snapshots.rs
+++ b/crates/quarantine/src/quarantine/snapshots.rs
@@ -61,7 +61,7 @@
                 continue;
             };
             match verdict.state {
-                VerdictState::Cleared | VerdictState::Released => {
+                VerdictState::Dismissed | VerdictState::Cleared | VerdictState::Released => {
                     self.restore_free(now_us, verdict, changed_us);
                 }
                 VerdictState::Suspected => {
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -1,10 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 /// State of a part.
-///
-/// In the order of precedence among verdicts of the same epoch, so that a daemon that clears a part
-/// prevails over one that quarantines it at the same moment, and an operator over both.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum VerdictState {
     /// It explains several crashes; daemons that have seen an answer to it clear it.
     Suspected,
@@ -14,6 +11,8 @@
     Cleared,
     /// An operator released it; its crashes until then speak against no part.
     Released,
+    /// It was suspected, but others explain its crashes better; they still count.
+    Dismissed,
 }
 
 impl VerdictState {
@@ -22,6 +21,18 @@
     pub const fn is_held(self) -> bool {
         matches!(self, Self::Suspected | Self::Quarantined)
     }
+
+    /// Returns the precedence among verdicts of the same epoch: a daemon that clears a part prevails
+    /// over one that quarantines it at the same moment, and an operator over both.
+    pub(crate) const fn precedence(self) -> u8 {
+        match self {
+            Self::Suspected => 0,
+            Self::Dismissed => 2,
+            Self::Quarantined => 1,
+            Self::Cleared => 3,
+            Self::Released => 4,
+        }
+    }
 }
 
 /// What is known of a part, as daemons tell it to each other.
@@ -43,7 +54,7 @@
 
 impl Verdict {
     /// Returns the rank by which one of two verdicts about a part prevails.
-    pub(crate) const fn rank(&self) -> (u32, VerdictState, u32) {
-        (self.epoch, self.state, self.failed_trials)
+    pub(crate) const fn rank(&self) -> (u32, u8, u32) {
+        (self.epoch, self.state.precedence(), self.failed_trials)
     }
 }
--- a/crates/quarantine/src/verdicts.rs
+++ b/crates/quarantine/src/verdicts.rs
@@ -148,11 +148,11 @@
     /// Returns a digest of all verdicts; equal sets have equal digests, and that of none is 0.
     pub(crate) fn digest(&self) -> u64 {
         self.known.iter().fold(0, |digest, known| {
-            let (epoch, state, failed_trials) = known.verdict.rank();
+            let (epoch, precedence, failed_trials) = known.verdict.rank();
             let mut bytes = known.verdict.part.to_le_bytes().to_vec();
             bytes.extend(epoch.to_le_bytes());
             bytes.extend(failed_trials.to_le_bytes());
-            bytes.push(state as u8);
+            bytes.push(precedence);
             digest ^ xxh3_64(&bytes)
         })
     }
