fix(daemon): don't tell callers that a request was not run if an earlier attempt may have

What callers saw: 503 with 3003 (deadline passed, not run) for a request whose first attempt was lost with its upstream, or had ended with an error. They were told that it never ran.

Cause: while a routed request waits, whether it may have run was taken from its last attempt alone. One that wasn't sent, was withheld or was rejected reset what an earlier one had set; if the deadline passed while the request waited for the next, the refusal said 'not run'. The dispatcher, which refuses at all other moments, kept count correctly.

Only requests that may be repeated are concerned, since no other gets a second attempt after a loss. Ruled out: the path of our own interface, whose refusals all come from the dispatcher.

--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -75,7 +75,8 @@
                 ..
             } => {
                 record_start(shared, call, &upstream, attempt, work_tokens);
-                *maybe_executed = true;
+                // An attempt that isn't run doesn't undo an earlier one.
+                let earlier_executed = std::mem::replace(maybe_executed, true);
                 match try_upstream(shared, pool, call, upstream, attempt).await {
                     Ok(buffered)
                         if buffered.status.is_server_error() && call.kind.is_repeatable() =>
@@ -88,7 +89,7 @@
                         return Ok(buffered);
                     }
                     Err(outcome) => {
-                        *maybe_executed = outcome == Outcome::LostBeforeAnswer;
+                        *maybe_executed = earlier_executed || outcome == Outcome::LostBeforeAnswer;
                         handle.finish(outcome);
                     }
                 }
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -168,7 +168,8 @@
                     ..
                 } => {
                     record_start(&self.shared, &self.call, &upstream, attempt, work_tokens);
-                    *maybe_executed = true;
+                    // An attempt that isn't run doesn't undo an earlier one.
+                    let earlier_executed = std::mem::replace(maybe_executed, true);
                     self.upstream = upstream;
                     match self.first().await {
                         Ok(FirstPart::Error(body)) if self.may_retry_error() => {
@@ -177,7 +178,8 @@
                         }
                         Ok(first) => return Ok(first),
                         Err(outcome) => {
-                            *maybe_executed = outcome == Outcome::LostBeforeAnswer;
+                            *maybe_executed =
+                                earlier_executed || outcome == Outcome::LostBeforeAnswer;
                             self.handle.finish(outcome);
                         }
                     }
--- a/crates/daemon/tests/faulty_answers.rs
+++ b/crates/daemon/tests/faulty_answers.rs
@@ -1,21 +1,25 @@
 //! Routed requests to upstreams that repeat refusals, cut off their answers or answer a resumed
 //! stream with something else.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use settings::RequestKind;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    time::sleep,
 };
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
 mod routed_support;
 
-use routed_support::{Fixture, KEY, ScriptedUpstream, Step};
+use routed_support::{Fixture, KEY, ScriptedUpstream, Step, upstream};
 
 const REFUSAL: &str =
     "HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
@@ -253,3 +257,50 @@
         fixture.daemon.stop().await;
     }
 }
+
+/// Guards against a caller who is told that its request was not run because its last attempt was
+/// refused and it waited for another one until its deadline: one before it was lost, or ended with
+/// an error, and may have run.
+#[ntex::test]
+async fn refused_retry_does_not_hide_an_attempt_that_may_have_run() {
+    const ERROR: &str = "HTTP/1.1 500 Oops\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
+    const HELD: &[Step] = &[Step::Wait(Duration::from_secs(20))];
+    const REFUSED: &[Step] = &[Step::Wait(Duration::from_millis(100)), Step::Send(REFUSAL)];
+    const BUSY: &[&[Step]] = &[HELD, HELD, HELD, HELD, HELD, HELD, HELD, REFUSED];
+    let cases: [(&str, RequestKind, &'static [&'static [Step]]); 3] = [
+        ("lost", RequestKind::Idempotent, &[&[Step::Close]]),
+        ("error", RequestKind::Idempotent, &[&[Step::Send(ERROR)]]),
+        (
+            "lost stream",
+            RequestKind::ResumableStream,
+            &[&[Step::Close]],
+        ),
+    ];
+    for (name, kind, scripts) in cases {
+        let busy = ScriptedUpstream::start(BUSY).await;
+        let failing = ScriptedUpstream::start(scripts).await;
+        let fixture = Fixture::start(kind, 30_000, &[&busy]).await;
+        let mut held = Vec::new();
+        while held.len() < 7 {
+            held.push(fixture.send("/stock/1", &key()).await);
+            while busy.request_count() < held.len() {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        let set_failing = |rows: Vec<_>| fixture.rows.lock().unwrap().upstreams = rows;
+        set_failing(vec![upstream(1, &busy), upstream(2, &failing)]);
+        sleep(Duration::from_millis(300)).await;
+        let headers = format!("{}x-wait-ms: 150\r\n", key());
+        let remove_failing = async {
+            while failing.request_count() == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            set_failing(vec![upstream(1, &busy)]);
+        };
+        let (answer, ()) = tokio::join!(fixture.call("/stock/1", &headers), remove_failing);
+        let may_have_run = [500, 502, 504];
+        assert!(may_have_run.contains(&status(&answer)), "{name}: {answer}");
+        drop(held);
+        fixture.daemon.stop().await;
+    }
+}
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -392,7 +392,8 @@
     config
 }
 
-fn upstream(number: usize, scripted: &ScriptedUpstream) -> Upstream {
+/// Returns the row of an upstream.
+pub fn upstream(number: usize, scripted: &ScriptedUpstream) -> Upstream {
     Upstream {
         name: format!("parts-{number}"),
         kind: UpstreamKind::Service,
