--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -13,6 +13,7 @@
 use super::{
     attempt::{self, log_loss, record_start},
     call::Call,
+    progress::Progress,
     reply,
 };
 use crate::{core::Decision, handle::JobHandle, refusal::Refusal, shared::Shared};
@@ -29,15 +30,6 @@
     body: Bytes,
 }
 
-/// What the attempts of a call have led to so far.
-#[derive(Default)]
-struct Progress {
-    /// Whether one of them may have been run.
-    maybe_executed: bool,
-    /// Error response, returned if no later attempt succeeds.
-    error_response: Option<BufferedResponse>,
-}
-
 /// Serves a call whose response is buffered, so that a truncated one never reaches the caller.
 pub(super) async fn serve(
     shared: &Arc<Shared>,
@@ -74,7 +66,7 @@
     pool: &Rc<ConnectionPool>,
     call: &Call,
     handle: &mut JobHandle,
-    progress: &mut Progress,
+    progress: &mut Progress<BufferedResponse>,
 ) -> Result<BufferedResponse, Refusal> {
     loop {
         match handle.decision().await {
@@ -85,8 +77,7 @@
                 ..
             } => {
                 record_start(shared, call, &upstream, attempt, work_tokens);
-                // An attempt that isn't run doesn't undo an earlier one.
-                let earlier_executed = std::mem::replace(&mut progress.maybe_executed, true);
+                progress.record_start();
                 match try_upstream(shared, pool, call, upstream, attempt).await {
                     Ok(buffered)
                         if buffered.status.is_server_error() && call.kind.is_repeatable() =>
@@ -99,8 +90,7 @@
                         return Ok(buffered);
                     }
                     Err(outcome) => {
-                        progress.maybe_executed =
-                            earlier_executed || outcome == Outcome::LostBeforeAnswer;
+                        progress.record_failure(outcome);
                         handle.finish(outcome);
                     }
                 }
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -16,6 +16,7 @@
     attempt::{self, log_failure, log_loss, record_start},
     call::Call,
     events::EventBuffer,
+    progress::Progress,
     reply,
 };
 use crate::{core::Decision, handle::JobHandle, refusal::Refusal, shared::Shared};
@@ -92,14 +93,8 @@
     Ok(reply)
 }
 
-/// What the attempts of a call have led to so far.
-#[derive(Default)]
-struct Progress {
-    /// Whether one of them may have been run.
-    maybe_executed: bool,
-    /// Error response with its body, returned if no later attempt succeeds.
-    error_response: Option<(Response, Bytes)>,
-}
+/// Error response with its body.
+type ErrorResponse = (Response, Bytes);
 
 /// First part of an upstream's response.
 enum FirstPart {
@@ -175,7 +170,10 @@
     }
 
     /// Makes attempts until an upstream has started to respond.
-    async fn begin(&mut self, progress: &mut Progress) -> Result<FirstPart, Refusal> {
+    async fn begin(
+        &mut self,
+        progress: &mut Progress<ErrorResponse>,
+    ) -> Result<FirstPart, Refusal> {
         loop {
             match self.handle.decision().await {
                 Decision::Start {
@@ -185,8 +183,7 @@
                     ..
                 } => {
                     record_start(&self.shared, &self.call, &upstream, attempt, work_tokens);
-                    // An attempt that isn't run doesn't undo an earlier one.
-                    let earlier_executed = std::mem::replace(&mut progress.maybe_executed, true);
+                    progress.record_start();
                     self.upstream = upstream;
                     match self.first().await {
                         Ok(FirstPart::Error(body)) if self.may_retry_error() => {
@@ -195,8 +192,7 @@
                         }
                         Ok(first) => return Ok(first),
                         Err(outcome) => {
-                            progress.maybe_executed =
-                                earlier_executed || outcome == Outcome::LostBeforeAnswer;
+                            progress.record_failure(outcome);
                             self.handle.finish(outcome);
                         }
                     }
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -183,8 +183,9 @@
     ///
     /// `cleared_us` returns when a part was last cleared: earlier crashes don't count against it.
     /// `released_us` returns when a part was last released: earlier crashes with it count against
-    /// no part. `is_answered` returns whether an answer to a part is known to have begun at any time, and
-    /// `is_quarantined` whether a part is a known culprit, which explains its crashes first.
+    /// no part. `is_answered` returns whether an answer to a part is known to have begun at any
+    /// time, and `is_quarantined` whether a part is a known culprit, which explains its crashes
+    /// first.
     pub(crate) fn culprits<C, R, A, Q>(
         &self,
         cleared_us: C,
