fix(daemon): give up an engine that sends bytes but no events

What callers of our own interface saw: a stream whose engine stalled, but sent a byte now and then, never ended, and kept its slot. Found by looking for what operators of similar systems met.

Cause: the time limit between two events began anew with each read of the body, whether an event came or not. It holds for the next event now. Comments, which some servers send to keep a connection open, don't prolong it: an engine without an event for 5 s was given up before, too. Ruled out: routed streams, which end at the time limit of their route whatever comes.

stream_without_events_ends_although_bytes_come failed before (open after 10 s, when its caller gives up) and passes now, after 5.6 s. daemon_with is moved to the support module of the tests.

--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -12,6 +12,7 @@
 };
 use sched::Outcome;
 use settings::Upstream;
+use tokio::time::{Instant, timeout, timeout_at};
 use wire::{Form, SseDecoder};
 
 use crate::adapter::UpstreamNotice;
@@ -57,7 +58,7 @@
             .post(url)
             .header("x-request-id", request_id)
             .content_type("application/json");
-        let sent = tokio::time::timeout(FIRST_EVENT_TIMEOUT, request.send_body(body)).await;
+        let sent = timeout(FIRST_EVENT_TIMEOUT, request.send_body(body)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
@@ -96,17 +97,19 @@
 
     /// Waits for the next event; `None` if the connection was lost or a time limit passed.
     pub(crate) async fn next(&mut self) -> Option<String> {
+        let limit = if self.has_events {
+            EVENT_GAP_TIMEOUT
+        } else {
+            FIRST_EVENT_TIMEOUT
+        };
+        // Bytes that are no event don't prolong the wait.
+        let give_up_at = Instant::now() + limit;
         loop {
             if let Some(event) = self.events.pop_front() {
                 self.has_events = true;
                 return Some(event);
             }
-            let limit = if self.has_events {
-                EVENT_GAP_TIMEOUT
-            } else {
-                FIRST_EVENT_TIMEOUT
-            };
-            let bytes = tokio::time::timeout(limit, self.payload.next())
+            let bytes = timeout_at(give_up_at, self.payload.next())
                 .await
                 .ok()??
                 .ok()?;
@@ -124,7 +127,7 @@
     /// The end normally follows the last event at once; otherwise the connection is closed.
     pub(crate) async fn finish(mut self) {
         let rest = async { while let Some(Ok(_)) = self.payload.next().await {} };
-        let _ = tokio::time::timeout(BODY_END_TIMEOUT, rest).await;
+        let _ = timeout(BODY_END_TIMEOUT, rest).await;
     }
 }
 
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -11,11 +11,10 @@
     time::Duration,
 };
 
-use daemon::{Daemon, RunningDaemon};
+use daemon::Daemon;
 use futures::future::{AbortHandle, abortable};
-use settings::Config;
 use standin::{SAMPLE_KEY, SAMPLE_MODEL, sample_config};
-use support::{Platform, chat_body};
+use support::{Platform, chat_body, daemon_with};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -40,14 +39,6 @@
     (address, handle)
 }
 
-/// Starts a daemon with a configuration.
-async fn daemon_with(platform: &Platform, config: &Config) -> RunningDaemon {
-    platform.put_next(config).await;
-    let running = Daemon::new(platform.host("entry-1")).start().await.unwrap();
-    platform.wait_ready(&running).await;
-    running
-}
-
 /// Guards against reporting a request as not executed although it may have reached an upstream. The
 /// connection is cut at many points of a request and its response.
 #[ntex::test]
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -2,12 +2,19 @@
 
 mod support;
 
+use std::time::Duration;
+
 use futures::{
     StreamExt as _,
-    future::{Either, join, select},
+    future::{Either, abortable, join, select},
+};
+use standin::{EngineControl, SAMPLE_KEY, answer_text, sample_config};
+use support::{Platform, chat_body, daemon_with, stream_text, wait};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+    time::{sleep, timeout},
 };
-use standin::{EngineControl, SAMPLE_KEY, answer_text};
-use support::{Platform, chat_body, stream_text, wait};
 
 /// Returns a control that drops every stream after some tokens.
 fn dropping(tokens: u32) -> EngineControl {
@@ -85,6 +92,46 @@
     platform.stop().await;
 }
 
+/// Guards against a stalled stream that never ends, since its engine sends a byte now and then.
+#[ntex::test]
+async fn stream_without_events_ends_although_bytes_come() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+        transfer-encoding: chunked\r\n\r\n";
+    const EVENT: &str = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n";
+    let platform = Platform::start(0).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (serve, handle) = abortable(async move {
+        let mut is_begun = false;
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = vec![0; 16 * 1024];
+            let received = stream.read(&mut request).await.unwrap_or(0);
+            // Pages with the load are asked for as well, and the stream can't be resumed.
+            if !request[..received].starts_with(b"POST") || is_begun {
+                continue;
+            }
+            is_begun = true;
+            let begun = format!("{HEAD}{:x}\r\n{EVENT}\r\n", EVENT.len());
+            let mut sent = stream.write_all(begun.as_bytes()).await;
+            while sent.is_ok() {
+                sleep(Duration::from_millis(300)).await;
+                sent = stream.write_all(b"1\r\n:\r\n").await;
+            }
+        }
+    });
+    ntex::rt::spawn(serve);
+    let daemon = daemon_with(&platform, &sample_config(2, &[address], &[])).await;
+    let answer = platform.chat(daemon.listen(), "the left tap drips len=40", true);
+    let answer = timeout(Duration::from_secs(30), answer).await;
+    let answer = answer.expect("the stream ends");
+    let (text, done) = stream_text(&answer.body);
+    assert!(!done && text == "a", "{}", answer.body);
+    handle.abort();
+    daemon.stop().await;
+    platform.stop().await;
+}
+
 /// Guards against an engine that continues to work for a caller that has disconnected.
 #[ntex::test]
 async fn caller_that_leaves_frees_its_engine() {
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -246,3 +246,11 @@
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
+
+/// Starts a daemon with a configuration.
+pub async fn daemon_with(platform: &Platform, config: &Config) -> RunningDaemon {
+    platform.put_next(config).await;
+    let running = Daemon::new(platform.host("entry-1")).start().await.unwrap();
+    platform.wait_ready(&running).await;
+    running
+}
