--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -257,7 +257,7 @@
         self.set_free(now_us, part, VerdictState::Cleared);
     }
 
-    /// Ends that a part is held.
+    /// Frees a suspected or quarantined part; `state` says why.
     fn set_free(&mut self, now_us: u64, part: u64, state: VerdictState) {
         self.trials.retain(|trial| trial.part != part);
         let sends = self.sends();
@@ -266,7 +266,7 @@
         self.note_change(now_us, part);
     }
 
-    /// Records from when on crashes count again, if the state of a part says so.
+    /// Excuses the crashes before a clearance or release.
     fn note_freed(&mut self, at_us: u64, part: u64, state: VerdictState) {
         if matches!(state, VerdictState::Cleared | VerdictState::Released) {
             self.clearances.note(at_us, part);
