--- a/crates/quarantine/src/fleet_tests.rs
+++ b/crates/quarantine/src/fleet_tests.rs
@@ -1,8 +1,12 @@
 //! Fleets of daemons that have to find a deadly part together.
 
-use self::simulation::{DEADLY, Fleet, Plan, S_US, SENDS_MAX, STEP_US};
+use self::{
+    plan::Plan,
+    simulation::{DEADLY, Fleet, S_US, SENDS_MAX, STEP_US},
+};
 use crate::VerdictState;
 
+mod plan;
 mod simulation;
 
 /// Checks that few deadly requests are sent after the fifth crash, and that sound ones with the same
