fix(sched, daemon): answer every request that a stop can't finish

Cause: RunningDaemon::stop dropped all handlers when drain_max had passed. Nothing told the dispatcher of the end, so that its queue kept jobs that could not be answered any more, and nobody told their callers.

Change: the dispatcher knows when the daemon ends (Dispatcher::stop_by). What has to wait is refused (3004) as soon as its answer isn't expected to end by then, judged by the longest answers of its class so far (AnswerTimes, RFC 6298), and by its own deadline before there are any. When the time is up, the rest is refused, requests that run get 4007 `cut_by_stop` (502, may have run) and streams are broken off visibly. The same on the own interface: model requests, plain services, claimed calls.

Tests requests_that_a_stop_cannot_finish_are_answered (both interfaces) failed before: connections closed without an answer.

--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -61,6 +61,8 @@
     UpstreamTimeout,
     /// The upstream answered with an error.
     UpstreamError,
+    /// This host stopped before the upstream had answered.
+    CutByStop,
     /// A call with this idempotency key may have run; it is not run again.
     MayHaveRun,
     /// The idempotency key was used with another request.
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -1,7 +1,7 @@
 use crate::{Code, Entry, Retry, Run};
 
 /// All result codes, sorted by number and in the order of the variants of [`Code`].
-pub const TABLE: [Entry; 46] = [
+pub const TABLE: [Entry; 47] = [
     Entry {
         code: Code::BadRequest,
         number: 1001,
@@ -227,6 +227,15 @@
         retry: Retry::Later,
         message: "The upstream answered with an error.",
     },
+    Entry {
+        code: Code::CutByStop,
+        number: 4007,
+        name: "cut_by_stop",
+        http_status: 502,
+        run: Run::Unknown,
+        retry: Retry::Later,
+        message: "This host stopped before the upstream had answered.",
+    },
     Entry {
         code: Code::MayHaveRun,
         number: 5001,
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -78,6 +78,18 @@
 
     /// Waits for the next chunk; `None` after the last one.
     pub(crate) async fn next(&mut self) -> Result<Option<Chunk>, Refusal> {
+        let (shared, id) = (self.shared.clone(), self.handle.id());
+        match shared.until_stop_expires(id, self.next_chunk()).await {
+            Ok(chunk) => chunk,
+            Err(code) => {
+                self.attempt = None;
+                self.record_refusal();
+                Err(self.refusal(code))
+            }
+        }
+    }
+
+    async fn next_chunk(&mut self) -> Result<Option<Chunk>, Refusal> {
         loop {
             let Some(attempt) = self.attempt.as_mut() else {
                 self.next_attempt().await?;
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -3,16 +3,16 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use code::{Code, Run};
+use code::Run;
 use link::{ConnectionPool, HeaderMap, StatusCode};
 use log::info;
 use ntex::web::HttpResponse;
 use sched::Outcome;
-use tokio::time::timeout_at;
 
 use super::{
     attempt::{self, log_loss, record_start},
     call::Call,
+    limits::within_limits,
     progress::Progress,
     reply,
 };
@@ -38,13 +38,13 @@
     mut handle: JobHandle,
 ) -> Result<HttpResponse, Refusal> {
     let mut progress = Progress::default();
+    let id = handle.id();
     let exchange = exchange(shared, pool, call, &mut handle, &mut progress);
-    let buffered = match timeout_at(call.deadline, exchange).await {
+    let buffered = match within_limits(shared, id, call.deadline, exchange).await {
         Ok(result) => result?,
-        Err(_) => match progress.error_response {
+        Err(unanswered) => match progress.error_response {
             Some(buffered) => buffered,
-            None if progress.maybe_executed => return Err(Code::UpstreamTimeout.into()),
-            None => return Err(Code::DeadlinePassed.into()),
+            None => return Err(unanswered.refusal(progress.maybe_executed)),
         },
     };
     info!(
--- a/crates/daemon/src/routed/mod.rs
+++ b/crates/daemon/src/routed/mod.rs
@@ -9,6 +9,7 @@
 mod buffered;
 mod call;
 mod events;
+mod limits;
 mod progress;
 mod reply;
 mod serve;
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -34,7 +34,7 @@
 
 /// `Retry-After` while this host drains; short, because the caller's next connection reaches
 /// another host.
-const DRAINING_RETRY_AFTER_MS: u64 = 20;
+pub(super) const DRAINING_RETRY_AFTER_MS: u64 = 20;
 
 /// Number of route tiers that are distinguished within the rank of one client account.
 const ROUTE_TIERS: u8 = 3;
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -11,11 +11,13 @@
 use sched::Outcome;
 use settings::RequestKind;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use super::{
     attempt::{self, log_failure, log_loss, record_start},
     call::Call,
     events::EventBuffer,
+    limits::within_limits,
     progress::Progress,
     reply,
 };
@@ -63,13 +65,13 @@
         events: EventBuffer::default(),
     };
     let mut progress = Progress::default();
-    let started = timeout_at(deadline, relay.begin(&mut progress)).await;
-    let first = match started {
+    let id = relay.handle.id();
+    let begun = relay.begin(&mut progress);
+    let first = match within_limits(shared, id, deadline, begun).await {
         Ok(result) => result?,
-        Err(_) => match progress.error_response {
+        Err(unanswered) => match progress.error_response {
             Some((response, body)) => return Ok(relay.whole_reply(&response, &body)),
-            None if progress.maybe_executed => return Err(Code::UpstreamTimeout.into()),
-            None => return Err(Code::DeadlinePassed.into()),
+            None => return Err(unanswered.refusal(progress.maybe_executed)),
         },
     };
     let Some(response) = &relay.response else {
@@ -108,9 +110,9 @@
 
 /// Returns the body of the caller's response.
 ///
-/// If the stream fails, the connection is closed here, because ntex would write an error response
-/// into the stream. ntex also notices only at the next event that the caller has disconnected, so
-/// the disconnect ends the body here.
+/// If the stream fails or a graceful stop uses up its time, the connection is closed here, because
+/// ntex would write an error response or the end of the body into the stream. ntex also notices only
+/// at the next event that the caller has disconnected, so the disconnect ends the body here.
 fn body(
     relay: StreamRelay,
     first: Bytes,
@@ -123,6 +125,12 @@
             None => std::future::pending().await,
         }
     };
+    let stopped = break_off_at_stop(
+        relay.shared.stop_expired.clone(),
+        relay.call.request_id.clone(),
+        caller.clone(),
+    );
+    let ended = futures::future::select(Box::pin(disconnected), Box::pin(stopped));
     let body = futures::stream::unfold((Some(relay), Some(first)), move |(relay, first)| {
         let caller = caller.clone();
         async move {
@@ -150,7 +158,23 @@
             }
         }
     });
-    body.take_until(disconnected)
+    body.take_until(ended)
+}
+
+/// Closes the connection to the caller when a graceful stop uses up its time.
+async fn break_off_at_stop(
+    stop_expired: CancellationToken,
+    request_id: String,
+    caller: Option<IoRef>,
+) {
+    stop_expired.cancelled().await;
+    info!("caller: stream cut by the end of the drain request={request_id}");
+    if let Some(caller) = caller {
+        tokio::time::sleep(FLUSH_PAUSE).await;
+        caller.terminate();
+    }
+    // The body ends with the connection.
+    std::future::pending::<()>().await;
 }
 
 fn to_ntex_bytes(bytes: &[u8]) -> ntex::util::Bytes {
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::{AbortHandle, abortable};
-use log::{debug, info};
+use log::{debug, info, warn};
 use ntex::{rt::JoinHandle, server::Server};
 
 use crate::shared::Shared;
@@ -14,6 +14,9 @@
 /// Time limit to flush the last responses, after all work in flight has ended.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time to answer the callers that still wait when the drain has used up its time.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Running daemon with its servers and background tasks.
 pub struct RunningDaemon {
     pub(crate) shared: Arc<Shared>,
@@ -84,28 +87,40 @@
         self.peer_listen
     }
 
-    /// Stops gracefully: accepts no new work, finishes what is queued or running, then ends.
+    /// Stops gracefully: accepts no new work, finishes what is running and what can still be
+    /// answered, then ends.
     ///
-    /// Work that remains after the host's `drain_max_ms` is aborted.
+    /// Requests that can't be answered before the end of the drain ([`settings::Host::drain_max`])
+    /// are refused instead of waiting. Those that run until then get an answer that says so; only
+    /// streams are broken off.
     pub async fn stop(self) {
         self.shared.set_draining();
-        info!("drain: started");
         let drain_max = self.shared.host.drain_max();
+        info!(
+            "drain: started in_flight={} drain_max_ms={}",
+            self.in_flight(),
+            drain_max.as_millis()
+        );
+        self.shared.stop_within(drain_max);
         let drain_min = tokio::time::sleep(Duration::from_millis(self.shared.host.drain_min_ms));
         let drained = async {
             // Callers that have not noticed the stop yet are still served.
             drain_min.await;
             self.wait_idle().await;
         };
-        let drained = tokio::time::timeout(drain_max, drained).await.is_ok();
-        info!(
-            "drain: {}",
-            if drained {
-                "finished"
-            } else {
-                "cut off by its deadline"
+        if tokio::time::timeout(drain_max, drained).await.is_ok() {
+            info!("drain: finished");
+        } else {
+            info!("drain: out of time in_flight={}", self.in_flight());
+            self.shared.stop_within(Duration::ZERO);
+            self.shared.stop_expired.cancel();
+            if tokio::time::timeout(ANSWER_TIMEOUT, self.wait_idle())
+                .await
+                .is_err()
+            {
+                warn!("drain: cut off in_flight={}", self.in_flight());
             }
-        );
+        }
         // Without this limit, idle connections that callers keep open would delay the stop for much
         // longer.
         let metrics = async {
@@ -113,7 +128,7 @@
                 metrics.stop(false).await;
             }
         };
-        let (callers, admin) = (self.callers.stop(drained), self.admin.stop(false));
+        let (callers, admin) = (self.callers.stop(true), self.admin.stop(false));
         let stop = futures::future::join3(callers, admin, metrics);
         if tokio::time::timeout(CLOSE_TIMEOUT, stop).await.is_err() {
             debug!("drain: callers keep idle connections open");
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -22,6 +22,7 @@
     attempt::{notice_of, outcome_of},
     claimed::run_claimed,
     core::Decision,
+    handle::JobHandle,
     input::{
         authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
     },
@@ -196,7 +197,22 @@
     job: Job,
     call: &Call,
 ) -> Result<Answer, Refusal> {
-    let mut handle = shared.submit(job);
+    let id = job.id;
+    let handle = shared.submit(job);
+    let sent = attempt(shared, clients, handle, call);
+    match shared.until_stop_expires(id, sent).await {
+        Ok(sent) => sent,
+        Err(code) => Err(code.into()),
+    }
+}
+
+/// Makes attempts until one has an answer or the dispatcher refuses the job.
+async fn attempt(
+    shared: &Arc<Shared>,
+    clients: &ServiceClients,
+    mut handle: JobHandle,
+    call: &Call,
+) -> Result<Answer, Refusal> {
     let mut decision = handle.decision().await;
     loop {
         decision = match decision {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,16 +1,21 @@
 //! State that all threads and tasks of a daemon share.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use audit::Step;
+use code::Code;
 use metric::Metrics;
 use sched::{Job, JobId, Target};
 use settings::{Config, Host};
 use tokio::sync::{Notify, mpsc};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
@@ -30,6 +35,8 @@
     pub(crate) peers: Peers,
     draining: AtomicBool,
     draining_since_us: AtomicU64,
+    /// Cancelled when a graceful stop has used up its time: whoever still waits is answered now.
+    pub(crate) stop_expired: CancellationToken,
     next_id: AtomicU64,
     pub(crate) metrics: Metrics,
     pub(crate) cluster_state: ClusterState,
@@ -56,6 +63,7 @@
             peers,
             draining: AtomicBool::new(false),
             draining_since_us: AtomicU64::new(0),
+            stop_expired: CancellationToken::new(),
             next_id: AtomicU64::new(1),
             metrics: Metrics::default(),
             cluster_state: ClusterState::default(),
@@ -115,6 +123,35 @@
         self.peers.leave(self.clock.now_us());
     }
 
+    /// Refuses the waiting jobs whose answers aren't expected to end within this time.
+    pub(crate) fn stop_within(&self, remaining: Duration) {
+        let remaining_us = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
+        self.with_core(|now_us, core| {
+            core.dispatch(now_us, |dispatcher, actions| {
+                dispatcher.stop_by(now_us, now_us.saturating_add(remaining_us), actions);
+            });
+        });
+    }
+
+    /// Waits for the answer to a job; returns the code for its caller if a graceful stop uses up its
+    /// time first.
+    pub(crate) async fn until_stop_expires<F>(
+        &self,
+        id: JobId,
+        answer: F,
+    ) -> Result<F::Output, Code>
+    where
+        F: Future,
+    {
+        tokio::select! {
+            biased;
+            answer = answer => Ok(answer),
+            () = self.stop_expired.cancelled() => {
+                Err(self.with_core(|_, core| core.dispatcher.code_at_stop(id)))
+            }
+        }
+    }
+
     /// Returns a new job identifier.
     pub(crate) fn next_id(&self) -> JobId {
         JobId(self.next_id.fetch_add(1, Ordering::Relaxed))
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -12,8 +12,9 @@
 use settings::Config;
 
 use crate::{
-    Action, Job, JobId, Outcome, Reason, admission::candidate_of, entry::Entry,
-    preempt::URGENT_MARGIN_US, retry::attempt_outcome, running::Running, topology::Topology,
+    Action, Job, JobId, Outcome, Reason, admission::candidate_of, answer_times::AnswerTimes,
+    entry::Entry, preempt::URGENT_MARGIN_US, retry::attempt_outcome, running::Running,
+    topology::Topology,
 };
 
 /// Default bound on waiting jobs that have not run, whose request bodies are held in memory.
@@ -33,10 +34,13 @@
     pub(crate) queue: Queue,
     pub(crate) queue_max: usize,
     pub(crate) lengths: OutputLengths,
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) limits: Limits,
     pub(crate) pool: Pool,
     pub(crate) quarantine: Quarantine,
     pub(crate) topology: Topology,
+    /// Time at which the daemon ends, if it stops.
+    pub(crate) ends_us: Option<u64>,
     /// Number of jobs that have arrived, from which each gets its place in the order of arrival.
     arrivals: u64,
     /// Time of the next recheck of all lanes.
@@ -168,6 +172,7 @@
         }
         self.dispatch(now_us, self.topology.lanes[lane].group, actions);
         if !self.is_queued(id)
+            || self.refuse_at_stop(now_us, id, actions)
             || self.refuse_while_paused(now_us, id, actions)
             || self.enforce_queue_bound(now_us, id, actions)
         {
@@ -267,6 +272,8 @@
             // A complete answer counts even if the attempt was cancelled in the meantime.
             self.lengths.observe(&class, lane, tokens);
             if let Some(running) = &ended {
+                let answer_us = now_us.saturating_sub(running.started_us);
+                self.answer_times.observe(&class, answer_us);
                 let events = running.events.saturating_add(1);
                 self.pool
                     .record_answer(&running.upstream, events, output_tokens_max);
@@ -315,6 +322,7 @@
             self.topology.clear_all_full();
         }
         self.dispatch_all(now_us, actions);
+        self.refuse_queued_at_stop(now_us, actions);
         let due = self.queue.due(now_us.saturating_add(URGENT_MARGIN_US));
         let due: Vec<JobId> = due.map(|(_, id)| JobId(id)).collect();
         for id in due {
@@ -492,10 +500,12 @@
             queue: Queue::default(),
             queue_max: QUEUE_MAX,
             lengths: OutputLengths::default(),
+            answer_times: AnswerTimes::default(),
             limits: Limits::default(),
             pool: Pool::default(),
             quarantine: Quarantine::default(),
             topology: Topology::default(),
+            ends_us: None,
             arrivals: 0,
             next_recheck_us: 0,
         }
--- a/crates/sched/src/entry.rs
+++ b/crates/sched/src/entry.rs
@@ -145,6 +145,7 @@
         match (self.run, code.run()) {
             (Run::No, _) | (Run::Unknown, Run::Unknown | Run::Yes) | (Run::Yes, Run::Yes) => code,
             (Run::Unknown, Run::No) if code == Code::DeadlinePassed => Code::UpstreamTimeout,
+            (Run::Unknown, Run::No) if code == Code::Draining => Code::CutByStop,
             (Run::Unknown, Run::No) => Code::UpstreamLost,
             (Run::Yes, Run::No | Run::Unknown) => Code::StreamBroken,
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -14,6 +14,9 @@
 
 mod action;
 mod admission;
+mod answer_times;
+#[cfg(test)]
+mod answer_times_tests;
 mod candidate;
 mod dispatch;
 mod dispatcher;
@@ -45,6 +48,9 @@
 mod reason;
 mod retry;
 mod running;
+mod stop;
+#[cfg(test)]
+mod stop_tests;
 #[cfg(test)]
 mod tests;
 mod topology;
--- a/crates/sched/src/reason.rs
+++ b/crates/sched/src/reason.rs
@@ -63,6 +63,11 @@
     },
     /// Refused: no slot became free before the deadline.
     DeadlinePassed,
+    /// Refused: the daemon stops before an answer is expected to end.
+    Stopping {
+        /// Time that the answer is expected to take.
+        answer_us: u64,
+    },
     /// Refused: the attempt failed in a way that must not be retried.
     NotRetryable,
     /// Refused: too many attempts failed.
@@ -97,6 +102,9 @@
                 write!(f, "all upstreams pause for {} ms or more", pause_us / 1_000)
             }
             Self::DeadlinePassed => f.write_str("no free slot before the deadline"),
+            Self::Stopping { answer_us } => {
+                write!(f, "this daemon stops within {} ms", answer_us / 1_000)
+            }
             Self::NotRetryable => f.write_str("the attempt must not be repeated"),
             Self::AttemptsExhausted => f.write_str("too many attempts failed"),
             Self::RetryBudgetExhausted => f.write_str("the retry budget is used up"),
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -53,7 +53,9 @@
             Reason::RetryBudgetExhausted
         } else {
             self.requeue(now_us, id);
-            self.refuse_while_paused(now_us, id, actions);
+            if !self.refuse_at_stop(now_us, id, actions) {
+                self.refuse_while_paused(now_us, id, actions);
+            }
             return;
         };
         let item = self.jobs.get(&id).map(|entry| &entry.item);
