fix(daemon): a stop waits for requests that are still being received

Cause: a stop took itself for idle when the dispatcher had no job. A request has a job only when its body has been read, so that nothing counted what was being received.

Ruled out: that the drain ran out of time (the log said `drain: finished` while the body arrived), and that the server broke off (by its record it worked on until the daemon closed the connection).

Change: requests are counted from their head to their response (PendingWork, which counted claimed calls before), on both interfaces. A body that hasn't arrived when the time to stop is up is refused with 3004, not run, instead of being waited for. The drain's log lines say how much is pending.

--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -55,6 +55,7 @@
 ) -> HttpResponse {
     let id = shared.next_id();
     let request_id = request_id(shared, id);
+    let _pending = shared.pending_work.begin();
     match try_serve(form, &request, &mut payload, shared, client, id).await {
         Ok(response) => response,
         Err(refusal) => {
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -54,9 +54,13 @@
         Ok(B::from(body))
     };
     let limit = Duration::from_millis(shared.host.receive_max_ms);
-    tokio::time::timeout(limit, read)
-        .await
-        .unwrap_or_else(|_| Err(Code::SlowSender.into()))
+    tokio::select! {
+        biased;
+        read = tokio::time::timeout(limit, read) => {
+            read.unwrap_or_else(|_| Err(Code::SlowSender.into()))
+        }
+        () = shared.stop_expired.cancelled() => Err(Code::Draining.into()),
+    }
 }
 
 /// Reads and discards the rest of a refused request's body, up to a limit.
@@ -74,7 +78,11 @@
         }
     };
     let limit = Duration::from_millis(shared.host.receive_max_ms);
-    let _ = tokio::time::timeout(limit, read).await;
+    tokio::select! {
+        // Whether the rest was read or the time is over, the refusal is sent now.
+        _ = tokio::time::timeout(limit, read) => {}
+        () = shared.stop_expired.cancelled() => {}
+    }
 }
 
 /// Returns the client account of the request's bearer key.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,7 +23,7 @@
 mod models;
 mod notices;
 mod peers;
-mod pending_calls;
+mod pending_work;
 mod progress;
 mod prompt_evidence;
 mod prompt_store;
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -50,6 +50,7 @@
     pool: State<Rc<ConnectionPool>>,
 ) -> HttpResponse {
     let received_at = Instant::now();
+    let _pending = shared.pending_work.begin();
     let mut headers = copy_headers(&request);
     let metadata = shared.header_adapter().parse_request(&headers);
     let result = match metadata {
--- a/crates/daemon/src/running.rs
+++ b/crates/daemon/src/running.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::{AbortHandle, abortable};
-use log::{debug, info, warn};
+use log::{debug, info};
 use ntex::{rt::JoinHandle, server::Server};
 
 use crate::shared::Shared;
@@ -96,11 +96,7 @@
     pub async fn stop(self) {
         self.shared.set_draining();
         let drain_max = self.shared.host.drain_max();
-        info!(
-            "drain: started in_flight={} drain_max_ms={}",
-            self.in_flight(),
-            drain_max.as_millis()
-        );
+        self.log_drain("started");
         self.shared.stop_within(drain_max);
         let drain_min = tokio::time::sleep(Duration::from_millis(self.shared.host.drain_min_ms));
         let drained = async {
@@ -111,14 +107,14 @@
         if tokio::time::timeout(drain_max, drained).await.is_ok() {
             info!("drain: finished");
         } else {
-            info!("drain: out of time in_flight={}", self.in_flight());
+            self.log_drain("out of time");
             self.shared.stop_within(Duration::ZERO);
             self.shared.stop_expired.cancel();
             if tokio::time::timeout(ANSWER_TIMEOUT, self.wait_idle())
                 .await
                 .is_err()
             {
-                warn!("drain: cut off in_flight={}", self.in_flight());
+                self.log_drain("cut off");
             }
         }
         // Without this limit, idle connections that callers keep open would delay the stop for much
@@ -151,16 +147,21 @@
         self.tasks.push((handle, joined));
     }
 
-    /// Returns the number of requests in flight and of calls whose outcome is not recorded yet.
-    fn in_flight(&self) -> usize {
-        self.shared.pending_calls.count()
-            + self.shared.with_core(|_, core| core.dispatcher.in_flight())
+    /// Returns the number of queued and running jobs.
+    fn jobs(&self) -> usize {
+        self.shared.with_core(|_, core| core.dispatcher.in_flight())
     }
 
     /// Waits until no work is in flight.
     async fn wait_idle(&self) {
-        while self.in_flight() > 0 {
+        while self.shared.pending_work.count() + self.jobs() > 0 {
             tokio::time::sleep(DRAIN_POLL).await;
         }
     }
+
+    /// Logs a step of the stop with the work that is in flight.
+    fn log_drain(&self, step: &str) {
+        let (pending, jobs) = (self.shared.pending_work.count(), self.jobs());
+        info!("drain: {step} pending={pending} jobs={jobs}");
+    }
 }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -73,6 +73,7 @@
 ) -> HttpResponse {
     let id = shared.next_id();
     let request_id = request_id(&shared, id);
+    let _pending = shared.pending_work.begin();
     match try_serve(&request, &mut payload, &shared, &clients, id).await {
         Ok(response) => response,
         Err(refusal) => {
@@ -158,7 +159,7 @@
     row_key: &str,
     record: Record,
 ) -> Result<HttpResponse, Refusal> {
-    let guard = shared.pending_calls.begin();
+    let guard = shared.pending_work.begin();
     let (shared, clients, row_key) = (shared.clone(), clients.clone(), row_key.to_owned());
     let task = ntex::rt::spawn(async move {
         let answer_max_ms = u64::try_from(call.answer_max.as_millis()).unwrap_or(u64::MAX);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -20,7 +20,7 @@
 use crate::{
     adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
     directory::ClusterState, follow::ReleaseState, handle::JobHandle, peers::Peers,
-    pending_calls::PendingCalls,
+    pending_work::PendingWork,
 };
 
 /// Lowest tier of the dispatcher; engines distinguish more ranks.
@@ -41,7 +41,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) cluster_state: ClusterState,
     header_adapter: Option<Arc<dyn HeaderAdapter>>,
-    pub(crate) pending_calls: PendingCalls,
+    pub(crate) pending_work: PendingWork,
     /// Distinguishes this run of the daemon from all others in claims.
     start_nonce: u64,
     /// Wakes the task that exchanges evidence about prompts.
@@ -68,7 +68,7 @@
             metrics: Metrics::default(),
             cluster_state: ClusterState::default(),
             header_adapter: None,
-            pending_calls: PendingCalls::default(),
+            pending_work: PendingWork::default(),
             start_nonce: rand::random(),
             evidence: Notify::new(),
             queued: Notify::new(),
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -6,9 +6,9 @@
 use settings::{Host, RequestKind};
 use standin::sample_host;
 use tokio::{
-    io::AsyncReadExt as _,
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 #[allow(dead_code, reason = "each test file uses a part of it")]
@@ -19,6 +19,10 @@
 /// Slots of the fixture's upstream.
 const SLOTS: usize = 8;
 
+const OK: &[Step] = &[Step::Send(
+    "HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 9\r\n\r\ndata: a\n\n",
+)];
+
 const UNRESPONSIVE: &[Step] = &[Step::Wait(Duration::from_secs(30))];
 
 const STALLED_STREAM: &[Step] = &[
@@ -70,8 +74,12 @@
         let mut lines = head.lines();
         number(lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(':')))
     };
-    let length: Option<u16> = header("content-length");
-    assert_eq!(length.map(usize::from), Some(body.len()), "{response:?}");
+    if head.contains("transfer-encoding: chunked") {
+        assert!(body.ends_with("0\r\n\r\n"), "{response:?}");
+    } else {
+        let length: Option<u16> = header("content-length");
+        assert_eq!(length.map(usize::from), Some(body.len()), "{response:?}");
+    }
     let status = number(head.split(' ').nth(1));
     (status.unwrap_or(0), header("x-result-code").unwrap_or(0))
 }
@@ -115,3 +123,64 @@
     assert!(answer.contains("id: 1\ndata: a\n\n"), "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
 }
+
+/// Sends the head of a request with a body of two bytes, and returns its connection.
+async fn send_head(fixture: &Fixture) -> TcpStream {
+    let mut stream = TcpStream::connect(fixture.daemon.listen()).await.unwrap();
+    let request = format!(
+        "POST /stock/1 HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\ncontent-length: 2\r\n{}\r\n",
+        headers()
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Guards against a daemon that ends while a request is still being received: the request was read
+/// whole and cut off, or its caller could not tell that it was not run.
+#[ntex::test]
+async fn requests_that_are_being_received_are_answered() {
+    // The first part of the time to stop, in which all is served, ends before the body arrives.
+    let body_at = [Duration::from_millis(600), Duration::from_millis(1_200)];
+    for kind in [RequestKind::NonIdempotent, RequestKind::Stream] {
+        let upstream = ScriptedUpstream::start(&[OK]).await;
+        let host = stopping_host(100, 10_000);
+        let fixture = Fixture::start_host(host, kind, 3_000, &[&upstream]).await;
+        let mut answers = Vec::new();
+        for at in body_at {
+            let mut stream = send_head(&fixture).await;
+            answers.push(async move {
+                sleep(at).await;
+                // A daemon that has ended refuses the rest.
+                let _ = stream.write_all(b"ab").await;
+                (read_to_end(stream).await, Instant::now())
+            });
+        }
+        sleep(Duration::from_millis(50)).await;
+        let stop = async {
+            fixture.daemon.stop().await;
+            Instant::now()
+        };
+        let (answers, stopped_at) = join(join_all(answers), stop).await;
+        for (answer, answered_at) in answers {
+            assert_eq!(result_of(&answer), (200, 0), "{kind:?}");
+            // The process ends then.
+            assert!(answered_at <= stopped_at, "{kind:?}");
+        }
+    }
+}
+
+/// Guards against a caller that sends slowly and keeps a daemon from ending in time, or gets no
+/// answer then.
+#[ntex::test]
+async fn a_request_that_arrives_too_slowly_is_refused_at_the_end() {
+    let upstream = ScriptedUpstream::start(&[OK]).await;
+    let host = stopping_host(0, 300);
+    let kind = RequestKind::NonIdempotent;
+    let fixture = Fixture::start_host(host, kind, 15_000, &[&upstream]).await;
+    let mut stream = send_head(&fixture).await;
+    stream.write_all(b"a").await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    let (answer, ()) = join(read_to_end(stream), fixture.daemon.stop()).await;
+    assert_eq!(result_of(&answer), (503, 3004));
+    assert_eq!(upstream.request_count(), 0);
+}
--- a/crates/daemon/tests/planned_stop_models.rs
+++ b/crates/daemon/tests/planned_stop_models.rs
@@ -6,9 +6,13 @@
 
 use daemon::Daemon;
 use futures::future::{AbortHandle, abortable, join, join_all};
-use standin::sample_config;
-use support::{Platform, wait};
-use tokio::net::TcpListener;
+use standin::{SAMPLE_KEY, sample_config};
+use support::{Platform, chat_body, wait};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep},
+};
 
 /// Starts an upstream that accepts connections and never responds.
 async fn silent_upstream() -> (SocketAddr, AbortHandle) {
@@ -56,7 +60,7 @@
         })
         .await;
         // The requests have to be on their way to the upstream.
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        sleep(Duration::from_millis(100)).await;
         daemon.stop().await;
     };
     let (chats, (orders, ())) = join(join_all(chats), join(join_all(orders), stop)).await;
@@ -72,3 +76,42 @@
     handle.abort();
     platform.stop().await;
 }
+
+/// Guards against a daemon that ends while a model request or a call of a plain service is still
+/// being received, and cuts it off.
+#[ntex::test]
+async fn requests_that_are_being_received_are_answered() {
+    let platform = Platform::start(1).await;
+    let chat = chat_body("question len=3", false).to_string();
+    for (path, body) in [
+        ("/v1/chat/completions", &*chat),
+        ("/services/inventory/reservations", "{}"),
+    ] {
+        let daemon = platform.daemon("entry-1").await;
+        let mut stream = TcpStream::connect(daemon.listen()).await.unwrap();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {SAMPLE_KEY}\r\nidempotency-key: r-1\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        let stop = async {
+            daemon.stop().await;
+            Instant::now()
+        };
+        let answer = async {
+            sleep(Duration::from_millis(800)).await;
+            // A daemon that has ended refuses the rest.
+            let _ = stream.write_all(body.as_bytes()).await;
+            let mut answer = String::new();
+            let _ = stream.read_to_string(&mut answer).await;
+            (answer, Instant::now())
+        };
+        let (stopped_at, (answer, answered_at)) = join(stop, answer).await;
+        let status = answer.split(' ').nth(1);
+        assert!(matches!(status, Some("200" | "201")), "{path}: {answer:?}");
+        // The process ends then.
+        assert!(answered_at <= stopped_at, "{path}");
+    }
+    platform.stop().await;
+}
