fix(platform, sched): rows that name no server to use are no servers

Nesting ends no host: serde_json skips what it doesn't know without recursion and gives up at the first wrong type. Such rows were ignored before, too.

Cause: rows of the platform were checked by their types alone, while the same fields of a configuration of our own have ranges.

Sums and products of slots can't overflow.

--- a/crates/sched/src/group.rs
+++ b/crates/sched/src/group.rs
@@ -35,6 +35,6 @@
 impl Group {
     /// Returns whether long jobs may take more slots while short jobs wait.
     pub(crate) const fn has_room_for_long(&self) -> bool {
-        self.long_count * 100 < self.slots * LONG_PERCENT
+        self.long_count as u64 * 100 < self.slots as u64 * LONG_PERCENT as u64
     }
 }
--- a/crates/sched/src/preempt.rs
+++ b/crates/sched/src/preempt.rs
@@ -182,7 +182,9 @@
                 .topology
                 .member(&running.upstream)
                 .is_some_and(|member| {
-                    member.long_running * 100 > (member.slots * LONG_PERCENT).max(100)
+                    let slots = u64::from(member.slots);
+                    u64::from(member.long_running) * 100
+                        > (slots * u64::from(LONG_PERCENT)).max(100)
                 });
             over_limit
                 && running.tokens > 0
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -400,3 +400,19 @@
         );
     }
 }
+
+/// Guards against sums of slots that overflow because a listed upstream claims far too many: the
+/// daemon stopped following its configuration.
+#[test]
+fn slots_beyond_32_bits_are_no_overflow() {
+    let mut dispatcher = Dispatcher::default();
+    let mut actions = Vec::new();
+    dispatcher.configure(0, &config(u32::MAX), &mut actions);
+    for id in 1..=40 {
+        dispatcher.submit(0, job(id, 0), &mut actions);
+    }
+    let started = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Start { .. }));
+    assert_eq!(started.count(), 40);
+}
--- a/crates/sched/src/topology.rs
+++ b/crates/sched/src/topology.rs
@@ -79,7 +79,8 @@
             group.slots = 0;
         }
         for member in &self.members {
-            self.groups[member.group].slots += member.capacity();
+            let group = &mut self.groups[member.group];
+            group.slots = group.slots.saturating_add(member.capacity());
         }
     }
 
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -6,6 +6,9 @@
 
 /// Names are used in row keys, paths and metric labels.
 pub(crate) const NAME_LENGTH: Range = 1..=63;
+/// Names that a platform gives to upstreams, services and availability zones; they are sent as
+/// headers.
+pub(crate) const PLATFORM_NAME_LENGTH: Range = 1..=200;
 /// Model names are those of the engines and may contain a path.
 pub(crate) const MODEL_LENGTH: Range = 1..=128;
 pub(crate) const PATH_LENGTH: Range = 1..=1_024;
--- a/crates/settings/src/upstream.rs
+++ b/crates/settings/src/upstream.rs
@@ -1,10 +1,10 @@
 //! Upstreams.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EngineCapacity, Honours, UpstreamLifecycle};
+use crate::{EngineCapacity, Honours, UpstreamLifecycle, limits};
 
 /// Back end to which requests are routed: a model engine or an instance of a plain service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +43,37 @@
     pub started_ms: Option<u64>,
 }
 
+impl Upstream {
+    /// Checks an upstream that a platform listed: that requests can be sent to its address, that its
+    /// name can be sent as a header, and that its numbers and texts are within the limits of a
+    /// configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns what makes it unusable.
+    pub fn check(&self) -> Result<(), String> {
+        let slots = u64::from(self.slots);
+        if !limits::SLOTS.contains(&slots) {
+            return Err(format!("{slots} slots"));
+        }
+        let ip = self.address.ip();
+        let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+            return Err(format!("requests can't be sent to {}", self.address));
+        }
+        let is_text = |byte: u8| byte.is_ascii_graphic() || byte == b' ';
+        if !self.name.bytes().all(is_text) || self.name.trim() != self.name {
+            return Err("its name can't be sent as a header".to_owned());
+        }
+        for text in [&self.name, &self.service, &self.zone] {
+            if !limits::PLATFORM_NAME_LENGTH.contains(&(text.len() as u64)) {
+                return Err(format!("a name of {} bytes", text.len()));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Kind of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
