fix(daemon): late requests are passed on only if they end in time

A host that stops refuses requests from drain_min_ms on, but looked at the time only when the head had arrived. A body that came later was passed on however little time was left.

Ruled out: queued requests (they are refused while their answer can't end in time) and retries, which go through the queue.

Change: when the body has arrived, a host that has stopped accepting passes the request on only if its deadline or its route's timeout ends before the drain does. Otherwise it refuses it with 3004, not run.

--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -157,6 +157,10 @@
         received_us + route.target_ms * 1_000,
         route.event_gap_ms * 1_000,
     );
+    // Its body may have arrived long after its head.
+    if shared.outlasts_drain(job.deadline_us) {
+        return Err(Refusal::new(Code::Draining).with_retry_after_ms(DRAINING_RETRY_AFTER_MS));
+    }
     let handle = shared.submit(job);
     drop(snapshot);
     if call.kind.is_stream() {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -110,6 +110,16 @@
         self.is_draining() && drained_us >= self.host.drain_min_ms * 1_000
     }
 
+    /// Returns whether a new request with this deadline could still run when the drain is out of
+    /// time.
+    ///
+    /// Callers that send before the load balancer has noticed the stop are served all the same.
+    pub(crate) fn outlasts_drain(&self, deadline_us: u64) -> bool {
+        let since_us = self.draining_since_us.load(Ordering::Acquire);
+        let drain_max_us = u64::try_from(self.host.drain_max().as_micros()).unwrap_or(u64::MAX);
+        self.is_closing() && deadline_us > since_us.saturating_add(drain_max_us)
+    }
+
     /// Returns whether the host accepts new work.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.snapshot.load().config.version > 0
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/planned_stop.rs
@@ -184,3 +184,27 @@
     assert_eq!(result_of(&answer), (503, 3004));
     assert_eq!(upstream.request_count(), 0);
 }
+
+/// Guards against requests that are passed on late in the time to stop, when they may not be finished
+/// before its end: one that may not be repeated was cut. One that ends in time whatever its upstream
+/// does is served.
+#[ntex::test]
+async fn late_requests_are_passed_on_only_if_they_end_in_time() {
+    for (timeout_ms, expected, passed_on) in [(15_000, (503, 3004), 0), (1_500, (504, 4005), 1)] {
+        for kind in [RequestKind::NonIdempotent, RequestKind::Stream] {
+            let upstream = ScriptedUpstream::start(&[UNRESPONSIVE]).await;
+            let host = stopping_host(100, 4_000);
+            let fixture = Fixture::start_host(host, kind, timeout_ms, &[&upstream]).await;
+            let mut stream = send_head(&fixture).await;
+            sleep(Duration::from_millis(50)).await;
+            let answer = async {
+                sleep(Duration::from_millis(500)).await;
+                stream.write_all(b"ab").await.unwrap();
+                read_to_end(stream).await
+            };
+            let (answer, ()) = join(answer, fixture.daemon.stop()).await;
+            assert_eq!(result_of(&answer), expected, "{kind:?} {timeout_ms}");
+            assert_eq!(upstream.request_count(), passed_on, "{kind:?} {timeout_ms}");
+        }
+    }
+}
