fix(daemon): a second SIGTERM doesn't cut a stop short

What callers saw: all requests in flight were cut without an answer when SIGTERM came twice, as where two plans stop the same host, or an operator repeats the signal.

Cause: a second signal ended the process at once, meant for operators at a terminal.

Now the stop goes on; SIGINT ends it at once, as two Ctrl-C do.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs a daemon as a process: reads its settings and handles signals.
 
-use std::{fs, path::Path};
+use std::{fs, path::Path, pin::pin};
 
 use eyre::{Result, WrapErr as _, eyre};
 use log::{info, warn};
@@ -28,12 +28,13 @@
 
 /// Runs a daemon until a signal stops it.
 ///
-/// SIGTERM and SIGINT start a graceful stop; a second signal ends it at once. SIGHUP reads and
-/// validates the settings file again; changes take effect with the next start.
+/// SIGTERM and SIGINT start a graceful stop, which only a SIGINT after that cuts short: a platform
+/// that repeats SIGTERM still expects requests in flight to finish. SIGHUP reads and validates the
+/// settings file again; changes take effect with the next start.
 ///
 /// # Errors
 ///
-/// Returns an error if an address can't be bound or a second signal cuts the stop short.
+/// Returns an error if an address can't be bound or SIGINT cuts the stop short.
 pub async fn run(daemon: Daemon, settings_path: &Path) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -46,10 +47,13 @@
             _ = hangup.recv() => log_settings_change(&running, settings_path),
         }
     }
-    tokio::select! {
-        () = running.stop() => Ok(()),
-        _ = terminate.recv() => Err(eyre!("second signal, stopped at once")),
-        _ = interrupt.recv() => Err(eyre!("second signal, stopped at once")),
+    let mut stop = pin!(running.stop());
+    loop {
+        tokio::select! {
+            () = &mut stop => return Ok(()),
+            _ = terminate.recv() => info!("daemon: SIGTERM again, the stop goes on"),
+            _ = interrupt.recv() => return Err(eyre!("SIGINT during the stop, ended at once")),
+        }
     }
 }
 
