fix(sched): what waits is served during a stop before answer times are known

Cause: before a class has an answer, its jobs were judged by their deadline, which on the own interface bounds the wait and not the answer.

Change: an unknown answer is expected to take half of the stop.

--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Action, Job, JobId, Outcome, Reason, admission::candidate_of, answer_times::AnswerTimes,
-    entry::Entry, preempt::URGENT_MARGIN_US, retry::attempt_outcome, running::Running,
+    entry::Entry, preempt::URGENT_MARGIN_US, retry::attempt_outcome, running::Running, stop::Stop,
     topology::Topology,
 };
 
@@ -39,8 +39,7 @@
     pub(crate) pool: Pool,
     pub(crate) quarantine: Quarantine,
     pub(crate) topology: Topology,
-    /// Time at which the daemon ends, if it stops.
-    pub(crate) ends_us: Option<u64>,
+    pub(crate) stop: Option<Stop>,
     /// Number of jobs that have arrived, from which each gets its place in the order of arrival.
     arrivals: u64,
     /// Time of the next recheck of all lanes.
@@ -505,7 +504,7 @@
             pool: Pool::default(),
             quarantine: Quarantine::default(),
             topology: Topology::default(),
-            ends_us: None,
+            stop: None,
             arrivals: 0,
             next_recheck_us: 0,
         }
--- a/crates/sched/src/stop.rs
+++ b/crates/sched/src/stop.rs
@@ -8,6 +8,15 @@
 /// host.
 const RETRY_AFTER_MS: u64 = 20;
 
+/// Planned stop that has begun.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stop {
+    /// Time at which the daemon ends.
+    ends_us: u64,
+    /// Expected time of answers whose class has none yet: half of the stop.
+    unknown_answer_us: u64,
+}
+
 impl Dispatcher {
     /// Announces that the daemon ends at `ends_us`, and refuses the waiting jobs whose answers
     /// aren't expected to end by then.
@@ -16,7 +25,10 @@
     /// long. New jobs that find a slot still start. A call with the current time refuses all that
     /// wait.
     pub fn stop_by(&mut self, now_us: u64, ends_us: u64, actions: &mut Vec<Action>) {
-        self.ends_us = Some(ends_us);
+        self.stop = Some(Stop {
+            ends_us,
+            unknown_answer_us: ends_us.saturating_sub(now_us) / 2,
+        });
         self.refuse_queued_at_stop(now_us, actions);
     }
 
@@ -35,7 +47,7 @@
 
     /// Refuses the waiting jobs whose answers aren't expected to end before the daemon does.
     pub(crate) fn refuse_queued_at_stop(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        if self.ends_us.is_none() {
+        if self.stop.is_none() {
             return;
         }
         let queued = self.jobs.values().filter(|entry| entry.running.is_none());
@@ -53,7 +65,7 @@
         id: JobId,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let (Some(ends_us), Some(entry)) = (self.ends_us, self.jobs.get(&id)) else {
+        let (Some(stop), Some(entry)) = (self.stop, self.jobs.get(&id)) else {
             return false;
         };
         // The caller of an answer that has begun can't take it over elsewhere.
@@ -61,9 +73,9 @@
             0
         } else {
             let longest_us = self.answer_times.longest_us(&entry.job.class);
-            longest_us.unwrap_or(entry.max_wait_us)
+            longest_us.unwrap_or(stop.unknown_answer_us)
         };
-        if now_us.saturating_add(answer_us) < ends_us {
+        if now_us.saturating_add(answer_us) < stop.ends_us {
             return false;
         }
         let reason = Reason::Stopping { answer_us };
--- a/crates/sched/src/stop_tests.rs
+++ b/crates/sched/src/stop_tests.rs
@@ -55,6 +55,7 @@
 #[test]
 fn jobs_that_cannot_be_answered_in_time_are_refused_at_once() {
     let (mut dispatcher, mut actions) = full_dispatcher();
+    observe_answers(&mut dispatcher, 10_000 * MS_US);
     dispatcher.submit(0, long_job(1), &mut actions);
     actions.clear();
     dispatcher.stop_by(100 * MS_US, 7_100 * MS_US, &mut actions);
@@ -64,6 +65,24 @@
     assert_eq!(dispatcher.in_flight(), 2);
 }
 
+// Guards against refusing what a stop has time for, and against waiting until its end, where nothing
+// tells how long the answers take.
+#[test]
+fn jobs_of_an_unknown_class_wait_for_half_of_the_stop() {
+    let (mut dispatcher, mut actions) = full_dispatcher();
+    dispatcher.submit(0, long_job(1), &mut actions);
+    actions.clear();
+    dispatcher.stop_by(0, 7_000 * MS_US, &mut actions);
+    dispatcher.submit(MS_US, long_job(2), &mut actions);
+    dispatcher.tick(3_400 * MS_US, &mut actions);
+    assert_eq!(refused(&mut actions), []);
+    dispatcher.tick(3_600 * MS_US, &mut actions);
+    assert_eq!(
+        refused(&mut actions),
+        [(1, Code::Draining), (2, Code::Draining)]
+    );
+}
+
 // Guards against sending callers away that find a slot here: the host at which they arrive next may
 // stop as well.
 #[test]
@@ -112,9 +131,10 @@
     let (mut dispatcher, mut actions) = full_dispatcher();
     dispatcher.stop_by(0, 100 * MS_US, &mut actions);
     assert_eq!(dispatcher.code_at_stop(JobId(101)), Code::CutByStop);
-    dispatcher.finish(MS_US, JobId(101), Outcome::LostBeforeAnswer, &mut actions);
+    let late_us = 60 * MS_US;
+    dispatcher.finish(late_us, JobId(101), Outcome::LostBeforeAnswer, &mut actions);
     assert_eq!(refused(&mut actions), [(101, Code::CutByStop)]);
-    dispatcher.finish(MS_US, JobId(102), Outcome::Rejected, &mut actions);
+    dispatcher.finish(late_us, JobId(102), Outcome::Rejected, &mut actions);
     assert_eq!(refused(&mut actions), [(102, Code::Draining)]);
 }
 
