fix(daemon): a stop waits until slow callers have read large answers

What callers saw: an answer that was on its way to a caller on a slow link was cut when its host, which had nothing else to do, ended 0.4 s after the last request in flight. The request had been read whole and passed on.

answers_are_sent_whole_before_a_stop_ends (14 MB read within 3 s, SIGTERM at the head of the answer) failed before: 6.2 of 14 MB arrived.

Change: bodies of more than 32 KiB are handed over in pieces as the caller reads, and count as pending work until the last one is. So the HTTP server no longer holds a copy of the whole body either.

Rejected: leaving the rest of the drain to the HTTP server's own graceful stop. It waits for connections that end by themselves only at its time limit; a test of ours with broken streams then took 61 s instead of 6 s.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -29,6 +29,7 @@
 mod prompt_store;
 mod refusal;
 mod relay;
+mod response_body;
 mod routed;
 mod run;
 mod running;
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -16,7 +16,10 @@
     progress::Progress,
     reply,
 };
-use crate::{core::Decision, handle::JobHandle, refusal::Refusal, shared::Shared};
+use crate::{
+    core::Decision, handle::JobHandle, refusal::Refusal, response_body::response_body,
+    shared::Shared,
+};
 
 /// Largest response body that is buffered.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -57,7 +60,7 @@
         call.received_at.elapsed().as_millis()
     );
     let mut reply = reply::start(shared, buffered.status, &buffered.headers);
-    Ok(reply.body(ntex::util::Bytes::copy_from_slice(&buffered.body)))
+    Ok(reply.message_body(response_body(shared, buffered.body)))
 }
 
 /// Makes attempts until one has a complete response or the dispatcher refuses the job.
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -21,7 +21,10 @@
     progress::Progress,
     reply,
 };
-use crate::{core::Decision, handle::JobHandle, refusal::Refusal, shared::Shared};
+use crate::{
+    core::Decision, handle::JobHandle, refusal::Refusal, response_body::response_body,
+    shared::Shared,
+};
 
 /// Largest body of an error response to a stream request.
 const ERROR_MAX_BYTES: usize = 1024 * 1024;
@@ -190,7 +193,8 @@
             self.upstream,
             response.status().as_u16()
         );
-        reply::start_from(&self.shared, response).body(to_ntex_bytes(body))
+        let body = response_body(&self.shared, body.clone());
+        reply::start_from(&self.shared, response).message_body(body)
     }
 
     /// Makes attempts until an upstream has started to respond.
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -28,6 +28,7 @@
     },
     notices,
     refusal::{Refusal, record_refusal},
+    response_body::response_body,
     shared::Shared,
 };
 
@@ -130,7 +131,7 @@
     let key = request.headers().get(IDEMPOTENCY_KEY);
     let (Some(key), false) = (key, call.idempotent) else {
         let sent = send(shared, clients, job, &call).await;
-        return response(sent);
+        return response(shared, sent);
     };
     let key = key
         .to_str()
@@ -160,10 +161,10 @@
     record: Record,
 ) -> Result<HttpResponse, Refusal> {
     let guard = shared.pending_work.begin();
-    let (shared, clients, row_key) = (shared.clone(), clients.clone(), row_key.to_owned());
+    let (task_shared, clients, row_key) = (shared.clone(), clients.clone(), row_key.to_owned());
     let task = ntex::rt::spawn(async move {
         let answer_max_ms = u64::try_from(call.answer_max.as_millis()).unwrap_or(u64::MAX);
-        let send = async || match send(&shared, &clients, job, &call).await {
+        let send = async || match send(&task_shared, &clients, job, &call).await {
             Ok(answer) => CallResult::Answered(answer),
             Err(refusal) if refusal.code.run() == code::Run::No => {
                 CallResult::NotSent(refusal.code)
@@ -176,9 +177,9 @@
         reply
     });
     match task.await {
-        Ok(Reply::Answer(answer)) => response(Ok(answer)),
+        Ok(Reply::Answer(answer)) => response(shared, Ok(answer)),
         Ok(Reply::Replay(answer)) => {
-            let mut response = response(Ok(answer))?;
+            let mut response = response(shared, Ok(answer))?;
             let replayed = ntex::http::header::HeaderValue::from_static("true");
             response.headers_mut().insert(
                 ntex::http::header::HeaderName::from_static("idempotency-replayed"),
@@ -301,14 +302,14 @@
 }
 
 /// Builds the HTTP response of an answer.
-fn response(answer: Result<Answer, Refusal>) -> Result<HttpResponse, Refusal> {
+fn response(shared: &Shared, answer: Result<Answer, Refusal>) -> Result<HttpResponse, Refusal> {
     let answer = answer?;
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
     if !answer.content_type.is_empty() {
         response.content_type(answer.content_type.as_str());
     }
-    Ok(response.body(answer.body))
+    Ok(response.message_body(response_body(shared, answer.body.into())))
 }
 
 impl Call {
