feat(quarantine): hold back a whole request that crashes its upstreams

Cause: one request, repeated by its callers at any host, crashes each upstream that runs it. Ruled out: Request-Id (each repeat has its own); the prompt's parts alone; counting losses at different upstreams (those that fail together lose a request at one moment); letting the request explain crashes for every part (a request with a deadly part that is tried three times would hide the part). Change: a fingerprint of what the upstream sees, keyed by the fleet's secret, is a second kind of suspect with the same verdicts, messages, row, trial and release. Three losses that don't overlap in time hold it back at once; a daemon that has seen an answer clears it. Lost attempts are logged with it.

--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -47,7 +47,7 @@
     NoConfig,
     /// This host was suspended and has not refreshed its view of the fleet yet.
     StaleView,
-    /// A part of the prompt crashed several upstreams and is quarantined.
+    /// The request, or a part of its prompt, crashed several upstreams and is quarantined.
     PromptQuarantined,
     /// No upstream accepts work at present.
     NoUpstream,
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -171,7 +171,7 @@
         http_status: 503,
         run: Run::No,
         retry: Retry::Later,
-        message: "A part of the prompt crashed several upstreams.",
+        message: "The request, or a part of its prompt, crashed several upstreams.",
     },
     Entry {
         code: Code::NoUpstream,
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -123,7 +123,8 @@
     }
 }
 
-/// Serves `/admin/prompts`: the parts of prompts that are suspected or quarantined.
+/// Serves `/admin/prompts`: the parts of prompts, and the whole requests, that are suspected or
+/// quarantined.
 pub(crate) async fn prompts(shared: State<Arc<Shared>>) -> HttpResponse {
     let parts = shared.with_core(|now_us, core| core.dispatcher.quarantine().parts(now_us));
     let crash = |crash: &CrashEvidence| {
@@ -138,6 +139,7 @@
     let entry = |part: &QuarantinedPart| {
         json!({
             "part": format!("{:016x}", part.part),
+            "whole_request": part.is_request,
             "quarantined": part.state == VerdictState::Quarantined,
             "age_ms": part.age_ms,
             "crashes": part.crashes,
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    fingerprint::RequestIdentity,
     input::{
         authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
     },
@@ -87,6 +88,14 @@
         return Err(Refusal::new(Code::UnknownModel).with_detail(&format!("`{}`", parsed.model())));
     }
     let prefix_hash = xxh3_64(parsed.prefix().as_bytes());
+    let fingerprint = shared.fingerprint_key.fingerprint(&RequestIdentity {
+        account: &account.name,
+        method: request.method().as_str(),
+        authority: "",
+        path_and_query: request.path(),
+        prompt_parts: &[],
+        body: &body,
+    });
     let job = Job {
         id,
         account: account.name.as_str().into(),
@@ -101,7 +110,7 @@
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: true,
         prompt: [].into(),
-        prompt_parts: PromptParts::new([prefix_hash, xxh3_64(&body)]),
+        prompt_parts: PromptParts::new([prefix_hash, xxh3_64(&body)]).with_request(fingerprint),
         policy: JobPolicy::default(),
     };
     let progress = Progress::new(class, shared.clock.now_us());
--- a/crates/daemon/src/prompt_evidence.rs
+++ b/crates/daemon/src/prompt_evidence.rs
@@ -89,8 +89,13 @@
         VerdictState::Released => "released",
         VerdictState::Dismissed => "dismissed",
     };
+    let kind = if verdict.is_request {
+        "request"
+    } else {
+        "part"
+    };
     warn!(
-        "prompt: part {state} part={:016x} epoch={} crashes={} failed_trials={} age_ms={}",
+        "prompt: {kind} {state} part={:016x} epoch={} crashes={} failed_trials={} age_ms={}",
         verdict.part, verdict.epoch, verdict.crashes, verdict.failed_trials, verdict.age_ms
     );
 }
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -139,8 +139,8 @@
     );
 }
 
-/// Logs an attempt that was lost after it had been sent, with the parts of its prompt: the upstream
-/// may have crashed because of one of them.
+/// Logs an attempt that was lost after it had been sent, with the parts of its prompt and its
+/// fingerprint: the upstream may have crashed because of one of them.
 pub(super) fn log_loss(call: &Call, upstream: &str, begun_at: Option<Instant>, detail: &str) {
     let mut parts = String::new();
     for part in call.prompt.iter() {
@@ -152,8 +152,9 @@
         i64::try_from(at.elapsed().as_millis()).unwrap_or(i64::MAX)
     });
     info!(
-        "attempt: lost request={} upstream={upstream} waited_ms={} begun_ms={begun_ms} prompt_parts={parts} detail={detail:?}",
+        "attempt: lost request={} upstream={upstream} waited_ms={} begun_ms={begun_ms} prompt_parts={parts} fingerprint={:016x} detail={detail:?}",
         call.request_id,
-        call.received_at.elapsed().as_millis()
+        call.received_at.elapsed().as_millis(),
+        call.fingerprint
     );
 }
--- a/crates/daemon/src/routed/call.rs
+++ b/crates/daemon/src/routed/call.rs
@@ -39,6 +39,8 @@
     pub(super) rank: u8,
     /// Parts of the prompt in order; empty for a plain service.
     pub(super) prompt: Arc<[PromptPart]>,
+    /// Fingerprint of the whole request, the same for each repeat of it.
+    pub(super) fingerprint: u64,
     pub(super) received_at: Instant,
     /// Time by which the response must be complete: the earlier of the caller's deadline and the
     /// route's timeout.
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -23,6 +23,7 @@
 use crate::{
     adapter::RequestMetadata,
     config_snapshot::ConfigSnapshot,
+    fingerprint::RequestIdentity,
     input::{discard_body, read_body_within},
     refusal::Refusal,
     shared::Shared,
@@ -122,7 +123,17 @@
     })?;
     let account = account_of(&snapshot, route, &metadata)?;
     let id = shared.next_id();
-    let job = build_job(route, account.as_ref(), &metadata, id, body.len())?;
+    let prompt_parts: Vec<u64> = metadata.prompt.iter().map(|part| part.id).collect();
+    let fingerprint = shared.fingerprint_key.fingerprint(&RequestIdentity {
+        account: account.as_deref().unwrap_or_default(),
+        method: request.method().as_str(),
+        authority: host,
+        path_and_query: path_and_query(request),
+        prompt_parts: &prompt_parts,
+        body: &body,
+    });
+    let parts = PromptParts::new(prompt_parts).with_request(fingerprint);
+    let job = build_job(route, account.as_ref(), &metadata, id, body.len(), parts)?;
     let rank = rank_of(&snapshot, route, account.as_ref());
     let call = build_call(
         request,
@@ -174,6 +185,12 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Returns the path and the query of a request, unchanged.
+fn path_and_query(request: &HttpRequest) -> &str {
+    let uri = request.uri().path_and_query();
+    uri.map_or_else(|| request.path(), |uri| uri.as_str())
+}
+
 /// Copies the headers of a request into the map that is forwarded to upstreams.
 fn copy_headers(request: &HttpRequest) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(request.headers().len() + 6);
@@ -231,6 +248,7 @@
     metadata: &RequestMetadata,
     id: sched::JobId,
     body_bytes: usize,
+    prompt_parts: PromptParts,
 ) -> Result<Job, Refusal> {
     let number = xxh3_64(metadata.request_id.as_bytes());
     let service = route
@@ -251,7 +269,7 @@
         deadline_us: 0,
         idempotent: route.kind.is_repeatable(),
         prompt: metadata.prompt.clone(),
-        prompt_parts: PromptParts::new(metadata.prompt.iter().map(|part| part.id)),
+        prompt_parts,
         policy: JobPolicy {
             attempts_max: route.attempts_max,
             rejections_max: REJECTIONS_MAX,
@@ -279,19 +297,18 @@
     let limit = metadata
         .deadline
         .map_or(timeout, |deadline| deadline.min(timeout));
-    let path_and_query = request.uri().path_and_query();
     Call {
         request_id: metadata.request_id,
         route: route.name.clone(),
         kind: route.kind,
         method: request.method().clone(),
-        path_and_query: path_and_query
-            .map_or_else(|| request.path().to_owned(), ToString::to_string),
+        path_and_query: path_and_query(request).to_owned(),
         headers,
         body,
         account,
         rank,
         prompt: job.prompt.clone(),
+        fingerprint: job.prompt_parts.request().unwrap_or(0),
         received_at,
         deadline: received_at + limit,
     }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -13,7 +13,7 @@
         types::{Payload, State},
     },
 };
-use sched::{Job, JobPolicy, LatencyAims, Outcome, Target};
+use sched::{Job, JobPolicy, LatencyAims, Outcome, PromptParts, Target};
 use settings::Service;
 use store::Table;
 use tokio::time::Instant;
@@ -22,6 +22,7 @@
     attempt::{notice_of, outcome_of},
     claimed::run_claimed,
     core::Decision,
+    fingerprint::RequestIdentity,
     handle::JobHandle,
     input::{
         authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
@@ -111,6 +112,14 @@
     let class = class_of(&snapshot, account, request, None)?;
     let body = read_body(shared, request, payload).await?;
     let call = Call::new(request, service, path, body);
+    let fingerprint = shared.fingerprint_key.fingerprint(&RequestIdentity {
+        account: &account.name,
+        method: call.method.as_str(),
+        authority: name,
+        path_and_query: &call.path,
+        prompt_parts: &[],
+        body: &call.body,
+    });
     let job = Job {
         id,
         account: account.name.as_str().into(),
@@ -125,7 +134,7 @@
         deadline_us: shared.clock.now_us() + class.max_wait_ms * 1_000,
         idempotent: call.idempotent,
         prompt: [].into(),
-        prompt_parts: sched::PromptParts::default(),
+        prompt_parts: PromptParts::default().with_request(fingerprint),
         policy: JobPolicy::default(),
     };
     let key = request.headers().get(IDEMPOTENCY_KEY);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -19,8 +19,8 @@
 
 use crate::{
     adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
-    directory::ClusterState, follow::ReleaseState, handle::JobHandle, peers::Peers,
-    pending_work::PendingWork,
+    directory::ClusterState, fingerprint::FingerprintKey, follow::ReleaseState, handle::JobHandle,
+    peers::Peers, pending_work::PendingWork,
 };
 
 /// Lowest tier of the dispatcher; engines distinguish more ranks.
@@ -41,6 +41,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) cluster_state: ClusterState,
     header_adapter: Option<Arc<dyn HeaderAdapter>>,
+    /// Key of the fingerprints of requests.
+    pub(crate) fingerprint_key: FingerprintKey,
     pub(crate) pending_work: PendingWork,
     /// Distinguishes this run of the daemon from all others in claims.
     start_nonce: u64,
@@ -55,6 +57,7 @@
     /// Creates the state of a host without a configuration.
     pub(crate) fn new(host: Host, peers: Peers) -> Self {
         let core = Core::new(&host);
+        let fingerprint_key = FingerprintKey::new(&host);
         Self {
             host,
             clock: Clock::new(),
@@ -68,6 +71,7 @@
             metrics: Metrics::default(),
             cluster_state: ClusterState::default(),
             header_adapter: None,
+            fingerprint_key,
             pending_work: PendingWork::default(),
             start_nonce: rand::random(),
             evidence: Notify::new(),
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -29,6 +29,8 @@
 struct Loss {
     parts: Vec<u64>,
     own: u64,
+    /// Fingerprint of the whole request; 0 for none.
+    request: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,6 +50,10 @@
         self.losses_with(part).next().is_some()
     }
 
+    fn has_request(&self, request: u64) -> bool {
+        self.losses.iter().any(|loss| loss.request == request)
+    }
+
     /// Returns whether a part of a lost request was released since.
     fn is_settled<R>(&self, released_us: R) -> bool
     where
@@ -94,10 +100,13 @@
 
 impl CrashLog {
     /// Adds a lost request to the crash of its upstream; returns whether it is new.
-    pub(crate) fn record(&mut self, at_us: u64, upstream: u64, parts: &[u64], own: u64) -> bool {
+    pub(crate) fn record(&mut self, at_us: u64, report: &LossReport) -> bool {
+        let upstream = report.upstream;
+        let parts = &report.parts[..report.parts.len().min(LossReport::PARTS_MAX)];
         let loss = Loss {
             parts: parts.to_vec(),
-            own,
+            own: report.own,
+            request: report.request,
         };
         let same = self.crashes.iter_mut().find(|crash| {
             crash.upstream == upstream && crash.at_us.abs_diff(at_us) < SAME_CRASH_US
@@ -134,6 +143,8 @@
                 age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
                 parts: loss.parts.clone(),
                 own: loss.own,
+                request: 0,
+                ran_ms: 0,
             })
         })
     }
@@ -185,26 +196,32 @@
     /// `released_us` returns when a part was last released: earlier crashes with it count against
     /// no part. `is_answered` returns whether an answer to a part is known to have begun at any
     /// time, and `is_quarantined` whether a part is a known culprit, which explains its crashes
-    /// first.
-    pub(crate) fn culprits<C, R, A, Q>(
+    /// first. `is_held_request` returns whether a whole request is held back: it explains the crashes
+    /// at which it was lost, unless other held requests share the part.
+    pub(crate) fn culprits<C, R, A, Q, H>(
         &self,
         cleared_us: C,
         released_us: R,
         is_answered: A,
         is_quarantined: Q,
+        is_held_request: H,
     ) -> Vec<Culprit>
     where
         C: Fn(u64) -> Option<u64>,
         R: Fn(u64) -> Option<u64>,
         A: Fn(u64) -> bool,
         Q: Fn(u64) -> bool,
+        H: Fn(u64) -> bool,
     {
+        let held_requests = self.held_requests(is_held_request);
         let crashes = self.crashes.iter();
         let settled: Vec<bool> = crashes
             .map(|crash| crash.is_settled(&released_us))
             .collect();
         let counts = |crash: &Crash, part: u64| {
             cleared_us(part).is_none_or(|cleared_us| crash.at_us > cleared_us)
+                && !only_request(&held_requests, part)
+                    .is_some_and(|request| crash.has_request(request))
         };
         let evidence = |part: u64, explained: &[bool]| {
             let crashes = self.crashes.iter().zip(explained);
@@ -249,6 +266,20 @@
         culprits.collect()
     }
 
+    /// Returns the parts of the held requests with their fingerprints, sorted.
+    fn held_requests<H>(&self, is_held_request: H) -> Vec<(u64, u64)>
+    where
+        H: Fn(u64) -> bool,
+    {
+        let losses = self.crashes.iter().flat_map(|crash| &crash.losses);
+        let held = losses.filter(|loss| loss.request != 0 && is_held_request(loss.request));
+        let parts = held.flat_map(|loss| loss.parts.iter().map(|&part| (part, loss.request)));
+        let mut parts: Vec<(u64, u64)> = parts.collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts
+    }
+
     /// Returns the parts that enough crashes may speak against, and the known culprits.
     fn candidates<A, Q>(&self, is_answered: A, is_quarantined: Q) -> Vec<Candidate>
     where
@@ -349,6 +380,17 @@
     }
 }
 
+/// Returns the only held request with a part, if there is just one. Two different ones speak against
+/// the part that they share.
+fn only_request(held_requests: &[(u64, u64)], part: u64) -> Option<u64> {
+    let first = held_requests.partition_point(|&(other, _)| other < part);
+    let mut of_part = held_requests[first..]
+        .iter()
+        .take_while(|&&(other, _)| other == part);
+    let request = of_part.next().map(|&(_, request)| request);
+    request.filter(|_| of_part.next().is_none())
+}
+
 /// Counts the crashes that speak against a part, at different moments. A request that is retried is
 /// lost at several, so at least half of them must be of different requests.
 fn count_evidence<'a, I>(part: u64, crashes: I) -> u32
--- a/crates/quarantine/src/crash_log_tests.rs
+++ b/crates/quarantine/src/crash_log_tests.rs
@@ -1,12 +1,35 @@
 //! Tests of the choice of the parts that explain crashes.
 
-use crate::crash_log::CrashLog;
+use crate::{LossReport, crash_log::CrashLog};
 
 const S_US: u64 = 1_000_000;
 
 /// Lost request: time in tenths of a second, upstream, shared parts, own part.
 type Loss = (u64, u64, &'static [u64], u64);
 
+fn record(log: &mut CrashLog, at_us: u64, upstream: u64, parts: &[u64], own: u64) {
+    record_request(log, at_us, upstream, parts, own, 0);
+}
+
+fn record_request(
+    log: &mut CrashLog,
+    at_us: u64,
+    upstream: u64,
+    parts: &[u64],
+    own: u64,
+    request: u64,
+) {
+    let report = LossReport {
+        upstream,
+        age_ms: 0,
+        parts: parts.to_vec(),
+        own,
+        request,
+        ran_ms: 0,
+    };
+    log.record(at_us, &report);
+}
+
 /// Lost requests and the parts that explain them. Part 9 is the culprit, where there is one; parts
 /// from 1 to 3 were answered before.
 const CASES: [(&str, &[Loss], &[u64]); 11] = [
@@ -109,13 +132,14 @@
     for (name, losses, expected) in CASES {
         let mut log = CrashLog::default();
         for &(at, upstream, parts, own) in losses {
-            log.record(at * S_US / 10, upstream, parts, own);
+            record(&mut log, at * S_US / 10, upstream, parts, own);
         }
         let culprits = log.culprits(
             |_| None,
             |_| None,
             |part| (1..=3).contains(&part),
             |_| false,
+            |_| false,
         );
         let mut parts: Vec<u64> = culprits.iter().map(|culprit| culprit.part).collect();
         parts.sort_unstable();
@@ -128,9 +152,17 @@
 fn crashes_before_a_clearance_do_not_count() {
     let mut log = CrashLog::default();
     for crash in 1..=4 {
-        log.record(crash * S_US, crash, &[9], 100 + crash);
+        record(&mut log, crash * S_US, crash, &[9], 100 + crash);
     }
-    let culprits = |cleared_us| log.culprits(|_| Some(cleared_us), |_| None, |_| false, |_| false);
+    let culprits = |cleared_us| {
+        log.culprits(
+            |_| Some(cleared_us),
+            |_| None,
+            |_| false,
+            |_| false,
+            |_| false,
+        )
+    };
     assert_eq!(culprits(S_US)[0].crashes, 3);
     assert!(culprits(2 * S_US).is_empty());
     assert!(log.is_evident(9, Some(S_US), |_| None));
@@ -144,9 +176,9 @@
     let mut log = CrashLog::default();
     for crash in 1..=9 {
         let parts: &[u64] = if crash <= 3 { &[5, 9] } else { &[5] };
-        log.record(crash * 10 * S_US, crash, parts, 100 + crash);
+        record(&mut log, crash * 10 * S_US, crash, parts, 100 + crash);
     }
-    let culprits = log.culprits(|_| None, |_| None, |_| false, |part| part == 9);
+    let culprits = log.culprits(|_| None, |_| None, |_| false, |part| part == 9, |_| false);
     let parts: Vec<u64> = culprits.iter().map(|culprit| culprit.part).collect();
     assert_eq!(parts, [5, 9]);
 }
@@ -157,12 +189,12 @@
 fn crashes_before_a_release_do_not_count() {
     let mut log = CrashLog::default();
     for crash in 1..=3 {
-        log.record(crash * S_US, crash, &[5, 9], 100 + crash);
-        log.record(crash * S_US, crash, &[6], 200 + crash);
+        record(&mut log, crash * S_US, crash, &[5, 9], 100 + crash);
+        record(&mut log, crash * S_US, crash, &[6], 200 + crash);
     }
     let parts = |log: &CrashLog, released_us| -> Vec<u64> {
         let released_us = |part| (part == 9).then_some(released_us);
-        let culprits = log.culprits(released_us, released_us, |_| false, |_| false);
+        let culprits = log.culprits(released_us, released_us, |_| false, |_| false, |_| false);
         culprits.iter().map(|culprit| culprit.part).collect()
     };
     assert_eq!(parts(&log, 0), [9]);
@@ -172,10 +204,42 @@
     assert_eq!(log.crashes_with(5, None, released_us).count(), 0);
     assert_eq!(log.reports(4 * S_US, released_us).count(), 0);
     // A loss that is reported late belongs to a crash before the release.
-    log.record(3 * S_US + 1, 3, &[6], 204);
+    record(&mut log, 3 * S_US + 1, 3, &[6], 204);
     assert!(parts(&log, 3 * S_US).is_empty());
     for crash in 4..=6 {
-        log.record(crash * S_US, crash, &[5], 100 + crash);
+        record(&mut log, crash * S_US, crash, &[5], 100 + crash);
     }
     assert_eq!(parts(&log, 3 * S_US), [5]);
 }
+
+/// Guards against a sound part that is blamed for the crashes by one request that is held back, and
+/// against a deadly part that hides behind its requests.
+#[test]
+fn held_request_explains_its_crashes_unless_others_share_the_part() {
+    let mut log = CrashLog::default();
+    for crash in 1..=4 {
+        record_request(&mut log, crash * S_US, crash, &[1, 5], 100, 77);
+        record_request(
+            &mut log,
+            crash * S_US,
+            crash,
+            &[1, 6],
+            200 + crash,
+            200 + crash,
+        );
+    }
+    let culprits = |log: &CrashLog, held: &[u64]| {
+        let is_held = |request| held.contains(&request);
+        let culprits = log.culprits(|_| None, |_| None, |_| false, |_| false, is_held);
+        culprits
+            .iter()
+            .map(|culprit| culprit.part)
+            .collect::<Vec<u64>>()
+    };
+    assert_eq!(culprits(&log, &[]), [6]);
+    assert!(!culprits(&log, &[77]).contains(&1));
+    for crash in 11..=14 {
+        record_request(&mut log, crash * S_US, crash, &[1, 5], 300, 78);
+    }
+    assert!(culprits(&log, &[77, 78]).contains(&1));
+}
--- a/crates/quarantine/src/fleet_tests.rs
+++ b/crates/quarantine/src/fleet_tests.rs
@@ -141,6 +141,35 @@
     }
 }
 
+/// Guards against a deadly request that is repeated at many daemons, none of which sees enough of
+/// its crashes, and against sound requests of the same prompts that are refused.
+#[test]
+fn few_repeats_of_a_deadly_request_are_sent() {
+    let plans = (1..=20).flat_map(|seed| {
+        let shares = [0.02, 0.05, 0.2, 0.4];
+        shares.into_iter().flat_map(move |deadly_share| {
+            [(1, 0.0), (2, 0.02), (3, 0.0)].map(|(attempts, lost_answers)| Plan {
+                deadly_whole: true,
+                deadly_share,
+                attempts,
+                lost_answers,
+                ..Plan::small(seed)
+            })
+        })
+    });
+    let large = Plan {
+        deadly_whole: true,
+        ..Plan::large(1)
+    };
+    for plan in plans.chain([large]) {
+        let outcome = Fleet::new(plan).run(15 * S_US);
+        assert!(
+            outcome.late_repeats() <= SENDS_MAX && outcome.sound_refused == 0,
+            "{plan:?} {outcome:?}"
+        );
+    }
+}
+
 /// Plans with two deadly parts and answers that begin late, so that sound parts are lost often and
 /// answered rarely.
 fn plans_of_two_deadly_parts(seed: u64) -> impl Iterator<Item = Plan> {
--- a/crates/quarantine/src/fleet_tests/plan.rs
+++ b/crates/quarantine/src/fleet_tests/plan.rs
@@ -9,6 +9,8 @@
     pub(super) requests_per_s: f64,
     /// Share of the requests that have a deadly part, for each of them.
     pub(super) deadly_share: f64,
+    /// Whether the same request, repeated, is deadly as a whole instead of a part of many.
+    pub(super) deadly_whole: bool,
     /// Number of different deadly parts, two at most.
     pub(super) deadly_parts: u64,
     /// Position of the deadly part among the shared parts.
@@ -39,6 +41,7 @@
             upstreams: 9,
             requests_per_s: 30.0,
             deadly_share: 0.05,
+            deadly_whole: false,
             deadly_parts: 1,
             deadly_position: 2,
             ordinary_crashes: 0,
--- a/crates/quarantine/src/fleet_tests/simulation.rs
+++ b/crates/quarantine/src/fleet_tests/simulation.rs
@@ -63,6 +63,17 @@
 }
 
 impl Outcome {
+    /// Counts the sends of a deadly request later than the crashes that suffice can be known to all.
+    pub(super) fn late_repeats(&self) -> usize {
+        let Some(&third_us) = self.crashes_us[0].get(2) else {
+            return 0;
+        };
+        let sends = self.deadly_sends_us[0].iter();
+        sends
+            .filter(|&&at_us| at_us > third_us + CONTACT_US)
+            .count()
+    }
+
     /// Counts the requests with the deadly part that was sent too late most often. After a restart
     /// the daemons have the same time again.
     pub(super) fn late_sends(&self, plan: &Plan) -> usize {
@@ -205,10 +216,16 @@
             )
         };
         let mut parts = vec![first, subject];
-        if let Some(number) = deadly {
+        let is_repeat = self.plan.deadly_whole && deadly.is_some();
+        if let Some(number) = deadly.filter(|_| !is_repeat) {
             parts.insert(self.plan.deadly_position, DEADLY + number as u64);
         }
-        let parts = PromptParts::new(parts.into_iter().chain([(1 << 50) + self.requests]));
+        let own = (1 << 50) + if is_repeat { 0 } else { self.requests };
+        let mut parts = PromptParts::new(parts.into_iter().chain([own]));
+        if self.plan.deadly_whole {
+            let sound = (1 << 51) + self.requests;
+            parts = parts.with_request(if is_repeat { DEADLY } else { sound });
+        }
         let daemon = self.rng.random_range(0..self.daemons.len());
         // A sound request with the first part of a deadly one, late.
         let companion = (0..2).find(|&number| {
@@ -302,7 +319,7 @@
     /// Records that a request was lost before its answer began, and tries it again.
     fn lose(&mut self, now_us: u64, upstream: &str, request: Running) {
         let daemon = &mut self.daemons[request.daemon];
-        daemon.record_loss(now_us, upstream, &request.parts);
+        daemon.record_loss(now_us, 0, upstream, &request.parts);
         let is_held = daemon.quarantined_part(&request.parts).is_some();
         if request.attempt < self.plan.attempts && !is_held {
             if let Some(number) = request.deadly {
--- a/crates/quarantine/src/fuzz_tests.rs
+++ b/crates/quarantine/src/fuzz_tests.rs
@@ -100,7 +100,7 @@
                 own,
             } => {
                 let parts = PromptParts::new([part, own]);
-                daemon.record_loss(now_us, &upstream.to_string(), &parts);
+                daemon.record_loss(now_us, 0, &upstream.to_string(), &parts);
                 self.losses[usize::try_from(part).unwrap()] += 1;
             }
             Event::Answer { part } => {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,4 +1,5 @@
-//! Quarantine of prompt parts that crash upstreams (queries of death).
+//! Quarantine of requests that crash upstreams (queries of death): parts of prompts, and whole
+//! requests.
 //!
 //! An upstream that crashes takes all of its requests with it, and only one of them did it. Each
 //! daemon sees its own lost requests. [`Quarantine`] gathers what all daemons saw and finds the
@@ -7,10 +8,14 @@
 //! has seen an answer to it since. A suspected part that no daemon clears for a short time is
 //! quarantined: requests with it are refused, on all daemons, until a trial succeeds.
 //!
+//! A request may also crash upstreams by what it is as a whole: its callers repeat it, and nothing in
+//! it but the whole tells it from sound ones. It is recognized by a fingerprint, and held back after it
+//! was lost at several upstreams one after the other.
+//!
 //! | type | what it does |
 //! |---|---|
 //! | [`Quarantine`] | the state of one daemon; takes events and the time, returns what to do |
-//! | [`PromptParts`] | what a request's prompt consists of |
+//! | [`PromptParts`] | what a request's prompt consists of, and its fingerprint |
 //! | [`LossReport`] | a lost request, reported to the daemons that gather evidence |
 //! | [`Verdict`] | what is known of a part, spread to all daemons |
 //! | [`Snapshot`] | evidence and verdicts, as a row of the platform's store holds them |
@@ -28,7 +33,7 @@
 //! // Three different requests with part 7 are lost at the crashes of three upstreams.
 //! for crash in 1..=3 {
 //!     let parts = PromptParts::new([7, 100 + crash]);
-//!     quarantine.record_loss(crash * 1_000_000, &format!("engine-{crash}"), &parts);
+//!     quarantine.record_loss(crash * 1_000_000, 0, &format!("engine-{crash}"), &parts);
 //! }
 //! quarantine.tick(3_100_000);
 //! quarantine.tick(4_200_000);
@@ -46,6 +51,7 @@
 mod persistence;
 mod prompt_parts;
 mod quarantine;
+mod request_log;
 mod snapshot;
 mod verdict;
 mod verdicts;
@@ -60,6 +66,10 @@
 mod persistence_tests;
 #[cfg(test)]
 mod quarantine_tests;
+#[cfg(test)]
+mod request_log_tests;
+#[cfg(test)]
+mod whole_request_tests;
 
 pub use self::{
     homes::{home_rank, homes, trial_home},
--- a/crates/quarantine/src/message.rs
+++ b/crates/quarantine/src/message.rs
@@ -15,11 +15,16 @@
     pub parts: Vec<u64>,
     /// Part of the request alone.
     pub own: u64,
+    /// Fingerprint of the whole request; 0 for none, or if the reporter has seen an answer to it.
+    pub request: u64,
+    /// Time from its send to the loss, in milliseconds.
+    pub ran_ms: u32,
 }
 
 impl LossReport {
-    /// Largest number of parts in a report.
-    pub const PARTS_MAX: usize = 16;
+    /// Largest number of parts in a report; with it, [`Message::LOSSES_MAX`] reports fit into a
+    /// datagram.
+    pub const PARTS_MAX: usize = 15;
 }
 
 /// Message between the quarantines of two daemons.
--- a/crates/quarantine/src/persistence_tests.rs
+++ b/crates/quarantine/src/persistence_tests.rs
@@ -39,7 +39,7 @@
 fn lose(daemon: &mut Quarantine, now_us: u64, crashes: u64) {
     for crash in 0..crashes {
         let at_us = now_us - crash * S_US;
-        daemon.record_loss(at_us, &format!("engine-{at_us}"), &parts(100 + crash));
+        daemon.record_loss(at_us, 0, &format!("engine-{at_us}"), &parts(100 + crash));
     }
 }
 
@@ -174,7 +174,7 @@
     let snapshot = before.snapshot(100 * S_US, 0);
     let mut after = Quarantine::new("after");
     after.restore(0, 10_000, &snapshot);
-    after.record_loss(S_US, "engine", &parts(200));
+    after.record_loss(S_US, 0, "engine", &parts(200));
     after.tick(S_US);
     after.tick(3 * S_US);
     assert_eq!(after.quarantined_part(&parts(1)), Some(DEADLY));
@@ -189,7 +189,7 @@
         for crash in 0..crashes {
             let at_us = now_us - crash * S_US;
             let parts = PromptParts::new([DEADLY, at_us]);
-            daemon.record_loss(at_us, &format!("engine-{at_us}"), &parts);
+            daemon.record_loss(at_us, 0, &format!("engine-{at_us}"), &parts);
         }
     };
     for (crashes_after, is_suspected) in [(0, false), (3, true)] {
@@ -233,12 +233,13 @@
             let ids = (0..20).map(|part| u64::MAX - crash * 1_000 - loss * 20 - part);
             let parts = PromptParts::new(ids);
             daemon.record_answer(crash, &parts);
-            daemon.record_loss(crash * S_US, &format!("engine-{crash}"), &parts);
+            daemon.record_loss(crash * S_US, 0, &format!("engine-{crash}"), &parts);
         }
     }
     for part in 0..600 {
         let verdict = Verdict {
             part: u64::MAX - part,
+            is_request: part % 2 == 0,
             epoch: u32::MAX,
             state: VerdictState::Quarantined,
             crashes: u32::MAX,
@@ -297,7 +298,7 @@
             let saved_before = row.as_ref().map_or(0, |(_, saved)| saved.losses.len());
             match event {
                 Event::Loss => {
-                    daemon.record_loss(now_us, &format!("engine-{losses}"), &parts(losses));
+                    daemon.record_loss(now_us, 0, &format!("engine-{losses}"), &parts(losses));
                 }
                 Event::Restart => writers[index] = start(),
                 Event::Call | Event::CallRefused | Event::AnswerLost => {
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -9,12 +9,14 @@
     answered_parts::AnsweredParts,
     crash_log::CrashLog,
     part_times::PartTimes,
+    request_log::RequestLog,
     verdicts::{Known, Verdicts},
 };
 
 mod admission;
 mod exchange;
 mod operators;
+mod requests;
 mod snapshots;
 
 use self::admission::Trial;
@@ -36,7 +38,7 @@
 /// Time after the start, or after a suspension, for which a daemon without verdicts asks others.
 const CATCH_UP_US: u64 = 10_000_000;
 
-/// Quarantine of prompt parts, as one daemon knows it.
+/// Quarantine of parts of prompts and of whole requests, as one daemon knows it.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     name: Arc<str>,
@@ -46,6 +48,9 @@
     /// Whether the evidence has changed since it was last judged.
     log_changed: bool,
     answered: AnsweredParts,
+    request_log: RequestLog,
+    /// Fingerprints of requests to which an answer began.
+    answered_requests: AnsweredParts,
     verdicts: Verdicts,
     /// Earlier crashes don't count against these parts.
     clearances: PartTimes,
@@ -84,7 +89,7 @@
         self.next_compare_us = now_us;
     }
 
-    /// Records that an answer to a request began: none of its parts crashes upstreams.
+    /// Records that an answer to a request began: neither it nor one of its parts crashes upstreams.
     pub fn record_answer(&mut self, now_us: u64, parts: &PromptParts) {
         let now_us = since_origin(now_us);
         for &part in parts.shared() {
@@ -94,19 +99,22 @@
                 self.clear(now_us, part);
             }
         }
+        if let Some(request) = parts.request() {
+            self.record_answered_request(now_us, request);
+        }
     }
 
-    /// Records that a request was lost with its upstream before its answer began.
-    pub fn record_loss(&mut self, now_us: u64, upstream: &str, parts: &PromptParts) {
-        if parts.shared().is_empty() {
+    /// Records that a request was lost with its upstream before its answer began, `ran_us` after it
+    /// was sent.
+    pub fn record_loss(&mut self, now_us: u64, ran_us: u64, upstream: &str, parts: &PromptParts) {
+        if parts.shared().is_empty() && parts.request().is_none() {
             return;
         }
         let now_us = since_origin(now_us);
         let sends = self.sends();
         let trials = std::mem::take(&mut self.trials);
-        let (failed, running) = trials
-            .into_iter()
-            .partition(|trial| parts.shared().contains(&trial.part));
+        let is_suspect = |part| parts.shared().contains(&part) || parts.request() == Some(part);
+        let (failed, running) = trials.into_iter().partition(|trial| is_suspect(trial.part));
         self.trials = running;
         for Trial { part, .. } in failed {
             self.verdicts.count_failed_trial(now_us, part, sends);
@@ -117,8 +125,10 @@
             age_ms: 0,
             parts: self.reported_parts(parts),
             own: parts.own(),
+            request: self.reported_request(now_us, parts),
+            ran_ms: u32::try_from(ran_us / 1_000).unwrap_or(u32::MAX),
         };
-        self.add_loss(now_us, &report);
+        self.add_loss(now_us, ran_us, &report);
         if self.reports.len() < REPORTS_MAX {
             self.reports.push((now_us, report));
         }
@@ -128,11 +138,13 @@
     pub fn tick(&mut self, now_us: u64) {
         let now_us = since_origin(now_us);
         self.log.expire(now_us);
+        self.request_log.expire(now_us);
         self.verdicts.expire(now_us);
+        self.confirm_requests(now_us);
         let pending = self
             .verdicts
             .iter()
-            .any(|known| known.state() == VerdictState::Suspected);
+            .any(|known| known.state() == VerdictState::Suspected && !known.is_request());
         if std::mem::take(&mut self.log_changed) || pending {
             self.judge(now_us);
         }
@@ -173,9 +185,13 @@
         unanswered
     }
 
-    fn add_loss(&mut self, at_us: u64, report: &LossReport) {
-        let parts = &report.parts[..report.parts.len().min(LossReport::PARTS_MAX)];
-        if self.log.record(at_us, report.upstream, parts, report.own) {
+    fn add_loss(&mut self, at_us: u64, ran_us: u64, report: &LossReport) {
+        self.add_request_loss(at_us, ran_us, report);
+        // Of a request without a prompt only the whole can be held responsible.
+        if report.parts.is_empty() && report.own == 0 {
+            return;
+        }
+        if self.log.record(at_us, report) {
             self.log_changed = true;
             self.revision += 1;
         }
@@ -188,6 +204,7 @@
             |part| self.releases.last_us(part),
             |part| self.answered.last_us(part).is_some(),
             |part| self.state(part) == Some(VerdictState::Quarantined),
+            |request| self.state(request).is_some_and(VerdictState::is_held),
         );
         let mut all_quarantined = true;
         for culprit in &culprits {
@@ -234,6 +251,7 @@
     fn dismiss_explained(&mut self, now_us: u64, culprits: &[u64]) {
         let suspected = self.verdicts.iter().filter(|known| {
             known.state() == VerdictState::Suspected
+                && !known.is_request()
                 && now_us.saturating_sub(known.changed_us) >= CONFIRM_US
         });
         let explained: Vec<u64> = suspected
@@ -270,6 +288,7 @@
     fn note_freed(&mut self, at_us: u64, part: u64, state: VerdictState) {
         if matches!(state, VerdictState::Cleared | VerdictState::Released) {
             self.clearances.note(at_us, part);
+            self.request_log.forget(part);
         }
         if state == VerdictState::Released {
             self.releases.note(at_us, part);
--- a/crates/quarantine/src/quarantine/admission.rs
+++ b/crates/quarantine/src/quarantine/admission.rs
@@ -12,6 +12,10 @@
 /// Bounds of the time after which a refused caller may come back.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (5_000, 60_000);
 
+/// Time after which the caller of a suspected request may come back: by then it is cleared or
+/// quarantined.
+const SUSPECTED_RETRY_AFTER_MS: u64 = 1_500;
+
 /// Whether a request may be sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -43,7 +47,8 @@
     pub fn admit(&mut self, now_us: u64, parts: &PromptParts) -> Admission {
         let now_us = since_origin(now_us);
         let mut admission = Admission::Admitted;
-        for &part in parts.shared() {
+        let suspects = parts.shared().iter().copied().chain(parts.request());
+        for part in suspects {
             match self.admit_part(now_us, part) {
                 Admission::Admitted => {}
                 trial @ Admission::Trial { .. } => admission = trial,
@@ -60,11 +65,16 @@
         admission
     }
 
-    /// Returns the quarantined part of a prompt, if it has one.
+    /// Returns the quarantined part of a prompt, if it has one, or the fingerprint of the request if
+    /// that is held back.
     #[must_use]
     pub fn quarantined_part(&self, parts: &PromptParts) -> Option<u64> {
-        let mut parts = parts.shared().iter().copied();
-        parts.find(|&part| self.state(part) == Some(VerdictState::Quarantined))
+        let mut shared = parts.shared().iter().copied();
+        let quarantined = shared.find(|&part| self.state(part) == Some(VerdictState::Quarantined));
+        quarantined.or_else(|| {
+            let request = parts.request();
+            request.filter(|&request| self.state(request).is_some_and(VerdictState::is_held))
+        })
     }
 
     /// Returns when the caller of a request with a quarantined part may come back.
@@ -72,6 +82,9 @@
     pub fn retry_after_ms(&self, now_us: u64, part: u64) -> u64 {
         let now_us = since_origin(now_us);
         let known = self.verdicts.get(part);
+        if known.is_some_and(|known| known.state() == VerdictState::Suspected) {
+            return SUSPECTED_RETRY_AFTER_MS;
+        }
         let due_us = known.map_or(now_us, |known| self.trial_due_us(known));
         retry_after_ms(now_us, due_us)
     }
@@ -80,8 +93,16 @@
         let Some(known) = self.verdicts.get(part) else {
             return Admission::Admitted;
         };
-        if known.state() != VerdictState::Quarantined {
-            return Admission::Admitted;
+        match known.state() {
+            VerdictState::Quarantined => {}
+            // Each send of it may end an upstream; a daemon that has seen an answer clears it soon.
+            VerdictState::Suspected if known.is_request() => {
+                return Admission::Refused {
+                    part,
+                    retry_after_ms: SUSPECTED_RETRY_AFTER_MS,
+                };
+            }
+            _ => return Admission::Admitted,
         }
         let due_us = self.trial_due_us(known);
         if now_us >= due_us && self.is_trial_home(part) {
--- a/crates/quarantine/src/quarantine/exchange.rs
+++ b/crates/quarantine/src/quarantine/exchange.rs
@@ -24,7 +24,8 @@
             Message::Losses(reports) => {
                 for report in reports.iter().take(Message::LOSSES_MAX) {
                     let age_us = u64::from(report.age_ms) * 1_000;
-                    self.add_loss(now_us.saturating_sub(age_us), report);
+                    let ran_us = u64::from(report.ran_ms) * 1_000;
+                    self.add_loss(now_us.saturating_sub(age_us), ran_us, report);
                 }
                 Vec::new()
             }
@@ -89,9 +90,13 @@
         }
         self.note_change(now_us, verdict.part);
         self.note_freed(now_us, verdict.part, verdict.state);
-        if verdict.state == VerdictState::Suspected
-            && self.is_answered_since_clearance(verdict.part)
-        {
+        let is_answered = if verdict.is_request {
+            verdict.state.is_held() && self.is_request_answered_since_clearance(verdict.part)
+        } else {
+            verdict.state == VerdictState::Suspected
+                && self.is_answered_since_clearance(verdict.part)
+        };
+        if is_answered {
             self.clear(now_us, verdict.part);
         }
     }
--- a/crates/quarantine/src/quarantine/operators.rs
+++ b/crates/quarantine/src/quarantine/operators.rs
@@ -4,7 +4,7 @@
 use crate::VerdictState;
 
 /// Largest number of crashes that an operator is shown for a part.
-const EVIDENCE_MAX: usize = 16;
+pub(super) const EVIDENCE_MAX: usize = 16;
 
 /// Crash that speaks against a part, for operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,8 +20,10 @@
 /// Suspected or quarantined part, for operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantinedPart {
-    /// Identifier of the part.
+    /// Identifier of the part, or fingerprint of the whole request.
     pub part: u64,
+    /// Whether it is a whole request.
+    pub is_request: bool,
     /// State.
     pub state: VerdictState,
     /// Time since its state last changed, in milliseconds.
@@ -44,11 +46,16 @@
         let held = known.filter(|known| known.state().is_held());
         held.map(|known| QuarantinedPart {
             part: known.part(),
+            is_request: known.is_request(),
             state: known.state(),
             age_ms: known.verdict(now_us).age_ms,
             crashes: known.crashes(),
             failed_trials: known.failed_trials(),
-            evidence: self.evidence(now_us, known.part()),
+            evidence: if known.is_request() {
+                self.request_evidence(now_us, known.part())
+            } else {
+                self.evidence(now_us, known.part())
+            },
         })
         .collect()
     }
--- a/crates/quarantine/src/quarantine/snapshots.rs
+++ b/crates/quarantine/src/quarantine/snapshots.rs
@@ -22,7 +22,8 @@
         let now_us = since_origin(now_us);
         let verdicts = self.verdicts.iter().map(|known| known.verdict(now_us));
         let released_us = |part| self.releases.last_us(part);
-        let losses = self.log.reports(now_us, released_us);
+        let losses = self.request_log.reports(now_us);
+        let losses = losses.chain(self.log.reports(now_us, released_us));
         let snapshot = Snapshot::new(unix_ms, losses, verdicts.collect());
         let losses = snapshot.losses.iter();
         let mut parts: Vec<u64> = losses.flat_map(|loss| loss.parts.clone()).collect();
@@ -75,7 +76,7 @@
         // The log groups crashes in the order of their arrival.
         for report in snapshot.losses.iter().rev() {
             if let Some(at_us) = at_us(report.age_ms.saturating_add(elapsed_ms)) {
-                self.add_loss(at_us, report);
+                self.add_loss(at_us, u64::from(report.ran_ms) * 1_000, report);
             }
         }
     }
--- a/crates/quarantine/src/quarantine_tests.rs
+++ b/crates/quarantine/src/quarantine_tests.rs
@@ -18,7 +18,7 @@
     let mut quarantine = Quarantine::new("a");
     quarantine.record_answer(0, &PromptParts::new([1, 500]));
     for crash in 1..=3 {
-        quarantine.record_loss(crash * S_US, &format!("engine-{crash}"), &request(crash));
+        quarantine.record_loss(crash * S_US, 0, &format!("engine-{crash}"), &request(crash));
     }
     quarantine.tick(3 * S_US);
     quarantine.tick(4 * S_US);
@@ -37,7 +37,7 @@
     let mut quarantine = Quarantine::new("a");
     quarantine.record_answer(0, &PromptParts::new([1, 500]));
     for crash in 1..=3 {
-        quarantine.record_loss(crash * S_US, &format!("engine-{crash}"), &request(crash));
+        quarantine.record_loss(crash * S_US, 0, &format!("engine-{crash}"), &request(crash));
     }
     quarantine.tick(3 * S_US);
     assert!(is_admitted(&mut quarantine, 3 * S_US));
@@ -71,6 +71,7 @@
         let state = VerdictState::Suspected;
         Verdict {
             part: 9,
+            is_request: false,
             epoch,
             state,
             crashes: 3,
@@ -98,7 +99,7 @@
     // A second request does not join the trial.
     let second = quarantine.admit(first_us + 1, &request(702));
     assert!(matches!(second, Admission::Refused { .. }));
-    quarantine.record_loss(first_us + S_US, "engine-7", &request(701));
+    quarantine.record_loss(first_us + S_US, 0, "engine-7", &request(701));
     let second_us = first_us + S_US + 120 * S_US;
     let early = quarantine.admit(second_us - 1, &request(703));
     assert!(matches!(early, Admission::Refused { .. }));
@@ -121,6 +122,7 @@
         let state = VerdictState::Quarantined;
         let verdict = Verdict {
             part: 9,
+            is_request: false,
             epoch: 2,
             state,
             crashes: 3,
@@ -168,12 +170,14 @@
         age_ms: 2_100,
         parts: vec![8, 9],
         own: 4,
+        request: 0,
+        ran_ms: 0,
     }]);
     let mut releasing = Quarantine::new("a");
     let mut other = Quarantine::new("b");
     for crash in 1..=3 {
         for daemon in [&mut releasing, &mut other] {
-            daemon.record_loss(crash * S_US, &format!("engine-{crash}"), &request(crash));
+            daemon.record_loss(crash * S_US, 0, &format!("engine-{crash}"), &request(crash));
         }
     }
     for daemon in [&mut releasing, &mut other] {
@@ -203,7 +207,7 @@
     assert!(quarantine.release(QUARANTINED_US, 9));
     for crash in 6..=8 {
         assert!(is_admitted(&mut quarantine, crash * S_US));
-        quarantine.record_loss(crash * S_US, &format!("engine-{crash}"), &request(crash));
+        quarantine.record_loss(crash * S_US, 0, &format!("engine-{crash}"), &request(crash));
         quarantine.tick(crash * S_US);
     }
     quarantine.tick(9 * S_US);
@@ -230,14 +234,16 @@
 fn memory_is_bounded() {
     let mut quarantine = Quarantine::new("a");
     for number in 0..200_000 {
-        let parts = PromptParts::new([number, number + 1, number + 2]);
+        let parts = PromptParts::new([number, number + 1, number + 2]).with_request(number + 1);
         quarantine.record_answer(number, &parts);
-        quarantine.record_loss(number * 1_000, &number.to_string(), &parts);
+        quarantine.record_loss(number * 1_000, 0, &number.to_string(), &parts);
         let report = LossReport {
             upstream: number,
             age_ms: 0,
             parts: vec![number; 40],
             own: 0,
+            request: number + 3,
+            ran_ms: 0,
         };
         quarantine.receive(number, &Message::Losses(vec![report]));
     }
@@ -254,11 +260,14 @@
     let report = LossReport {
         upstream: u64::MAX,
         age_ms: u32::MAX,
-        parts: vec![u64::MAX; 16],
+        parts: vec![u64::MAX; LossReport::PARTS_MAX],
         own: u64::MAX,
+        request: u64::MAX,
+        ran_ms: u32::MAX,
     };
     let verdict = Verdict {
         part: u64::MAX,
+        is_request: false,
         epoch: u32::MAX,
         state: VerdictState::Cleared,
         crashes: u32::MAX,
@@ -287,7 +296,7 @@
         let mut quarantine = Quarantine::new("a");
         quarantine.record_answer(0, &PromptParts::new((100..160).chain([1])));
         for crash in 1..=3 {
-            quarantine.record_loss(crash * S_US, &format!("engine-{crash}"), &prompt(crash));
+            quarantine.record_loss(crash * S_US, 0, &format!("engine-{crash}"), &prompt(crash));
         }
         quarantine.tick(3 * S_US);
         quarantine.tick(4 * S_US);
--- a/crates/quarantine/src/snapshot.rs
+++ b/crates/quarantine/src/snapshot.rs
@@ -12,6 +12,9 @@
 /// Numbers of a lost request besides its parts.
 const LOSS_NUMBERS: usize = 3;
 
+/// Numbers that a loss with the fingerprint of its request has besides.
+const REQUEST_NUMBERS: usize = 2;
+
 /// Evidence and verdicts of a daemon, for daemons that start later.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -34,7 +37,12 @@
     {
         let mut numbers = 0;
         let losses = losses.take_while(|loss| {
-            numbers += LOSS_NUMBERS + loss.parts.len();
+            let request = if loss.request == 0 {
+                0
+            } else {
+                REQUEST_NUMBERS
+            };
+            numbers += LOSS_NUMBERS + request + loss.parts.len();
             numbers <= LOSS_NUMBERS_MAX
         });
         Self {
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -38,8 +38,10 @@
 /// What is known of a part, as daemons tell it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Verdict {
-    /// Identifier of the part.
+    /// Identifier of the part, or fingerprint of the whole request.
     pub part: u64,
+    /// Whether it is a whole request.
+    pub is_request: bool,
     /// Number of changes of its state; the higher one prevails.
     pub epoch: u32,
     /// State.
--- a/crates/quarantine/src/verdicts.rs
+++ b/crates/quarantine/src/verdicts.rs
@@ -41,6 +41,10 @@
         self.verdict.part
     }
 
+    pub(crate) const fn is_request(&self) -> bool {
+        self.verdict.is_request
+    }
+
     pub(crate) const fn crashes(&self) -> u32 {
         self.verdict.crashes
     }
@@ -82,6 +86,7 @@
         let kept = before.filter(|_| state == VerdictState::Quarantined);
         let verdict = Verdict {
             part,
+            is_request: before.is_some_and(|verdict| verdict.is_request),
             epoch: before.map_or(0, |verdict| verdict.epoch) + 1,
             state,
             crashes: crashes.max(kept.map_or(0, |verdict| verdict.crashes)),
@@ -92,6 +97,21 @@
         verdict
     }
 
+    /// Suspects a whole request.
+    pub(crate) fn suspect_request(&mut self, now_us: u64, request: u64, crashes: u32, sends: u32) {
+        let before = self.get(request).map_or(0, |known| known.verdict.epoch);
+        let verdict = Verdict {
+            part: request,
+            is_request: true,
+            epoch: before + 1,
+            state: VerdictState::Suspected,
+            crashes,
+            failed_trials: 0,
+            age_ms: 0,
+        };
+        self.merge(now_us, verdict, sends);
+    }
+
     /// Counts a failed trial of a quarantined part.
     pub(crate) fn count_failed_trial(&mut self, now_us: u64, part: u64, sends: u32) {
         if let Some(known) = self.get(part) {
--- a/crates/sched/src/prompts.rs
+++ b/crates/sched/src/prompts.rs
@@ -1,4 +1,4 @@
-//! Evidence about prompts that crash upstreams, and refusal of jobs with such a prompt.
+//! Evidence about requests that crash upstreams, and refusal of such jobs.
 
 use code::Code;
 use quarantine::{Admission, Quarantine};
@@ -98,8 +98,9 @@
         if is_complete || is_proof {
             self.quarantine.record_answer(now_us, parts);
         } else if is_lost {
+            let ran_us = now_us.saturating_sub(running.started_us);
             self.quarantine
-                .record_loss(now_us, &running.upstream, parts);
+                .record_loss(now_us, ran_us, &running.upstream, parts);
         }
     }
 }
--- a/crates/sched/src/prompts_tests.rs
+++ b/crates/sched/src/prompts_tests.rs
@@ -32,7 +32,7 @@
     for crash in 1..=3 {
         let parts = PromptParts::new([1, DEADLY, crash]);
         let quarantine = dispatcher.quarantine_mut();
-        quarantine.record_loss(S_US + crash * S_US, &crash.to_string(), &parts);
+        quarantine.record_loss(S_US + crash * S_US, 0, &crash.to_string(), &parts);
     }
     dispatcher.quarantine_mut().tick(4 * S_US);
     dispatcher
