feat(settings, platform): read the bounds and prices of a service's servers, and which are reclaimable

Change: `Service::autoscaling` and `Upstream::reclaimable`, with ranges and rules; followers get both. Ruled out: `leaves_ms` in `Upstream`. It differs at each heartbeat of a leaving server, so every beat would reconfigure all pools, and a leaving server gets no new work whatever time is left.

--- a/crates/bench/src/day/setup.rs
+++ b/crates/bench/src/day/setup.rs
@@ -119,6 +119,7 @@
             state: UpstreamLifecycle::Live,
             engine: None,
             started_ms: None,
+            reclaimable: false,
         }
     });
     let accounts = (0..deployment.accounts).map(|account| Account {
@@ -143,6 +144,7 @@
             engine: Some(EngineCapacity {
                 cache_tokens: deployment.profile.kv_capacity_tokens.unwrap_or(0),
             }),
+            autoscaling: None,
         }],
         ..Config::default()
     };
--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -149,6 +149,7 @@
                 state: UpstreamLifecycle::Live,
                 engine: None,
                 started_ms: None,
+                reclaimable: false,
             }
         });
         let mut config = Config {
--- a/crates/daemon/src/directory/roster_tests.rs
+++ b/crates/daemon/src/directory/roster_tests.rs
@@ -16,6 +16,7 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     }
 }
 
--- a/crates/daemon/src/directory/update.rs
+++ b/crates/daemon/src/directory/update.rs
@@ -82,6 +82,7 @@
     honours: Honours,
     state: UpstreamLifecycle,
     started_ms: Option<u64>,
+    reclaimable: bool,
 }
 
 impl Update {
@@ -202,6 +203,7 @@
             honours: upstream.honours,
             state: upstream.state,
             started_ms: upstream.started_ms,
+            reclaimable: upstream.reclaimable,
         }
     }
 
@@ -223,6 +225,7 @@
             state: self.state,
             engine: None,
             started_ms: self.started_ms,
+            reclaimable: self.reclaimable,
         })
     }
 }
--- a/crates/daemon/src/directory/update_tests.rs
+++ b/crates/daemon/src/directory/update_tests.rs
@@ -15,6 +15,7 @@
             region: String::new(),
             zone: format!("zone-{}", number % 3),
             started_ms: Some(1_790_000_000_000),
+            reclaimable: number % 2 == 0,
             ..upstream(number)
         }),
     });
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -411,5 +411,6 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     }
 }
--- a/crates/release/src/diff_tests.rs
+++ b/crates/release/src/diff_tests.rs
@@ -49,6 +49,7 @@
                 answer_max_ms: 1,
                 non_idempotent: Vec::new(),
                 engine: None,
+                autoscaling: None,
             }];
         }
         next
--- a/crates/route/benches/choose.rs
+++ b/crates/route/benches/choose.rs
@@ -22,6 +22,7 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     };
     let mut config = Config {
         version: 1,
--- a/crates/route/src/placement_tests.rs
+++ b/crates/route/src/placement_tests.rs
@@ -32,6 +32,7 @@
                 cache_tokens: 600_000,
             }),
             started_ms: None,
+            reclaimable: false,
         }
     };
     (0..count).map(engine).collect()
--- a/crates/route/src/tests.rs
+++ b/crates/route/src/tests.rs
@@ -23,6 +23,7 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     }
 }
 
--- a/crates/sched/benches/decision.rs
+++ b/crates/sched/benches/decision.rs
@@ -28,6 +28,7 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     };
     let account = |index: usize| Account {
         name: format!("account-{index:03}"),
--- a/crates/sched/src/fixtures.rs
+++ b/crates/sched/src/fixtures.rs
@@ -19,6 +19,7 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     };
     Config {
         upstreams: vec![upstream("a"), upstream("b")],
--- a/crates/sched/src/oracle.rs
+++ b/crates/sched/src/oracle.rs
@@ -454,6 +454,7 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     };
     Config {
         classes: vec![class(0, 0), class(1, 20), class(2, 10)],
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod account;
 mod api_key;
+mod autoscaling;
 mod caller_limits;
 mod class;
 mod config;
@@ -52,6 +53,7 @@
 pub use self::{
     account::Account,
     api_key::hash_api_key,
+    autoscaling::{Autoscaling, ZonePrice},
     caller_limits::CallerLimits,
     class::Class,
     config::Config,
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -146,6 +146,11 @@
             let message = format!("no upstream provides service {name:?}");
             problems.push(Problem::new(0, &path, &message));
         }
+        check_autoscaling(
+            &service["autoscaling"],
+            &format!("{path}.autoscaling"),
+            problems,
+        );
         for (position, rule) in items(service, "non_idempotent") {
             if !text(rule, "path_prefix").starts_with('/') {
                 let path = format!("{path}.non_idempotent[{position}].path_prefix");
@@ -159,6 +164,40 @@
     }
 }
 
+/// Checks the bounds and prices of a service's servers against their schema and rules.
+///
+/// Returns every error, without lines.
+pub(crate) fn check_autoscaling_value(autoscaling: &Value) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    schemas::AUTOSCALING.check(autoscaling, "", &mut problems);
+    check_autoscaling(autoscaling, "", &mut problems);
+    problems
+}
+
+/// Appends the errors between different fields of the bounds and prices of a service's servers.
+fn check_autoscaling(autoscaling: &Value, path: &str, problems: &mut Vec<Problem>) {
+    let field_path = |field: &str| match path {
+        "" => field.to_owned(),
+        _ => format!("{path}.{field}"),
+    };
+    let bound = |field: &str| autoscaling[field].as_u64();
+    if let (Some(min), Some(max)) = (bound("servers_min"), bound("servers_max"))
+        && min > max
+    {
+        let message = format!("{min} is more than servers_max, which is {max}");
+        problems.push(Problem::new(0, &field_path("servers_min"), &message));
+    }
+    let mut seen = BTreeMap::new();
+    for (index, zone) in items(autoscaling, "zones") {
+        let name = text(zone, "zone");
+        if let Some(first) = seen.insert(name, index).filter(|_| !name.is_empty()) {
+            let message = format!("zone {name:?} is already zones[{first}]");
+            let path = field_path(&format!("zones[{index}].zone"));
+            problems.push(Problem::new(0, &path, &message));
+        }
+    }
+}
+
 /// Appends an error for each item of a list whose value of a field occurred before.
 fn check_unique(document: &Value, list: &str, field: &str, problems: &mut Vec<Problem>) {
     let mut seen = BTreeMap::new();
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -53,6 +53,7 @@
     Field::optional("state", Schema::OneOf(&["live", "leaving"])),
     Field::optional("engine", ENGINE),
     Field::optional("started_ms", Schema::Number(limits::SAFE_INTEGER)),
+    Field::optional("reclaimable", Schema::Bool),
 ]);
 
 const ENGINE: Schema = Schema::Object(&[Field::required(
@@ -74,6 +75,24 @@
     Field::required("answer_max_ms", Schema::Number(limits::ANSWER_MAX_MS)),
     Field::optional("non_idempotent", Schema::List(0, &REQUEST_MATCHER)),
     Field::optional("engine", ENGINE),
+    Field::optional("autoscaling", AUTOSCALING),
+]);
+
+const ZONE_PRICE: Schema = Schema::Object(&[
+    Field::required("zone", Schema::Text(limits::PLATFORM_NAME_LENGTH)),
+    Field::required("price_permille", Schema::Number(limits::PRICE_PERMILLE)),
+]);
+
+/// Schema of [`Autoscaling`](crate::Autoscaling).
+pub const AUTOSCALING: Schema = Schema::Object(&[
+    Field::required("servers_min", Schema::Number(limits::SERVERS_MIN)),
+    Field::required("servers_max", Schema::Number(limits::SERVERS_MAX)),
+    Field::required("start_ms", Schema::Number(limits::SERVER_START_MS)),
+    Field::required(
+        "reclaimable_price_permille",
+        Schema::Number(limits::RECLAIMABLE_PRICE_PERMILLE),
+    ),
+    Field::required("zones", Schema::List(1, &ZONE_PRICE)),
 ]);
 
 const SHARE: Schema = Schema::Object(&[
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::EngineCapacity;
+use crate::{Autoscaling, EngineCapacity};
 
 /// Plain HTTP service, provided by one or more upstreams.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +16,10 @@
     /// Capacity of its engines, if the service is provided by model engines.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub engine: Option<EngineCapacity>,
+    /// Bounds and prices of the servers that the fleet orders for the service; without it, none are
+    /// ordered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub autoscaling: Option<Autoscaling>,
 }
 
 impl Service {
@@ -27,8 +31,13 @@
     /// use settings::{RequestMatcher, Service};
     ///
     /// let rule = RequestMatcher { method: "POST".into(), path_prefix: "/reservations".into() };
-    /// let service =
-    ///     Service { name: "inventory".into(), answer_max_ms: 5_000, non_idempotent: vec![rule], engine: None };
+    /// let service = Service {
+    ///     name: "inventory".into(),
+    ///     answer_max_ms: 5_000,
+    ///     non_idempotent: vec![rule],
+    ///     engine: None,
+    ///     autoscaling: None,
+    /// };
     /// assert!(service.is_non_idempotent("POST", "/reservations"));
     /// assert!(!service.is_non_idempotent("GET", "/reservations/7"));
     /// ```
--- a/crates/settings/src/upstream.rs
+++ b/crates/settings/src/upstream.rs
@@ -41,6 +41,10 @@
     /// upstream has restarted and lost its caches and running requests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub started_ms: Option<u64>,
+    /// Whether the platform may take it back at short notice, with all others of its kind in the
+    /// availability zone.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub reclaimable: bool,
 }
 
 impl Upstream {
@@ -74,6 +78,14 @@
     }
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// Kind of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -48,6 +48,7 @@
                 path_prefix: "/reservations".to_owned(),
             }],
             engine: None,
+            autoscaling: None,
         }],
         ..Config::default()
     };
@@ -132,5 +133,6 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     }
 }
