--- /dev/null
+++ b/crates/capacity/src/planner.rs
@@ -0,0 +1,440 @@
+use settings::Autoscaling;
+
+use crate::{
+    Observation, Order, OrderInputs, OrderOutcome, Reason, ZoneServers,
+    allocation::{Allocation, FleetSize, ZoneSupply, allocate, distribute, floor},
+    demand_window::DemandWindow,
+    subject::Subject,
+};
+
+/// Share of its time for which a server is busy if the fleet has the right size. Demand that jumps
+/// by 2.5 still finds the servers it needs before new ones have started.
+const TARGET_UTILISATION: f64 = 0.4;
+
+/// Share of its time for which a server may be busy while the reclaimable servers of one zone are
+/// gone.
+const LOSS_UTILISATION: f64 = 0.6;
+
+/// Share of the demand that the lasting servers carry when they are fully busy, so that the most
+/// urgent work continues if no reclaimable servers are left anywhere.
+const LASTING_DEMAND_SHARE: f64 = 0.25;
+
+/// Factor between the size in force and the needed one from which on servers are given up.
+const FEWER_FACTOR: f64 = 0.8;
+
+/// Largest share of the servers that is given up in one step. Each server takes cached prompts
+/// along.
+const STEP_SHARE: f64 = 0.1;
+
+/// Share of the fleet up to which reclaimable servers beyond the needed ones stay where they are.
+/// Moving them to another zone would cost their cached prompts.
+const SPARE_SHARE: f64 = 0.05;
+
+/// Interval between two steps in which servers are given up.
+const STEP_INTERVAL_US: u64 = 4_000_000;
+
+/// Time for which the largest demand counts, in starts of a server: a server that is given up and
+/// needed again is missing for one.
+const WINDOW_STARTS: u64 = 5;
+
+/// Shortest time for which the largest demand counts.
+const WINDOW_MIN_US: u64 = 20_000_000;
+
+/// Time by which a change of the demand is known late.
+const DEMAND_LAG_US: u64 = 1_000_000;
+
+/// Time for which the list of servers has to be up to date before the first server is given up.
+const SETTLE_US: u64 = 2_000_000;
+
+/// Share of a server's time below which it counts as idle.
+const IDLE_UTILISATION: f64 = 0.02;
+
+/// Decides how many servers of each kind a service needs in each availability zone.
+///
+/// Each host follows the demand and the servers with [`observe`](Self::observe), so that any of them
+/// can begin to [`plan`](Self::plan) at once; only one does at a time.
+///
+/// ```
+/// use capacity::{Demand, Observation, Planner, ServerCount, ZoneServers};
+/// use settings::{Autoscaling, ZonePrice};
+///
+/// let autoscaling = Autoscaling {
+///     servers_min: 1,
+///     servers_max: 48,
+///     start_ms: 4_000,
+///     reclaimable_price_permille: 180,
+///     zones: vec![ZonePrice { zone: "costa-norte".into(), price_permille: 1_000 }],
+/// };
+/// let mut planner = Planner::new(&autoscaling);
+/// let lasting = ServerCount { live: 4, leaving: 0 };
+/// let zones = [ZoneServers { zone: "costa-norte".into(), lasting, ..ZoneServers::default() }];
+/// let demand = Some(Demand { busy_servers: 8.0 });
+/// let observation = Observation { demand, is_current: true, zones: &zones };
+/// planner.observe(0, &observation);
+/// let orders = planner.plan(2_000_000, &observation);
+/// assert!(orders.iter().all(|order| order.desired > 4));
+/// assert!(!orders.is_empty());
+/// ```
+#[derive(Debug, Clone)]
+pub struct Planner {
+    autoscaling: Autoscaling,
+    zones: Vec<Zone>,
+    window: DemandWindow,
+    /// Servers of both kinds that the fleet should have; 0 before the first observation.
+    fleet: u32,
+    /// Time of the last step in which servers were given up.
+    step_us: u64,
+    /// Time since which the list of servers has been up to date.
+    current_since_us: Option<u64>,
+}
+
+/// Servers of an availability zone.
+#[derive(Debug, Clone)]
+struct Zone {
+    name: String,
+    price: f64,
+    /// First of the lasting servers, then of the reclaimable ones.
+    subjects: [Subject; 2],
+}
+
+/// Numbers of servers in all zones, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Servers that were ordered.
+    pub desired: u32,
+    /// Servers that take requests.
+    pub live: u32,
+    /// Servers that were ordered and aren't listed yet.
+    pub starting: u32,
+    /// Servers that finish their requests and leave.
+    pub leaving: u32,
+}
+
+impl Planner {
+    /// Creates a planner that has seen nothing yet.
+    #[must_use]
+    pub fn new(autoscaling: &Autoscaling) -> Self {
+        let mut planner = Self {
+            autoscaling: autoscaling.clone(),
+            zones: Vec::new(),
+            window: DemandWindow::default(),
+            fleet: 0,
+            step_us: 0,
+            current_since_us: None,
+        };
+        planner.configure(autoscaling);
+        planner
+    }
+
+    /// Applies changed bounds and prices.
+    pub fn configure(&mut self, autoscaling: &Autoscaling) {
+        if self.autoscaling == *autoscaling && !self.zones.is_empty() {
+            return;
+        }
+        let mut old = std::mem::take(&mut self.zones);
+        let zones = autoscaling.zones.iter().map(|listed| {
+            let known = old.iter_mut().find(|zone| zone.name == listed.zone);
+            Zone {
+                name: listed.zone.clone(),
+                price: f64::from(listed.price_permille.max(1)),
+                subjects: known
+                    .map_or_else(Default::default, |zone| std::mem::take(&mut zone.subjects)),
+            }
+        });
+        self.zones = zones.collect();
+        self.zones.sort_by(|a, b| a.name.cmp(&b.name));
+        self.autoscaling = autoscaling.clone();
+    }
+
+    /// Takes what is known now and returns the orders to send, at most one for each zone. The result
+    /// of each has to be passed to [`record_outcome`](Self::record_outcome).
+    pub fn plan(&mut self, now_us: u64, observation: &Observation<'_>) -> Vec<Order> {
+        self.observe(now_us, observation);
+        self.resize(now_us, observation.demand.is_some());
+        if self.fleet == 0 {
+            return Vec::new();
+        }
+        let wanted = self.wanted(now_us, observation);
+        let inputs = OrderInputs {
+            busy_servers: self.window.latest(),
+            expected_busy_servers: self.expected(now_us),
+            fleet: self.fleet,
+            ..OrderInputs::default()
+        };
+        let mut orders = Vec::new();
+        let mut gives_up = false;
+        let is_settled = self.is_settled(now_us);
+        for (zone, wanted) in self.zones.iter_mut().zip(&wanted) {
+            if zone.subjects.iter().any(Subject::is_busy) {
+                continue;
+            }
+            // More comes before fewer, so that a zone isn't short in between.
+            let numbers = [(0, wanted.lasting), (1, wanted.reclaimable)];
+            let mut candidates: Vec<(usize, u32, Reason)> = numbers
+                .into_iter()
+                .filter_map(|(kind, desired)| {
+                    let reason = zone.subjects[kind].reason(now_us, desired)?;
+                    Some((kind, desired, reason))
+                })
+                .filter(|&(_, _, reason)| reason != Reason::Fewer || is_settled)
+                .collect();
+            candidates.sort_by_key(|&(_, _, reason)| reason == Reason::Fewer);
+            let Some(&(kind, desired, reason)) = candidates.first() else {
+                continue;
+            };
+            let reason = match reason {
+                Reason::More if kind == 0 && wanted.replacements > 0 => Reason::Replacement,
+                Reason::Fewer if kind == 0 && wanted.reclaimable > 0 => Reason::OtherKind,
+                reason => reason,
+            };
+            let subject = &mut zone.subjects[kind];
+            gives_up |= desired < subject.ordered();
+            subject.begin(desired);
+            orders.push(Order {
+                zone: zone.name.clone(),
+                reclaimable: kind == 1,
+                desired,
+                reason,
+                inputs: OrderInputs {
+                    live: subject.count.live,
+                    leaving: subject.count.leaving,
+                    ..inputs
+                },
+            });
+        }
+        if gives_up {
+            self.step_us = now_us;
+        }
+        orders
+    }
+
+    /// Records the result of an order.
+    pub fn record_outcome(
+        &mut self,
+        now_us: u64,
+        zone: &str,
+        reclaimable: bool,
+        outcome: OrderOutcome,
+    ) {
+        let start_us = self.start_us();
+        if let Ok(index) = self
+            .zones
+            .binary_search_by(|known| known.name.as_str().cmp(zone))
+        {
+            let subject = &mut self.zones[index].subjects[usize::from(reclaimable)];
+            subject.finish(now_us, outcome, start_us);
+        }
+    }
+
+    /// Returns the numbers of servers of one kind.
+    #[must_use]
+    pub fn totals(&self, reclaimable: bool) -> Totals {
+        let mut totals = Totals::default();
+        for zone in &self.zones {
+            let subject = &zone.subjects[usize::from(reclaimable)];
+            totals.desired += subject.ordered();
+            totals.live += subject.count.live;
+            totals.leaving += subject.count.leaving;
+            totals.starting += subject.ordered().saturating_sub(subject.count.live);
+        }
+        totals
+    }
+
+    /// Forgets this host's orders, because another host orders from now on. What is known of the
+    /// demand stays, so that this host can take over again at once.
+    pub fn release(&mut self) {
+        self.fleet = 0;
+        for subject in self.zones.iter_mut().flat_map(|zone| &mut zone.subjects) {
+            subject.release();
+        }
+    }
+
+    /// Takes in the servers and the demand without ordering anything.
+    pub fn observe(&mut self, now_us: u64, observation: &Observation<'_>) {
+        let start_us = self.start_us();
+        if observation.is_current {
+            self.current_since_us.get_or_insert(now_us);
+            for zone in &mut self.zones {
+                let servers = find(observation.zones, &zone.name);
+                for (kind, subject) in zone.subjects.iter_mut().enumerate() {
+                    let count = servers.map(|servers| servers.count(kind == 1));
+                    let count = count.unwrap_or_default();
+                    if kind == 1 {
+                        subject.observe_reclaimable(now_us, count, start_us);
+                    } else {
+                        subject.observe(now_us, count, start_us);
+                    }
+                }
+            }
+        } else {
+            self.current_since_us = None;
+        }
+        if let Some(demand) = observation.demand {
+            let busy_servers = Some(demand.busy_servers).filter(|busy| busy.is_finite());
+            let window_us = self.window_us();
+            self.window
+                .record(now_us, busy_servers.unwrap_or(0.0).max(0.0), window_us);
+        }
+    }
+
+    /// Adjusts the size of the fleet to the demand.
+    fn resize(&mut self, now_us: u64, has_demand: bool) {
+        let (min, max) = self.bounds();
+        if self.fleet == 0 && self.is_settled(now_us) {
+            let ordered = |zone: &Zone| zone.subjects.iter().map(Subject::ordered).sum::<u32>();
+            self.fleet = self.zones.iter().map(ordered).sum();
+        }
+        if self.fleet == 0 {
+            return;
+        }
+        let needed = ceil(self.expected(now_us) / TARGET_UTILISATION).clamp(min, max);
+        if needed > self.fleet {
+            self.fleet = needed;
+        }
+        let is_known = has_demand && self.window.covers(now_us, self.window_us());
+        let is_due = now_us >= self.step_us.saturating_add(STEP_INTERVAL_US);
+        let too_many = f64::from(needed) < FEWER_FACTOR * f64::from(self.fleet);
+        if is_known && is_due && too_many && self.is_settled(now_us) {
+            let step = ceil(f64::from(self.fleet) * STEP_SHARE);
+            self.fleet = needed.max(self.fleet - step.min(self.fleet));
+            self.step_us = now_us;
+        }
+        self.fleet = self.fleet.clamp(min, max);
+    }
+
+    /// Returns the servers that each zone should have now.
+    fn wanted(&self, now_us: u64, observation: &Observation<'_>) -> Vec<Allocation> {
+        // Before the first demand, that for which the fleet has the right size is assumed.
+        let expected = if self.window.has_demand() {
+            self.expected(now_us)
+        } else {
+            f64::from(self.fleet) * TARGET_UTILISATION
+        };
+        let after_loss = ceil(expected / LOSS_UTILISATION).min(self.fleet);
+        let lasting = ceil(expected * LASTING_DEMAND_SHARE).min(self.fleet);
+        let size = FleetSize {
+            fleet: self.fleet,
+            after_loss,
+            lasting,
+            lasting_min: self.autoscaling.servers_min,
+            spare: floor(f64::from(self.fleet) * SPARE_SHARE),
+        };
+        let supplies: Vec<ZoneSupply> = self
+            .zones
+            .iter()
+            .map(|zone| self.supply(now_us, zone))
+            .collect();
+        let mut wanted = allocate(&size, &supplies);
+        self.hold_lasting(now_us, observation, &mut wanted);
+        wanted
+    }
+
+    /// Returns what is to be had in a zone.
+    fn supply(&self, now_us: u64, zone: &Zone) -> ZoneSupply {
+        let [lasting, reclaimable] = &zone.subjects;
+        let limit = |subject: &Subject| {
+            if subject.is_available(now_us) {
+                self.autoscaling.servers_max
+            } else {
+                subject.count.live
+            }
+        };
+        ZoneSupply {
+            price: zone.price,
+            servers_max: self.autoscaling.servers_max,
+            lasting_held: lasting.ordered(),
+            reclaimable_held: reclaimable.ordered(),
+            lasting_max: limit(lasting),
+            reclaimable_max: limit(reclaimable),
+        }
+    }
+
+    /// Keeps lasting servers that are given up until reclaimable ones have taken over, and gives them
+    /// up step by step.
+    fn hold_lasting(&self, now_us: u64, observation: &Observation<'_>, wanted: &mut [Allocation]) {
+        let ordered: Vec<u32> = self
+            .zones
+            .iter()
+            .map(|zone| zone.subjects[0].ordered())
+            .collect();
+        let surplus: Vec<u32> = ordered
+            .iter()
+            .zip(wanted.iter())
+            .map(|(&ordered, wanted)| ordered.saturating_sub(wanted.lasting))
+            .collect();
+        let surplus_sum: u32 = surplus.iter().sum();
+        if surplus_sum == 0 {
+            return;
+        }
+        let live = |kind: usize| -> u32 {
+            let counts = self.zones.iter().map(|zone| zone.subjects[kind].count.live);
+            counts.sum()
+        };
+        let wanted_lasting: u32 = wanted.iter().map(|wanted| wanted.lasting).sum();
+        let needed = self.fleet.saturating_sub(live(1)).max(wanted_lasting);
+        let may_give_up = ordered.iter().sum::<u32>().saturating_sub(needed);
+        let all = f64::from(live(0) + live(1));
+        let is_idle =
+            observation.demand.is_some() && self.expected(now_us) <= IDLE_UTILISATION * all;
+        let step = if is_idle {
+            surplus_sum
+        } else if now_us >= self.step_us.saturating_add(STEP_INTERVAL_US) {
+            ceil(all * STEP_SHARE)
+        } else {
+            0
+        };
+        let given_up = may_give_up.min(step).min(surplus_sum);
+        let weights: Vec<f64> = surplus.iter().map(|&surplus| f64::from(surplus)).collect();
+        let kept = distribute(surplus_sum - given_up, &weights, &surplus);
+        for (wanted, kept) in wanted.iter_mut().zip(kept) {
+            wanted.lasting += kept;
+        }
+    }
+
+    /// Returns the busy servers that are expected by the time at which a server that is ordered now
+    /// serves.
+    fn expected(&self, now_us: u64) -> f64 {
+        self.window
+            .expected(now_us, self.start_us() + DEMAND_LAG_US)
+    }
+
+    /// Returns whether the list of servers has been up to date for long enough to give up servers.
+    fn is_settled(&self, now_us: u64) -> bool {
+        self.current_since_us
+            .is_some_and(|since_us| now_us >= since_us + SETTLE_US)
+    }
+
+    /// Returns the fewest and the most servers of all zones.
+    fn bounds(&self) -> (u32, u32) {
+        let zones = u32::try_from(self.zones.len()).unwrap_or(u32::MAX);
+        let min = zones.saturating_mul(self.autoscaling.servers_min);
+        let max = zones.saturating_mul(self.autoscaling.servers_max);
+        (min.max(1).min(max), max)
+    }
+
+    const fn start_us(&self) -> u64 {
+        self.autoscaling.start_ms.saturating_mul(1_000)
+    }
+
+    fn window_us(&self) -> u64 {
+        self.start_us()
+            .saturating_mul(WINDOW_STARTS)
+            .max(WINDOW_MIN_US)
+    }
+}
+
+/// Returns the servers of a zone.
+fn find<'a>(zones: &'a [ZoneServers], name: &str) -> Option<&'a ZoneServers> {
+    let found = zones.binary_search_by(|zone| zone.zone.as_str().cmp(name));
+    found.ok().map(|index| &zones[index])
+}
+
+/// Rounds a number of servers up.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float that is too large becomes the largest integer"
+)]
+fn ceil(number: f64) -> u32 {
+    number.ceil().max(0.0) as u32
+}
