feat(daemon): interface to the platform's singleton duties

Cause: nothing in the fleet can make calls that only one daemon may make at a time, so usage is never reported and upstreams are never ordered.

--- a/crates/daemon/src/adapter/mod.rs
+++ b/crates/daemon/src/adapter/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! The daemon makes all decisions; an adapter only translates the platform's protocol:
 //! [`HeaderAdapter`] the headers of routed requests, [`StoreAdapter`] the rows of the platform's
-//! store.
+//! store, [`CloudAdapter`] the calls to its control service.
 
 mod attempt_info;
+mod cloud_adapter;
 mod header_adapter;
 mod request_metadata;
 mod response_kind;
@@ -16,6 +17,7 @@
 
 pub use self::{
     attempt_info::AttemptInfo,
+    cloud_adapter::{CallHolder, CallResult, CloudAdapter, UpstreamOrder},
     header_adapter::HeaderAdapter,
     request_metadata::{MalformedHeader, RequestMetadata},
     response_kind::ResponseKind,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 mod config_snapshot;
 mod core;
 mod directory;
+mod duties;
 mod follow;
 mod grants;
 mod handle;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
-    directory::ClusterState, follow::ReleaseState, handle::JobHandle, peers::Peers,
+    directory::ClusterState, duties::Held, follow::ReleaseState, handle::JobHandle, peers::Peers,
     pending_work::PendingWork,
 };
 
@@ -33,6 +33,9 @@
     pub(crate) snapshot: ArcSwap<ConfigSnapshot>,
     pub(crate) release_state: ReleaseState,
     pub(crate) peers: Peers,
+    /// Hold of this host on the duties of the fleet.
+    #[allow(dead_code, reason = "interface of the tasks that follow")]
+    pub(crate) held: Held,
     draining: AtomicBool,
     draining_since_us: AtomicU64,
     /// Cancelled when a graceful stop has used up its time: whoever still waits is answered now.
@@ -55,12 +58,14 @@
     /// Creates the state of a host without a configuration.
     pub(crate) fn new(host: Host, peers: Peers) -> Self {
         let core = Core::new(&host);
+        let held = Held::new(host.duties.as_ref());
         Self {
             host,
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(ConfigSnapshot::default()),
             release_state: ReleaseState::default(),
             peers,
+            held,
             draining: AtomicBool::new(false),
             draining_since_us: AtomicU64::new(0),
             stop_expired: CancellationToken::new(),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -22,7 +22,7 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
-    adapter::{HeaderAdapter, StoreAdapter},
+    adapter::{CloudAdapter, HeaderAdapter, StoreAdapter},
     admin,
     announce_loads::announce_loads,
     completions,
@@ -83,6 +83,9 @@
     pub connect_store: Box<dyn Fn() -> Box<dyn StoreAdapter>>,
     /// Opens a connection to the table of the store that holds rows of the router's own.
     pub connect_table: Box<dyn Fn() -> Box<dyn Table>>,
+    /// Opens a connection to the platform's control service, if the deployment has duties there;
+    /// each duty has its own.
+    pub connect_cloud: Option<Box<dyn Fn() -> Box<dyn CloudAdapter>>>,
 }
 
 /// Daemon of one host, before it is started.
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -311,6 +311,7 @@
                 })
             }),
             connect_table: Box::new(|| Box::new(MemoryTable::default())),
+            connect_cloud: None,
         };
         let daemon = Daemon::new(host)
             .with_platform(platform)
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Document, PeerKey, Problem, ZoneRegion, rules, schemas};
+use crate::{Document, Duties, PeerKey, Problem, ZoneRegion, rules, schemas};
 
 /// Time between the end of the drain and the kill of the process, for the last bytes to be sent.
 const KILL_MARGIN: Duration = Duration::from_secs(1);
@@ -27,7 +27,7 @@
 const CONFIG_WAIT_MIN_MS: u64 = 400;
 
 /// Settings of one host, read from its file at start.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Host {
     /// Unique name of the host.
@@ -86,6 +86,9 @@
     /// Maximum number of bytes per second that this host may send to upstreams in other regions.
     #[serde(default = "default_cross_region_bytes")]
     pub cross_region_bytes_per_s: u64,
+    /// Singleton duties at the platform, if the deployment has any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub duties: Option<Duties>,
 }
 
 impl Host {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,6 +28,7 @@
 mod class;
 mod config;
 mod document;
+mod duties;
 mod engine_capacity;
 mod field;
 mod honours;
@@ -56,6 +57,7 @@
     class::Class,
     config::Config,
     document::Document,
+    duties::{Duties, DutyKind, UsageWindows},
     engine_capacity::EngineCapacity,
     field::Field,
     honours::Honours,
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -46,6 +46,13 @@
 pub(crate) const RECEIVE_MAX_MS: Range = 1..=600_000;
 /// With 5 s, a change is in force on every host within 11 s even if one read is lost.
 pub(crate) const STORE_POLL_MS: Range = 1..=5_000;
+/// Shorter leases end while a call or a write of the store is still under way.
+pub(crate) const LEASE_MS: Range = 500..=600_000;
+pub(crate) const THAW_MS: Range = 0..=60_000;
+pub(crate) const WINDOW_S: Range = 1..=86_400;
+/// Calls a second and shares are numbers with a fraction.
+pub(crate) const CALLS_PER_S: RangeInclusive<f64> = 0.01..=100_000.0;
+pub(crate) const TOLERANCE: RangeInclusive<f64> = 0.0..=1.0;
 pub(crate) const DRAIN_MAX_MS: Range = 0..=3_600_000;
 /// Up to 10 Gbit/s, the fastest network port of a small host.
 pub(crate) const CROSS_REGION_BYTES_PER_S: Range = 0..=1_250_000_000;
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -7,7 +7,10 @@
 
 use serde_json::Value;
 
-use crate::{Problem, limits, schemas};
+use crate::{DutyKind, Problem, limits, schemas};
+
+/// Shortest time after a window by which its counts can be gathered and reported.
+const USAGE_LATE_MIN_S: u64 = 2;
 
 /// Checks an untyped configuration against its schema and rules.
 ///
@@ -46,6 +49,33 @@
             problems.push(Problem::new(0, field, &message));
         }
     }
+    check_duties(&host["duties"], problems);
+}
+
+fn check_duties(duties: &Value, problems: &mut Vec<Problem>) {
+    let mut seen = Vec::new();
+    for (index, kind) in texts(duties, "kinds") {
+        let path = format!("duties.kinds[{index}]");
+        if seen.contains(&kind) {
+            let message = format!("duty {kind:?} is listed twice");
+            problems.push(Problem::new(0, &path, &message));
+        }
+        if kind == DutyKind::UsageReport.name() && duties["usage"].is_null() {
+            let message = format!("duty {kind:?} needs the windows of the reports");
+            problems.push(Problem::new(0, "duties.usage", &message));
+        }
+        seen.push(kind);
+    }
+    let usage = &duties["usage"];
+    if let (Some(window_s), Some(late_s)) = (usage["window_s"].as_u64(), usage["late_s"].as_u64())
+        && late_s < USAGE_LATE_MIN_S
+    {
+        let message = format!(
+            "expected at least the {USAGE_LATE_MIN_S} s in which the counts of a window of \
+             {window_s} s are gathered, found {late_s}"
+        );
+        problems.push(Problem::new(0, "duties.usage.late_s", &message));
+    }
 }
 
 fn check_classes(config: &Value, problems: &mut Vec<Problem>) {
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -11,6 +11,8 @@
 pub enum Schema {
     /// Whole number in a range.
     Number(RangeInclusive<u64>),
+    /// Number with or without a fraction, in a range.
+    Decimal(RangeInclusive<f64>),
     /// `true` or `false`.
     Bool,
     /// String with this number of characters.
@@ -39,6 +41,7 @@
     pub fn check(&self, value: &Value, path: &str, problems: &mut Vec<Problem>) {
         let error = match self {
             Self::Number(range) => number_error(value, range, path),
+            Self::Decimal(range) => decimal_error(value, range),
             Self::Bool => (!value.is_boolean()).then(|| "expected true or false".to_owned()),
             Self::Text(length) => text_error(value, length, "text", |_| true),
             Self::Name(length) => text_error(
@@ -91,6 +94,13 @@
     ))
 }
 
+/// Returns an error if the value is not a number in the range.
+fn decimal_error(value: &Value, range: &RangeInclusive<f64>) -> Option<String> {
+    let (least, most) = (range.start(), range.end());
+    (!value.as_f64().is_some_and(|number| range.contains(&number)))
+        .then(|| format!("expected a number from {least} to {most}, found {value}"))
+}
+
 /// Returns the unit that the suffix of a field name stands for, as text for a message.
 fn unit_of(path: &str) -> &'static str {
     const UNITS: [(&str, &str); 5] = [
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -130,6 +130,24 @@
     Field::required("region", NAME),
 ]);
 
+const USAGE_WINDOWS: Schema = Schema::Object(&[
+    Field::required("window_s", Schema::Number(limits::WINDOW_S)),
+    Field::required("late_s", Schema::Number(limits::WINDOW_S)),
+    Field::required("tolerance", Schema::Decimal(limits::TOLERANCE)),
+]);
+
+const DUTY: Schema = Schema::OneOf(&["usage_report", "autoscale"]);
+
+const DUTIES: Schema = Schema::Object(&[
+    Field::required("address", Schema::Address),
+    Field::required("kinds", Schema::List(1, &DUTY)),
+    Field::required("calls_per_s", Schema::Decimal(limits::CALLS_PER_S)),
+    Field::required("lease_ms", Schema::Number(limits::LEASE_MS)),
+    Field::optional("thaw_ms", Schema::Number(limits::THAW_MS)),
+    Field::optional("checks_tokens", Schema::Bool),
+    Field::optional("usage", USAGE_WINDOWS),
+]);
+
 /// Schema of a [`Host`](crate::Host).
 pub const HOST: Schema = Schema::Object(&[
     Field::required("name", NAME),
@@ -155,4 +173,5 @@
         "cross_region_bytes_per_s",
         Schema::Number(limits::CROSS_REGION_BYTES_PER_S),
     ),
+    Field::optional("duties", DUTIES),
 ]);
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -67,6 +67,31 @@
 repeated id | /peer_keys | [{"id": 1, "secret_hex": "00000000000000000000000000000000"}, {"id": 1, "secret_hex": "11111111111111111111111111111111"}] | peer_keys[1].id | already the id of peer_keys[0]
 "#;
 
+fn host_with_duties() -> Value {
+    let mut host = host();
+    host["duties"] = json!({
+        "address": "127.0.0.1:9100", "kinds": ["usage_report", "autoscale"],
+        "calls_per_s": 50.0, "lease_ms": 3_000, "thaw_ms": 300, "checks_tokens": false,
+        "usage": {"window_s": 5, "late_s": 10, "tolerance": 0.05},
+    });
+    host
+}
+
+/// Cases for singleton duties, as [`HOST_CASES`].
+const DUTIES_CASES: &str = r#"
+none | /duties/kinds | [] | duties.kinds | at least 1
+unknown | /duties/kinds/1 | "autoscael" | duties.kinds[1] | usage_report, autoscale
+twice | /duties/kinds/1 | "usage_report" | duties.kinds[1] | listed twice
+address | /duties/address | 9100 | duties.address | IP address and port
+no windows | /duties/usage | null | duties.usage | needs the windows
+window | /duties/usage/window_s | 0 | duties.usage.window_s | from 1
+tolerance | /duties/usage/tolerance | 1.5 | duties.usage.tolerance | a number from 0 to 1
+rate | /duties/calls_per_s | 0 | duties.calls_per_s | a number from 0.01
+short lease | /duties/lease_ms | 100 | duties.lease_ms | milliseconds from 500
+late | /duties/usage/late_s | 1 | duties.usage.late_s | at least the
+misspelt | /duties/leas_ms | 1 | duties.leas_ms | "lease_ms"
+"#;
+
 /// Cases for the configuration, as [`HOST_CASES`].
 const CONFIG_CASES: &str = r#"
 tier | /classes/0/tier | 3 | classes[0].tier | from 0 to 2
@@ -139,6 +164,7 @@
 fn host_faults() {
     let check = |text: &str| Host::parse(text).err().unwrap_or_default();
     check_cases(&host(), check, HOST_CASES);
+    check_cases(&host_with_duties(), check, DUTIES_CASES);
 }
 
 /// Guards against releasing a configuration with which daemons can't serve requests.
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -89,6 +89,7 @@
         store_poll_ms: 50,
         drain_max_ms: 60_000,
         cross_region_bytes_per_s: 312_500,
+        duties: None,
     }
 }
 
