--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -118,6 +118,13 @@
         self.lock().table.store_version()
     }
 
+    /// Returns whether the list of upstreams is complete and up to date as far as this daemon knows.
+    pub(crate) fn has_current_upstreams(&self) -> bool {
+        let inner = self.lock();
+        let is_known = inner.table.store_version().is_some() && inner.failing.is_empty();
+        is_known && !inner.roster.is_pending()
+    }
+
     /// Returns whether a configuration is known.
     pub(crate) fn has_config(&self) -> bool {
         self.lock().config.is_some()
--- a/crates/daemon/src/duties/mod.rs
+++ b/crates/daemon/src/duties/mod.rs
@@ -9,7 +9,11 @@
     reason = "interface of the tasks that follow"
 )]
 
+mod capacity;
 mod held;
 mod steady_clock;
 
-pub(crate) use self::held::{Held, Hold, LastCall};
+pub(crate) use self::{
+    capacity::order_upstreams,
+    held::{Held, Hold, LastCall},
+};
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -17,7 +17,7 @@
     time::Seconds,
     web::{self, App, HttpServer},
 };
-use settings::Host;
+use settings::{DutyKind, Host};
 use store::{HttpTable, Table};
 use tokio::{net::UdpSocket, sync::mpsc};
 
@@ -27,6 +27,7 @@
     announce_loads::announce_loads,
     completions,
     directory::{follow_config, follow_daemons, follow_peer, follow_upstreams},
+    duties::order_upstreams,
     follow::follow_releases,
     grants::share_slots,
     loads::read_loads,
@@ -161,6 +162,12 @@
             running.spawn(announce_loads(shared.clone()));
             let table = (platform.connect_table)();
             running.spawn(keep_prompt_evidence(shared.clone(), table));
+            if let Some(connect_cloud) = platform.connect_cloud
+                && let Some(duties) = &shared.host.duties
+                && duties.has(DutyKind::Autoscale)
+            {
+                running.spawn(order_upstreams(shared.clone(), connect_cloud()));
+            }
         } else {
             let table = store_client(&shared).await;
             running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -33,3 +33,25 @@
     /// Why the response is incomplete: `caller_left` or `broken`.
     pub cause: &'static str,
 }
+
+/// Labels of the number of servers of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServerLabel {
+    /// Name of the service.
+    pub service: String,
+    /// Kind of the servers: `lasting` or `reclaimable`.
+    pub kind: &'static str,
+    /// What is counted: `desired`, `live`, `starting` or `leaving`.
+    pub state: &'static str,
+}
+
+/// Labels of the orders of servers for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabel {
+    /// Name of the service.
+    pub service: String,
+    /// Kind of the servers: `lasting` or `reclaimable`.
+    pub kind: &'static str,
+    /// Result of the call.
+    pub result: &'static str,
+}
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -11,7 +11,9 @@
     registry::Registry,
 };
 
-use crate::{Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel};
+use crate::{
+    Attainment, ClassLabel, CodeLabel, Gauges, OrderLabel, ServerLabel, TierLabel, WasteLabel,
+};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "fireflylever";
@@ -34,6 +36,8 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
+    servers: Family<ServerLabel, Gauge>,
+    server_orders: Family<OrderLabel, Counter>,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -62,6 +66,8 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
+            servers: Family::default(),
+            server_orders: Family::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -72,6 +78,7 @@
             ready: Gauge::default(),
         };
         metrics.register();
+        metrics.register_servers();
         metrics
     }
 }
@@ -160,6 +167,31 @@
         self.upstream_pauses.inc();
     }
 
+    /// Sets the number of servers of one kind that a service has in one state.
+    pub fn set_servers(&self, service: &str, kind: &'static str, state: &'static str, count: u32) {
+        let label = ServerLabel {
+            service: service.to_owned(),
+            kind,
+            state,
+        };
+        self.servers.get_or_create(&label).set(i64::from(count));
+    }
+
+    /// Forgets the numbers of servers, which another host writes from now on.
+    pub fn clear_servers(&self) {
+        self.servers.clear();
+    }
+
+    /// Counts an order of servers by its result.
+    pub fn record_server_order(&self, service: &str, kind: &'static str, result: &'static str) {
+        let label = OrderLabel {
+            service: service.to_owned(),
+            kind,
+            result,
+        };
+        self.server_orders.get_or_create(&label).inc();
+    }
+
     /// Sets the gauges and writes all families in the Prometheus text format.
     #[must_use]
     pub fn encode(&self, gauges: &Gauges) -> String {
@@ -197,6 +229,21 @@
         }
     }
 
+    fn register_servers(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "servers",
+            "Servers that this host orders for a service, by kind and state",
+            self.servers.clone(),
+        );
+        register(
+            registry,
+            "server_orders",
+            "Orders of servers by result",
+            &self.server_orders,
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         register(
--- a/crates/metric/src/tests.rs
+++ b/crates/metric/src/tests.rs
@@ -16,6 +16,8 @@
     metrics.record_attempt(2);
     metrics.record_preemption();
     metrics.record_hedge();
+    metrics.set_servers("drafts", "reclaimable", "starting", 4);
+    metrics.record_server_order("drafts", "reclaimable", "unavailable");
     let gauges = Gauges {
         queued: [1, 2, 3],
         config_version: 4,
@@ -33,6 +35,8 @@
         "fireflylever_retries_total 1",
         "fireflylever_preemptions_total 1",
         "fireflylever_hedges_total 1",
+        "fireflylever_servers{service=\"drafts\",kind=\"reclaimable\",state=\"starting\"} 4",
+        "fireflylever_server_orders_total{service=\"drafts\",kind=\"reclaimable\",result=\"unavailable\"} 1",
         "fireflylever_queued_requests{tier=\"2\"} 3",
         "fireflylever_config_version 4",
         "fireflylever_first_token_seconds_count{class=\"urgent\"} 1",
--- /dev/null
+++ b/crates/route/src/engine_demand.rs
@@ -0,0 +1,20 @@
+/// Load of the live engines that provide a service, from all daemons.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineDemand {
+    /// Number of live engines.
+    pub engines: u32,
+    /// Mean share of its time that an engine needs for prompts; above 1 they pile up.
+    pub prefill_share: f64,
+    /// Mean share of its slots that an engine uses.
+    pub slot_share: f64,
+    /// Share of the other daemons that told their load lately.
+    pub heard_share: f64,
+}
+
+impl EngineDemand {
+    /// Returns the number of engines that the load would keep fully busy.
+    #[must_use]
+    pub fn busy_engines(&self) -> f64 {
+        self.prefill_share.max(self.slot_share) * f64::from(self.engines)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod candidate_tree;
 mod cohort;
 mod departures;
+mod engine_demand;
 mod engine_load;
 mod engine_state;
 #[cfg(test)]
@@ -49,6 +50,7 @@
 
 pub use self::{
     attempt_outcome::AttemptOutcome,
+    engine_demand::EngineDemand,
     engine_load::EngineLoad,
     hedge_budget::HedgeBudget,
     latency_aims::LatencyAims,
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -10,6 +10,7 @@
 };
 
 mod choice;
+mod demand;
 mod layout;
 mod notices;
 mod outlier_detection;
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -7,7 +7,8 @@
 use quarantine::Quarantine;
 use queue::{OutputLengths, Queue, TIERS};
 use route::{
-    AttemptOutcome, LoadAnnouncement, LoadReport, Locality, PeerLoads, Pool, UpstreamStatus,
+    AttemptOutcome, EngineDemand, LoadAnnouncement, LoadReport, Locality, PeerLoads, Pool,
+    UpstreamStatus,
 };
 use settings::Config;
 
@@ -379,6 +380,12 @@
         self.pool.load_announcement(now_us)
     }
 
+    /// Returns the load of all daemons on the engines that provide a service.
+    #[must_use]
+    pub fn engine_demand(&self, service: &str) -> Option<EngineDemand> {
+        self.pool.engine_demand(service)
+    }
+
     /// Applies what all other daemons announced about their work on engines.
     pub fn apply_peer_loads(&mut self, now_us: u64, peer_loads: &PeerLoads) {
         self.pool.apply_peer_loads(now_us, peer_loads);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -65,6 +65,6 @@
 };
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
-    EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality, PAUSE_MAX_US,
-    PeerLoads, PromptPart, Target, UpstreamStatus,
+    EngineDemand, EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality,
+    PAUSE_MAX_US, PeerLoads, PromptPart, Target, UpstreamStatus,
 };
