--- a/crates/capacity/src/allocation.rs
+++ b/crates/capacity/src/allocation.rs
@@ -94,7 +94,14 @@
             room.min(zone.lasting_max.saturating_sub(lasting))
         })
         .collect();
-    let replacements = distribute(missing, &weights, &caps);
+    let held: Vec<u32> = zones
+        .iter()
+        .zip(lasting.iter().zip(&caps))
+        .map(|(zone, (&lasting, &cap))| zone.lasting_held.saturating_sub(lasting).min(cap))
+        .collect();
+    let kept_weights: Vec<f64> = held.iter().map(|&held| f64::from(held)).collect();
+    let kept = distribute(missing, &kept_weights, &held);
+    let replacements = adjust(missing, 0, &kept, &weights, &caps);
     let allocated = lasting.iter().zip(&reclaimable).zip(&replacements);
     allocated
         .map(|((&lasting, &reclaimable), &replacements)| Allocation {
--- a/crates/capacity/src/demand_window.rs
+++ b/crates/capacity/src/demand_window.rs
@@ -4,34 +4,57 @@
 /// the noise of single requests.
 const SLOPE_US: u64 = 2_000_000;
 
+/// Largest factor by which the slope raises the expected demand. The middle of a step looks like a
+/// steep slope, although it ends soon.
+const SLOPE_FACTOR_MAX: f64 = 1.25;
+
 /// Shortest interval between two samples that are kept.
 const SAMPLE_INTERVAL_US: u64 = 250_000;
 
 /// Demand of the last seconds, in busy servers.
 #[derive(Debug, Clone, Default)]
 pub struct DemandWindow {
-    /// Times and values, oldest first.
-    samples: VecDeque<(u64, f64)>,
+    /// Oldest first.
+    samples: VecDeque<Sample>,
     /// Time of the first sample with any demand.
     first_busy_us: Option<u64>,
 }
 
+/// Demand at one time.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    time_us: u64,
+    busy_servers: f64,
+    /// What the slope at that time led to.
+    ahead: f64,
+}
+
 impl DemandWindow {
-    /// Records the present demand and forgets what is older than `span_us`.
-    pub fn record(&mut self, now_us: u64, busy_servers: f64, span_us: u64) {
+    /// Records the present demand, looks `ahead_us` ahead by its slope, and forgets what is older
+    /// than `span_us`.
+    pub fn record(&mut self, now_us: u64, busy_servers: f64, ahead_us: u64, span_us: u64) {
         if busy_servers > 0.0 {
             self.first_busy_us.get_or_insert(now_us);
         }
         match self.samples.back_mut() {
-            Some((time_us, value)) if now_us < *time_us + SAMPLE_INTERVAL_US => {
-                *value = value.max(busy_servers);
+            Some(last) if now_us < last.time_us + SAMPLE_INTERVAL_US => {
+                last.busy_servers = last.busy_servers.max(busy_servers);
             }
-            _ => self.samples.push_back((now_us, busy_servers)),
+            _ => self.samples.push_back(Sample {
+                time_us: now_us,
+                busy_servers,
+                ahead: 0.0,
+            }),
+        }
+        let rise = self.slope_per_us(now_us) * to_f64(ahead_us);
+        if let Some(last) = self.samples.back_mut() {
+            let ahead = last.busy_servers + rise;
+            last.ahead = ahead.min(last.busy_servers * SLOPE_FACTOR_MAX);
         }
         while self
             .samples
             .front()
-            .is_some_and(|&(time_us, _)| time_us + span_us < now_us)
+            .is_some_and(|sample| sample.time_us + span_us < now_us)
         {
             self.samples.pop_front();
         }
@@ -50,17 +73,15 @@
 
     /// Returns the latest demand.
     pub fn latest(&self) -> f64 {
-        self.samples.back().map_or(0.0, |&(_, value)| value)
+        self.samples
+            .back()
+            .map_or(0.0, |sample| sample.busy_servers)
     }
 
-    /// Returns the largest demand, or what the present slope leads to after `ahead_us` if that is
-    /// more.
-    pub fn expected(&self, now_us: u64, ahead_us: u64) -> f64 {
-        let peak = self
-            .samples
-            .iter()
-            .fold(0.0_f64, |peak, &(_, value)| peak.max(value));
-        peak.max(self.latest() + self.slope_per_us(now_us) * to_f64(ahead_us))
+    /// Returns the largest demand, or what its slope led to if that is more.
+    pub fn expected(&self) -> f64 {
+        let samples = self.samples.iter();
+        samples.fold(0.0, |peak, sample| sample.ahead.max(peak))
     }
 
     /// Returns by how much the demand rises for each microsecond; 0 if it falls.
@@ -68,16 +89,15 @@
         let mut recent = self
             .samples
             .iter()
-            .filter(|&&(time_us, _)| time_us + SLOPE_US >= now_us);
-        let (Some(&(from_us, from)), Some(&(to_us, to))) = (recent.next(), recent.next_back())
-        else {
+            .filter(|sample| sample.time_us + SLOPE_US >= now_us);
+        let (Some(from), Some(to)) = (recent.next(), recent.next_back()) else {
             return 0.0;
         };
-        let elapsed_us = to_us.saturating_sub(from_us);
+        let elapsed_us = to.time_us.saturating_sub(from.time_us);
         if elapsed_us < SLOPE_US / 2 {
             return 0.0;
         }
-        ((to - from) / to_f64(elapsed_us)).max(0.0)
+        ((to.busy_servers - from.busy_servers) / to_f64(elapsed_us)).max(0.0)
     }
 }
 
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod allocation;
 mod demand_window;
+#[cfg(test)]
+mod load_tests;
 mod observation;
 mod order;
 mod planner;
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -19,6 +19,10 @@
 /// urgent work continues if no reclaimable servers are left anywhere.
 const LASTING_DEMAND_SHARE: f64 = 0.25;
 
+/// Factor by which the fleet becomes larger than needed when it grows, so that a slow rise takes few
+/// orders.
+const MORE_FACTOR: f64 = 1.05;
+
 /// Factor between the size in force and the needed one from which on servers are given up.
 const FEWER_FACTOR: f64 = 0.8;
 
@@ -43,11 +47,11 @@
 /// Time by which a change of the demand is known late.
 const DEMAND_LAG_US: u64 = 1_000_000;
 
-/// Time for which the list of servers has to be up to date before the first server is given up.
+/// Time for which the list of servers has to be up to date before the first order.
 const SETTLE_US: u64 = 2_000_000;
 
-/// Share of a server's time below which it counts as idle.
-const IDLE_UTILISATION: f64 = 0.02;
+/// Share of the ordered servers that may be missing in the list while others are given up.
+const MISSING_SHARE_MAX: f64 = 0.1;
 
 /// Decides how many servers of each kind a service needs in each availability zone.
 ///
@@ -154,29 +158,36 @@
         if self.fleet == 0 {
             return Vec::new();
         }
-        let wanted = self.wanted(now_us, observation);
+        let wanted = self.wanted(now_us);
         let inputs = OrderInputs {
             busy_servers: self.window.latest(),
-            expected_busy_servers: self.expected(now_us),
+            expected_busy_servers: self.window.expected(),
             fleet: self.fleet,
             ..OrderInputs::default()
         };
         let mut orders = Vec::new();
         let mut gives_up = false;
-        let is_settled = self.is_settled(now_us);
+        let may_give_up = self.may_give_up(now_us);
         for (zone, wanted) in self.zones.iter_mut().zip(&wanted) {
             if zone.subjects.iter().any(Subject::is_busy) {
                 continue;
             }
             // More comes before fewer, so that a zone isn't short in between.
-            let numbers = [(0, wanted.lasting), (1, wanted.reclaimable)];
+            let room = |other: usize| {
+                let other = zone.subjects[other].ordered();
+                self.autoscaling.servers_max.saturating_sub(other)
+            };
+            let numbers = [
+                (0, wanted.lasting.min(room(1))),
+                (1, wanted.reclaimable.min(room(0))),
+            ];
             let mut candidates: Vec<(usize, u32, Reason)> = numbers
                 .into_iter()
                 .filter_map(|(kind, desired)| {
                     let reason = zone.subjects[kind].reason(now_us, desired)?;
                     Some((kind, desired, reason))
                 })
-                .filter(|&(_, _, reason)| reason != Reason::Fewer || is_settled)
+                .filter(|&(_, _, reason)| reason != Reason::Fewer || may_give_up)
                 .collect();
             candidates.sort_by_key(|&(_, _, reason)| reason == Reason::Fewer);
             let Some(&(kind, desired, reason)) = candidates.first() else {
@@ -271,9 +282,10 @@
         }
         if let Some(demand) = observation.demand {
             let busy_servers = Some(demand.busy_servers).filter(|busy| busy.is_finite());
-            let window_us = self.window_us();
+            let (ahead_us, window_us) = (self.start_us() + DEMAND_LAG_US, self.window_us());
+            let busy_servers = busy_servers.unwrap_or(0.0).max(0.0);
             self.window
-                .record(now_us, busy_servers.unwrap_or(0.0).max(0.0), window_us);
+                .record(now_us, busy_servers, ahead_us, window_us);
         }
     }
 
@@ -284,17 +296,22 @@
             let ordered = |zone: &Zone| zone.subjects.iter().map(Subject::ordered).sum::<u32>();
             self.fleet = self.zones.iter().map(ordered).sum();
         }
+        if self.fleet > 0 && !self.window.has_demand() {
+            // Servers that were there at the start may be listed late.
+            let lasting = self.zones.iter().map(|zone| zone.subjects[0].count.live);
+            self.fleet = self.fleet.max(lasting.sum());
+        }
         if self.fleet == 0 {
             return;
         }
-        let needed = ceil(self.expected(now_us) / TARGET_UTILISATION).clamp(min, max);
+        let needed = ceil(self.window.expected() / TARGET_UTILISATION).clamp(min, max);
         if needed > self.fleet {
-            self.fleet = needed;
+            self.fleet = ceil(f64::from(needed) * MORE_FACTOR);
         }
         let is_known = has_demand && self.window.covers(now_us, self.window_us());
         let is_due = now_us >= self.step_us.saturating_add(STEP_INTERVAL_US);
         let too_many = f64::from(needed) < FEWER_FACTOR * f64::from(self.fleet);
-        if is_known && is_due && too_many && self.is_settled(now_us) {
+        if is_known && is_due && too_many && self.may_give_up(now_us) {
             let step = ceil(f64::from(self.fleet) * STEP_SHARE);
             self.fleet = needed.max(self.fleet - step.min(self.fleet));
             self.step_us = now_us;
@@ -303,21 +320,14 @@
     }
 
     /// Returns the servers that each zone should have now.
-    fn wanted(&self, now_us: u64, observation: &Observation<'_>) -> Vec<Allocation> {
-        // Before the first demand, that for which the fleet has the right size is assumed.
-        let expected = if self.window.has_demand() {
-            self.expected(now_us)
-        } else {
-            f64::from(self.fleet) * TARGET_UTILISATION
-        };
-        let after_loss = ceil(expected / LOSS_UTILISATION).min(self.fleet);
-        let lasting = ceil(expected * LASTING_DEMAND_SHARE).min(self.fleet);
+    fn wanted(&self, now_us: u64) -> Vec<Allocation> {
+        let fleet = f64::from(self.fleet);
         let size = FleetSize {
             fleet: self.fleet,
-            after_loss,
-            lasting,
+            after_loss: ceil(fleet * TARGET_UTILISATION / LOSS_UTILISATION),
+            lasting: ceil(fleet * TARGET_UTILISATION * LASTING_DEMAND_SHARE),
             lasting_min: self.autoscaling.servers_min,
-            spare: floor(f64::from(self.fleet) * SPARE_SHARE),
+            spare: floor(fleet * SPARE_SHARE),
         };
         let supplies: Vec<ZoneSupply> = self
             .zones
@@ -325,7 +335,7 @@
             .map(|zone| self.supply(now_us, zone))
             .collect();
         let mut wanted = allocate(&size, &supplies);
-        self.hold_lasting(now_us, observation, &mut wanted);
+        self.hold_lasting(now_us, &mut wanted);
         wanted
     }
 
@@ -351,7 +361,7 @@
 
     /// Keeps lasting servers that are given up until reclaimable ones have taken over, and gives them
     /// up step by step.
-    fn hold_lasting(&self, now_us: u64, observation: &Observation<'_>, wanted: &mut [Allocation]) {
+    fn hold_lasting(&self, now_us: u64, wanted: &mut [Allocation]) {
         let ordered: Vec<u32> = self
             .zones
             .iter()
@@ -374,8 +384,8 @@
         let needed = self.fleet.saturating_sub(live(1)).max(wanted_lasting);
         let may_give_up = ordered.iter().sum::<u32>().saturating_sub(needed);
         let all = f64::from(live(0) + live(1));
-        let is_idle =
-            observation.demand.is_some() && self.expected(now_us) <= IDLE_UTILISATION * all;
+        // Before the first requests no server has anything cached.
+        let is_idle = !self.window.has_demand();
         let step = if is_idle {
             surplus_sum
         } else if now_us >= self.step_us.saturating_add(STEP_INTERVAL_US) {
@@ -391,14 +401,19 @@
         }
     }
 
-    /// Returns the busy servers that are expected by the time at which a server that is ordered now
-    /// serves.
-    fn expected(&self, now_us: u64) -> f64 {
-        self.window
-            .expected(now_us, self.start_us() + DEMAND_LAG_US)
+    /// Returns whether servers may be given up: the list is up to date, and hardly any that were
+    /// ordered are missing in it.
+    fn may_give_up(&self, now_us: u64) -> bool {
+        let subjects = self.zones.iter().flat_map(|zone| &zone.subjects);
+        let (ordered, missing) = subjects.fold((0, 0), |(ordered, missing), subject| {
+            let lack = subject.ordered().saturating_sub(subject.count.live);
+            (ordered + subject.ordered(), missing + lack)
+        });
+        let is_complete = f64::from(missing) <= f64::from(ordered) * MISSING_SHARE_MAX;
+        is_complete && self.is_settled(now_us)
     }
 
-    /// Returns whether the list of servers has been up to date for long enough to give up servers.
+    /// Returns whether the list of servers has been up to date for some time.
     fn is_settled(&self, now_us: u64) -> bool {
         self.current_since_us
             .is_some_and(|since_us| now_us >= since_us + SETTLE_US)
