feat(duty): holder of the fleet's duties, usage counts and their reports

Change: crate `duty` with the holder (a lease on the row `duty/lease`, with a rest after each hold and each start), the counts by window and account as sums that only grow, and the reporter, which writes each report to the row `duty/usage` before its first call. `Lease` gets an earliest time of acquisition, a floor for its token and the observation of a failed acquisition. Tasks in the daemon, the client of the control service in the platform's adapter, metrics and the duties in /admin/status. All of it starts only where the settings have duties.

--- a/crates/daemon/src/adapter/cloud_adapter.rs
+++ b/crates/daemon/src/adapter/cloud_adapter.rs
@@ -37,6 +37,8 @@
     Refused(u16),
     /// The service failed with this HTTP status; the call may have taken effect.
     Failed(u16),
+    /// The service could not be reached; nothing was sent.
+    NotSent,
     /// No answer arrived; the call may have taken effect or may do so later.
     Unknown,
 }
@@ -51,10 +53,17 @@
             Self::Busy(_) => "busy",
             Self::Refused(_) => "refused",
             Self::Failed(_) => "failed",
+            Self::NotSent => "not_sent",
             Self::Unknown => "unknown",
         }
     }
 
+    /// Returns whether the service answered.
+    #[must_use]
+    pub const fn is_answered(self) -> bool {
+        !matches!(self, Self::Failed(_) | Self::NotSent | Self::Unknown)
+    }
+
     /// Returns whether the call may have taken effect without a confirmation.
     #[must_use]
     pub const fn is_uncertain(self) -> bool {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -12,7 +12,7 @@
 use sched::UpstreamStatus;
 use serde_json::json;
 
-use crate::{prompt_evidence, shared::Shared};
+use crate::{duties, prompt_evidence, shared::Shared};
 
 /// Serves `/healthz`: succeeds as long as the process can respond.
 pub(crate) async fn healthz() -> HttpResponse {
@@ -59,6 +59,7 @@
         "members": members,
         "upstreams_leaving": upstreams_leaving,
         "peer_traffic": traffic,
+        "duties": duties::status(&shared),
     }))
 }
 
@@ -102,6 +103,7 @@
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.snapshot.load().config.version;
     gauges.ready = shared.is_ready();
+    gauges.duties_held = shared.held.current().is_some();
     HttpResponse::Ok()
         .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
         .body(shared.metrics.encode(&gauges))
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -29,8 +29,13 @@
 
 /// Returns the wall-clock time; it is used only for display and for ages that outlive a process.
 pub(crate) fn unix_ms() -> u64 {
+    unix_us() / 1_000
+}
+
+/// Returns the wall-clock time in microseconds, for the windows of the usage reports.
+pub(crate) fn unix_us() -> u64 {
     let elapsed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/daemon/src/duties/held.rs
+++ b/crates/daemon/src/duties/held.rs
@@ -1,20 +1,13 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use duty::{Hold, HoldChange, Holder, HolderStep, HolderTiming};
 use limit::TokenBucket;
-use settings::{Duties, DutyKind};
+use settings::{Duties, DutyKind, Host};
+use store::{Row, StoreError};
 
 use super::steady_clock::SteadyClock;
 use crate::adapter::CallResult;
 
-/// Hold of this host on the duties of the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Hold {
-    /// Fencing token of the hold.
-    pub(crate) token: u64,
-    /// Time at which the hold ends, unless it is renewed, by [`Held::now_us`].
-    pub(crate) until_us: u64,
-}
-
 /// Last call of a duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct LastCall {
@@ -26,7 +19,7 @@
 
 /// Whether this host holds the duties of the fleet, for the tasks that carry them out.
 ///
-/// The task of the holder updates it. One hold covers all duties, so their calls bear one token.
+/// One hold covers all duties, so their calls bear one token.
 #[derive(Debug)]
 pub(crate) struct Held {
     clock: SteadyClock,
@@ -35,20 +28,27 @@
 
 #[derive(Debug)]
 struct State {
-    hold: Option<Hold>,
+    /// `None` on a deployment without duties.
+    holder: Option<Holder>,
     calls: TokenBucket,
     last_calls: Vec<(DutyKind, LastCall)>,
 }
 
 impl Held {
-    /// Creates a host that holds nothing.
-    pub(crate) fn new(duties: Option<&Duties>) -> Self {
+    /// Creates a host that holds nothing; `run` must be unique among all runs of the daemon.
+    pub(crate) fn new(host: &Host, run: u64) -> Self {
         let clock = SteadyClock::new();
+        let now_us = clock.now_us();
+        let duties = host.duties.as_ref();
+        let holder = duties.map(|duties| {
+            let timing = HolderTiming::new(duties.lease_ms * 1_000, duties.thaw_ms * 1_000);
+            Holder::new(timing, &host.name, &format!("{run:016x}"), now_us)
+        });
         Self {
             clock,
             state: Mutex::new(State {
-                hold: None,
-                calls: TokenBucket::new(clock.now_us(), calls_per_s(duties)),
+                holder,
+                calls: TokenBucket::new(now_us, calls_per_s(duties)),
                 last_calls: Vec::new(),
             }),
         }
@@ -62,17 +62,22 @@
     /// Returns the hold, if there is one now.
     pub(crate) fn current(&self) -> Option<Hold> {
         let now_us = self.now_us();
-        self.state().hold.filter(|hold| now_us < hold.until_us)
+        self.state().holder.as_ref()?.current(now_us)
     }
 
     /// Returns the hold for a call that is sent at once and stopped after `call_us`, if the hold
     /// lasts so long and the rate of calls allows one more.
+    ///
+    /// The result of the call has to be passed to [`finish_call`](Self::finish_call).
     pub(crate) fn begin_call(&self, call_us: u64) -> Option<Hold> {
         let now_us = self.now_us();
         let mut state = self.state();
-        let hold = state.hold?;
-        let lasts = now_us.saturating_add(call_us) < hold.until_us;
-        (lasts && state.calls.try_take(now_us)).then_some(hold)
+        if state.calls.wait_us(now_us) > 0 {
+            return None;
+        }
+        let hold = state.holder.as_mut()?.begin_call(now_us, call_us)?;
+        state.calls.try_take(now_us);
+        Some(hold)
     }
 
     /// Records the result of a call.
@@ -80,6 +85,9 @@
         let at_us = self.now_us();
         let call = LastCall { at_us, result };
         let mut state = self.state();
+        if let Some(holder) = &mut state.holder {
+            holder.finish_call(result.is_answered(), result.is_uncertain());
+        }
         match state
             .last_calls
             .binary_search_by_key(&kind, |entry| entry.0)
@@ -89,7 +97,7 @@
         }
     }
 
-    /// Returns the last call of a duty.
+    /// Returns the last call of a duty that this host made.
     pub(crate) fn last_call(&self, kind: DutyKind) -> Option<LastCall> {
         let state = self.state();
         let index = state
@@ -98,9 +106,41 @@
         index.ok().map(|index| state.last_calls[index].1)
     }
 
-    /// Replaces the hold.
-    pub(crate) fn set(&self, hold: Option<Hold>) {
-        self.state().hold = hold;
+    /// Returns the next step to acquire, keep or give back the duties, with the changes since the
+    /// last one.
+    pub(super) fn step(&self, is_candidate: bool, stops: bool) -> (HolderStep, Vec<HoldChange>) {
+        self.with_holder(|now_us, holder| {
+            holder.set_candidate(is_candidate);
+            if stops {
+                holder.stop();
+            }
+            (holder.step(now_us), holder.take_changes())
+        })
+        .unwrap_or((HolderStep::Wait { until_us: u64::MAX }, Vec::new()))
+    }
+
+    /// Handles the result of reading the row of the lease.
+    pub(super) fn handle_read(&self, result: Result<Option<Row>, StoreError>) {
+        self.with_holder(|now_us, holder| holder.handle_read(now_us, result));
+    }
+
+    /// Handles the result of writing the row of the lease.
+    pub(super) fn handle_write(&self, result: Result<u64, StoreError>) {
+        self.with_holder(|now_us, holder| holder.handle_write(now_us, result));
+    }
+
+    /// Records a token of another holder.
+    pub(super) fn see_token(&self, token: u64) {
+        self.with_holder(|_, holder| holder.see_token(token));
+    }
+
+    fn with_holder<F, R>(&self, access: F) -> Option<R>
+    where
+        F: FnOnce(u64, &mut Holder) -> R,
+    {
+        let mut state = self.state();
+        let now_us = self.now_us();
+        state.holder.as_mut().map(|holder| access(now_us, holder))
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/daemon/src/duties/mod.rs
+++ b/crates/daemon/src/duties/mod.rs
@@ -3,13 +3,19 @@
 //! A task that carries out a duty asks [`Held::begin_call`] right before each call, makes the call
 //! with the returned token, and passes the result to [`Held::finish_call`].
 
-#![allow(
-    dead_code,
-    unused_imports,
-    reason = "interface of the tasks that follow"
-)]
-
+mod gather;
 mod held;
+mod hold;
+mod report;
+mod status;
 mod steady_clock;
+mod usage_counter;
 
-pub(crate) use self::held::{Held, Hold, LastCall};
+pub(crate) use self::{
+    gather::{gather_usage, receive},
+    held::Held,
+    hold::hold_duties,
+    report::report_usage,
+    status::status,
+    usage_counter::UsageCounter,
+};
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -5,7 +5,7 @@
 use grant::Peer;
 use log::debug;
 
-use crate::{prompt_evidence, shared::Shared, sharing::Message};
+use crate::{duties, prompt_evidence, shared::Shared, sharing::Message};
 
 /// Interval between checks whether a report is due; reports are due every 200 to 900 ms.
 const TICK: Duration = Duration::from_millis(50);
@@ -51,6 +51,10 @@
         prompt_evidence::receive(shared, from, message);
         return;
     }
+    if let Message::Usage(message) = &message {
+        duties::receive(shared, from, message);
+        return;
+    }
     let reply = shared.with_core(|now_us, core| {
         let reply = core.sharing.receive(now_us, from, &message);
         core.apply_shares(now_us);
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::call::Call;
-use crate::{adapter::ResponseKind, notices, shared::Shared};
+use crate::{adapter::ResponseKind, config_snapshot::ConfigSnapshot, notices, shared::Shared};
 
 /// Longest idle time of a pooled connection that is reused for a request that may not be repeated.
 ///
@@ -63,6 +63,9 @@
             return Err(outcome);
         }
     };
+    if let (Some(usage), Some(round_trip)) = (&shared.usage, response.connect_time()) {
+        usage.record_round_trip(&upstream_settings.region, round_trip);
+    }
     let notice = adapter.parse_notice(response.status(), response.headers());
     let started_ms = upstream_settings.started_ms;
     notices::apply(
@@ -94,6 +97,30 @@
     }
 }
 
+/// Counts a request whose first token has arrived for the usage reports.
+pub(super) fn count_first_token(shared: &Shared, call: &Call, upstream: &str) {
+    if let (Some(usage), Some(account)) = (&shared.usage, &call.account) {
+        let snapshot = shared.snapshot.load();
+        let region = region_of(&snapshot, upstream);
+        usage.record_first_token(shared.held.now_us(), account, region);
+    }
+}
+
+/// Counts a request that was sent at this time and has run for the usage reports.
+pub(super) fn count_sent(shared: &Shared, call: &Call, upstream: &str, sent_at: Instant) {
+    if let (Some(usage), Some(account)) = (&shared.usage, &call.account) {
+        let snapshot = shared.snapshot.load();
+        let region = region_of(&snapshot, upstream);
+        usage.record_sent(shared.held.now_us(), account, region, sent_at);
+    }
+}
+
+/// Returns the region of an upstream; empty if it is gone.
+fn region_of<'a>(snapshot: &'a ConfigSnapshot, upstream: &str) -> &'a str {
+    let upstream = snapshot.config.upstream(upstream);
+    upstream.map_or("", |upstream| upstream.region.as_str())
+}
+
 /// Reads the short body of a rejection, so that the connection can be reused.
 async fn drain_body(mut response: Response) {
     const DRAIN_MAX_BYTES: usize = 16 * 1024;
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -8,6 +8,7 @@
 use log::info;
 use ntex::web::HttpResponse;
 use sched::Outcome;
+use tokio::time::Instant;
 
 use super::{
     attempt::{self, log_loss, record_start},
@@ -71,6 +72,7 @@
     handle: &mut JobHandle,
     progress: &mut Progress<BufferedResponse>,
 ) -> Result<BufferedResponse, Refusal> {
+    let mut is_counted = false;
     loop {
         match handle.decision().await {
             Decision::Start {
@@ -81,7 +83,13 @@
             } => {
                 record_start(shared, call, &upstream, attempt, work_tokens);
                 progress.record_start();
-                match try_upstream(shared, pool, call, upstream, attempt).await {
+                let sent_at = Instant::now();
+                let tried = try_upstream(shared, pool, call, upstream.clone(), attempt).await;
+                if !is_counted && !matches!(tried, Err(outcome) if !may_have_run(outcome)) {
+                    is_counted = true;
+                    attempt::count_sent(shared, call, &upstream, sent_at);
+                }
+                match tried {
                     Ok(buffered)
                         if buffered.status.is_server_error() && call.kind.is_repeatable() =>
                     {
@@ -117,6 +125,11 @@
     }
 }
 
+/// Returns whether a request with this outcome may have begun to run.
+const fn may_have_run(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::LostBeforeAnswer)
+}
+
 /// Sends one attempt and reads its response.
 async fn try_upstream(
     shared: &Shared,
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -43,6 +43,8 @@
     /// Time of the first event of the current attempt.
     begun_at: Option<Instant>,
     events: EventBuffer,
+    /// Whether the request was counted as one that began to run.
+    is_counted: bool,
 }
 
 /// Serves a call whose response is a stream of events.
@@ -66,6 +68,7 @@
         response: None,
         begun_at: None,
         events: EventBuffer::default(),
+        is_counted: false,
     };
     let mut progress = Progress::default();
     let id = relay.handle.id();
@@ -277,6 +280,7 @@
             Ok(Some(events)) => {
                 self.begun_at = Some(Instant::now());
                 self.handle.first_token();
+                self.count_begin();
                 Ok(FirstPart::Events(events))
             }
             Ok(None) if is_framed => Ok(FirstPart::Empty),
@@ -362,6 +366,13 @@
         }
     }
 
+    /// Counts the request for the usage reports, once also if it goes on at another upstream.
+    fn count_begin(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            attempt::count_first_token(&self.shared, &self.call, &self.upstream);
+        }
+    }
+
     /// Logs that the current attempt was lost.
     fn log_loss(&self, detail: &str) {
         log_loss(&self.call, &self.upstream, self.begun_at, detail);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -18,8 +18,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
-    directory::ClusterState, duties::Held, follow::ReleaseState, handle::JobHandle, peers::Peers,
+    adapter::HeaderAdapter,
+    clock::Clock,
+    config_snapshot::ConfigSnapshot,
+    core::Core,
+    directory::ClusterState,
+    duties::{Held, UsageCounter},
+    follow::ReleaseState,
+    handle::JobHandle,
+    peers::Peers,
     pending_work::PendingWork,
 };
 
@@ -34,8 +41,9 @@
     pub(crate) release_state: ReleaseState,
     pub(crate) peers: Peers,
     /// Hold of this host on the duties of the fleet.
-    #[allow(dead_code, reason = "interface of the tasks that follow")]
     pub(crate) held: Held,
+    /// Counts of the usage reports, if it is a duty of the deployment to send them.
+    pub(crate) usage: Option<UsageCounter>,
     draining: AtomicBool,
     draining_since_us: AtomicU64,
     /// Cancelled when a graceful stop has used up its time: whoever still waits is answered now.
@@ -58,7 +66,9 @@
     /// Creates the state of a host without a configuration.
     pub(crate) fn new(host: Host, peers: Peers) -> Self {
         let core = Core::new(&host);
-        let held = Held::new(host.duties.as_ref());
+        let start_nonce = rand::random();
+        let held = Held::new(&host, start_nonce);
+        let usage = UsageCounter::new(&host, start_nonce);
         Self {
             host,
             clock: Clock::new(),
@@ -66,6 +76,7 @@
             release_state: ReleaseState::default(),
             peers,
             held,
+            usage,
             draining: AtomicBool::new(false),
             draining_since_us: AtomicU64::new(0),
             stop_expired: CancellationToken::new(),
@@ -74,7 +85,7 @@
             cluster_state: ClusterState::default(),
             header_adapter: None,
             pending_work: PendingWork::default(),
-            start_nonce: rand::random(),
+            start_nonce,
             evidence: Notify::new(),
             queued: Notify::new(),
             core: Mutex::new(core),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -27,6 +27,7 @@
     announce_loads::announce_loads,
     completions,
     directory::{follow_config, follow_daemons, follow_peer, follow_upstreams},
+    duties::{gather_usage, hold_duties, report_usage},
     follow::follow_releases,
     grants::share_slots,
     loads::read_loads,
@@ -161,6 +162,12 @@
             running.spawn(announce_loads(shared.clone()));
             let table = (platform.connect_table)();
             running.spawn(keep_prompt_evidence(shared.clone(), table));
+            if let Some(connect_cloud) = platform.connect_cloud {
+                running.spawn(hold_duties(shared.clone(), (platform.connect_table)()));
+                running.spawn(gather_usage(shared.clone()));
+                let table = (platform.connect_table)();
+                running.spawn(report_usage(shared.clone(), table, connect_cloud()));
+            }
         } else {
             let table = store_client(&shared).await;
             running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
--- /dev/null
+++ b/crates/duty/src/reporter.rs
@@ -0,0 +1,273 @@
+use std::time::Duration;
+
+use store::{Expect, Row, StoreError};
+
+use crate::{Report, Reports, Usage};
+
+/// Time after the end of a window at which it is reported at the earliest.
+const EARLIEST_US: u64 = 800_000;
+
+/// Time between two checks.
+const CHECK_US: u64 = 200_000;
+
+/// Delay before a failed read, write or call is tried again.
+const RETRY_US: u64 = 400_000;
+
+/// Step that the caller of a [`Reporter`] has to carry out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReporterStep {
+    /// Read the row and pass the result to `handle_read`.
+    Read,
+    /// Write the row and pass the result to `handle_write`.
+    Write {
+        /// Condition on the current version of the row.
+        expect: Expect,
+        /// Content of the row.
+        reports: Reports,
+    },
+    /// Report these counts and pass the result to `handle_call`.
+    Call(Report),
+    /// Call `step` again after this time.
+    Wait(Duration),
+}
+
+/// What a call led to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The report is known to the control service.
+    Accepted,
+    /// The control service refused the report for good.
+    Refused,
+    /// The same report has to be sent again after this time.
+    Again(Duration),
+    /// Nothing was sent, because the hold or the rate of calls did not allow it.
+    Blocked,
+}
+
+/// Windows that ended since the last time, for metrics and logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReporterCounters {
+    /// Windows that the control service accepted.
+    pub reported: u64,
+    /// Windows that were overdue before they were accepted.
+    pub missed: u64,
+}
+
+/// State machine of the holder that reports usage: it writes each report ahead, then sends it.
+#[derive(Debug, Clone, Default)]
+pub struct Reporter {
+    /// Token of the hold under which the row was read.
+    token: u64,
+    row: Option<KnownRow>,
+    pause_until_us: u64,
+    /// Windows that were accepted or refused under this hold.
+    done: Vec<u64>,
+    /// Last window that was counted as missed or reported.
+    counted: Option<u64>,
+    counters: ReporterCounters,
+    /// Write whose result is awaited.
+    writing: Option<Reports>,
+}
+
+#[derive(Debug, Clone)]
+struct KnownRow {
+    expect: Expect,
+    reports: Reports,
+}
+
+impl Reporter {
+    /// Returns the windows that were reported and missed since the last call.
+    pub fn take_counters(&mut self) -> ReporterCounters {
+        std::mem::take(&mut self.counters)
+    }
+
+    /// Returns the next step under the hold with this token; `None` means that there is no hold.
+    pub fn step(
+        &mut self,
+        now_us: u64,
+        unix_us: u64,
+        token: Option<u64>,
+        usage: &Usage,
+    ) -> ReporterStep {
+        let wait = ReporterStep::Wait(Duration::from_micros(CHECK_US));
+        let Some(token) = token else {
+            self.token = 0;
+            return wait;
+        };
+        if token != self.token {
+            // Another holder may have written the row since.
+            self.token = token;
+            self.row = None;
+            self.writing = None;
+            self.done.clear();
+            self.pause_until_us = 0;
+        }
+        if now_us < self.pause_until_us {
+            return ReporterStep::Wait(Duration::from_micros(self.pause_until_us - now_us));
+        }
+        let Some(row) = &self.row else {
+            return ReporterStep::Read;
+        };
+        let reports = &row.reports.reports;
+        let unsent = reports.iter().find(|report| {
+            !self.done.contains(&report.window) && unix_us < usage.due_us(report.window)
+        });
+        if let Some(report) = unsent {
+            return ReporterStep::Call(report.clone());
+        }
+        let expect = row.expect;
+        match self.next_reports(unix_us, usage) {
+            Some(reports) => {
+                self.writing = Some(reports.clone());
+                ReporterStep::Write { expect, reports }
+            }
+            None => wait,
+        }
+    }
+
+    /// Handles the result of reading the row; returns an error if it can't be parsed, in which case
+    /// nothing is reported.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a row that holds something else.
+    pub fn handle_read(
+        &mut self,
+        now_us: u64,
+        unix_us: u64,
+        usage: &Usage,
+        result: Result<Option<Row>, StoreError>,
+    ) -> Result<(), serde_json::Error> {
+        self.pause_until_us = now_us + RETRY_US;
+        let Ok(row) = result else { return Ok(()) };
+        self.take_row(now_us, unix_us, usage, row)
+    }
+
+    /// Handles the result of writing the row.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a row that another holder wrote and that holds something else.
+    pub fn handle_write(
+        &mut self,
+        now_us: u64,
+        unix_us: u64,
+        usage: &Usage,
+        result: Result<u64, StoreError>,
+    ) -> Result<(), serde_json::Error> {
+        let Some(reports) = self.writing.take() else {
+            return Ok(());
+        };
+        match result {
+            Ok(version) => {
+                self.row = Some(KnownRow {
+                    expect: Expect::Version(version),
+                    reports,
+                });
+                Ok(())
+            }
+            Err(StoreError::Conflict(row)) => self.take_row(now_us, unix_us, usage, row),
+            // The write may have taken effect: only the row says what may be sent.
+            Err(StoreError::Unknown | StoreError::Down) => {
+                self.row = None;
+                self.pause_until_us = now_us + RETRY_US;
+                Ok(())
+            }
+        }
+    }
+
+    /// Handles the result of a call.
+    pub fn handle_call(&mut self, now_us: u64, window: u64, outcome: CallOutcome) {
+        match outcome {
+            CallOutcome::Accepted => {
+                self.done.push(window);
+                if self.counted < Some(window) {
+                    self.counted = Some(window);
+                    self.counters.reported += 1;
+                }
+            }
+            CallOutcome::Refused => {
+                self.done.push(window);
+                if self.counted < Some(window) {
+                    self.counted = Some(window);
+                    self.counters.missed += 1;
+                }
+            }
+            CallOutcome::Blocked => {}
+            CallOutcome::Again(pause) => {
+                let pause_us = u64::try_from(pause.as_micros()).unwrap_or(RETRY_US);
+                self.pause_until_us = now_us.saturating_add(pause_us.max(RETRY_US));
+            }
+        }
+    }
+
+    /// Returns the content of the row with the windows that can be reported now, if there is one.
+    fn next_reports(&mut self, unix_us: u64, usage: &Usage) -> Option<Reports> {
+        let through = self.row.as_ref()?.reports.through;
+        let current = usage.window_of(unix_us);
+        let mut next = self.row.as_ref()?.reports.clone();
+        let mut has_new = false;
+        for window in through.saturating_add(1)..current {
+            if unix_us >= usage.due_us(window) {
+                if self.counted < Some(window) {
+                    self.counted = Some(window);
+                    self.counters.missed += 1;
+                }
+                next.through = window;
+                continue;
+            }
+            if !is_ready(unix_us, window, usage) {
+                break;
+            }
+            next.through = window;
+            next.reports.push(Report {
+                window,
+                counts: usage.counts(window),
+            });
+            has_new = true;
+        }
+        next.reports
+            .retain(|report| unix_us < usage.due_us(report.window));
+        has_new.then_some(next)
+    }
+
+    /// Takes over the row; without one, the windows from the current one on are reported.
+    fn take_row(
+        &mut self,
+        now_us: u64,
+        unix_us: u64,
+        usage: &Usage,
+        row: Option<Row>,
+    ) -> Result<(), serde_json::Error> {
+        let known = match row {
+            None => KnownRow {
+                expect: Expect::Absent,
+                reports: Reports {
+                    through: usage.window_of(unix_us).saturating_sub(1),
+                    reports: Vec::new(),
+                },
+            },
+            Some(row) => {
+                let reports = Reports::parse(&row.value).inspect_err(|_| {
+                    self.pause_until_us = now_us + 10 * RETRY_US;
+                })?;
+                KnownRow {
+                    expect: Expect::Version(row.version),
+                    reports,
+                }
+            }
+        };
+        self.pause_until_us = 0;
+        self.row = Some(known);
+        Ok(())
+    }
+}
+
+/// Returns whether all hosts have told their counts of a window, or can't be waited for any longer.
+fn is_ready(unix_us: u64, window: u64, usage: &Usage) -> bool {
+    let end_us = usage.end_us(window);
+    let late_us = usage.due_us(window).saturating_sub(end_us);
+    let latest_us = (late_us / 2).max(EARLIEST_US);
+    let passed_us = unix_us.saturating_sub(end_us);
+    passed_us >= latest_us || (passed_us >= EARLIEST_US && usage.is_complete(window))
+}
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -15,6 +15,10 @@
 pub struct Lease {
     timing: LeaseTiming,
     started_us: u64,
+    /// Time before which the lease is not acquired.
+    earliest_us: u64,
+    /// Token that an acquisition must exceed, whatever the row says.
+    token_floor: u64,
     own_record: Record,
     observed: Option<ObservedRow>,
     phase: Phase,
@@ -66,6 +70,8 @@
         Self {
             timing,
             started_us: now_us,
+            earliest_us: now_us,
+            token_floor: 0,
             own_record,
             observed: None,
             phase: Phase::Observing,
@@ -77,6 +83,40 @@
         }
     }
 
+    /// Makes the acquisition only observe the row before this time.
+    #[must_use]
+    pub const fn with_earliest_us(mut self, earliest_us: u64) -> Self {
+        self.earliest_us = earliest_us;
+        self
+    }
+
+    /// Makes the token exceed this one, even if the row was lost and starts again.
+    #[must_use]
+    pub const fn with_token_above(mut self, token: u64) -> Self {
+        self.token_floor = token;
+        self
+    }
+
+    /// Continues the observation of an acquisition that failed, by the same clock.
+    #[must_use]
+    pub fn with_observation_of(mut self, earlier: &Self) -> Self {
+        self.observed.clone_from(&earlier.observed);
+        self
+    }
+
+    /// Returns the highest token that was seen in the row.
+    #[must_use]
+    pub fn observed_token(&self) -> u64 {
+        let observed = self.observed.as_ref();
+        observed.map_or(0, |observed| observed.record.token)
+    }
+
+    /// Returns whether a write is due or in progress, or its result is unknown.
+    #[must_use]
+    pub const fn is_writing(&self) -> bool {
+        matches!(self.phase, Phase::Writing(_) | Phase::ReadingBack(_))
+    }
+
     /// Returns the fencing token; 0 before the first try to acquire the lease.
     #[must_use]
     pub const fn token(&self) -> u64 {
@@ -129,7 +169,11 @@
             Phase::Writing(_) => self.write(now_us),
             Phase::ReadingBack(_) => LeaseStep::Read,
             Phase::Observing => match &self.observed {
-                Some(observed) if observed.is_free(now_us, self.timing) => self.acquire(now_us),
+                Some(observed)
+                    if now_us >= self.earliest_us && observed.is_free(now_us, self.timing) =>
+                {
+                    self.acquire(now_us)
+                }
                 Some(_) if now_us.saturating_sub(self.started_us) >= self.timing.wait_max_us => {
                     self.end(LeaseEnd::Busy)
                 }
@@ -197,7 +241,7 @@
     /// Starts to take over a lease that has expired or was released.
     fn acquire(&mut self, now_us: u64) -> LeaseStep {
         if let Some(observed) = &self.observed {
-            self.own_record.token = observed.record.token + 1;
+            self.own_record.token = observed.record.token.max(self.token_floor) + 1;
             self.expect = Expect::Version(observed.version);
         }
         self.begin_write(Purpose::Acquire);
@@ -267,8 +311,12 @@
     fn observe(&mut self, now_us: u64, row: Option<Row>) {
         let known = self.observed.as_ref().map(|observed| observed.version);
         match row {
+            None if known.is_none() && now_us < self.earliest_us => {
+                self.pause_until_us = self.earliest_us.min(now_us + self.timing.poll_us);
+                return;
+            }
             None if known.is_none() => {
-                self.own_record.token = 1;
+                self.own_record.token = self.token_floor + 1;
                 self.expect = Expect::Absent;
                 self.begin_write(Purpose::Acquire);
                 return;
@@ -287,11 +335,16 @@
             // A read that returned an older version says nothing about the newest one.
             _ => {}
         }
-        if let Some(observed) = &self.observed
-            && !observed.is_free(now_us, self.timing)
-        {
-            let expired_us = observed.expires_us(self.timing);
-            self.pause_until_us = expired_us.min(now_us + self.timing.poll_us);
+        if let Some(observed) = &self.observed {
+            let free_us = if observed.record.released {
+                0
+            } else {
+                observed.expires_us(self.timing)
+            };
+            let free_us = free_us.max(self.earliest_us);
+            if now_us < free_us {
+                self.pause_until_us = free_us.min(now_us + self.timing.poll_us);
+            }
         }
     }
 
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -113,6 +113,32 @@
     assert_eq!(second.token(), 2);
 }
 
+/// Guards against a host that takes a lease again right after it had it, and against a token that
+/// falls when the row was lost.
+#[test]
+fn waits_for_earliest_and_exceeds_token() {
+    let released = |table: &MemoryTable| {
+        let mut first = lease("a", 0);
+        run(table, &mut first, &mut 0);
+        first.release();
+        run(table, &mut first, &mut 0);
+    };
+    let cases = [("no row", false, 8), ("released", true, 8)];
+    for (name, has_row, token) in cases {
+        let table = MemoryTable::default();
+        if has_row {
+            released(&table);
+        }
+        let mut now_us = SECOND_US;
+        let mut second = lease("b", now_us)
+            .with_earliest_us(4 * SECOND_US)
+            .with_token_above(7);
+        run(&table, &mut second, &mut now_us);
+        assert!(second.holds(now_us), "{name}");
+        assert_eq!((now_us, second.token()), (4 * SECOND_US, token), "{name}");
+    }
+}
+
 /// Guards against overwriting a row that holds something other than a lease.
 #[test]
 fn unreadable_row_is_left() {
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -21,7 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
-    time::{Duration, timeout},
+    time::{Duration, Instant, timeout},
 };
 use tokio_util::io::InspectReader;
 
@@ -56,6 +56,8 @@
     closed: bool,
     /// Bytes that were read since the last head of a response or part of a body.
     overhead_bytes: Rc<Cell<usize>>,
+    /// Time that it took to open.
+    opened_in: Duration,
     /// Number of requests sent on it.
     requests: u32,
     /// Tags of the last requests that were refused on it, oldest first.
@@ -75,7 +77,9 @@
         options: &PoolOptions,
     ) -> Result<Self, RequestError> {
         let not_sent = |detail: String| RequestError::NotSent(detail);
+        let began = Instant::now();
         let stream = timeout(options.connect_timeout, TcpStream::connect(address)).await;
+        let opened_in = began.elapsed();
         let stream = stream
             .map_err(|_| not_sent("connect timed out".to_owned()))?
             .map_err(|error| not_sent(error.to_string()))?;
@@ -87,7 +91,11 @@
         let configured = socket
             .set_tcp_nodelay(true)
             .and_then(|()| socket.set_tcp_keepalive(&keepalive))
-            .and_then(|()| socket.set_tcp_user_timeout(Some(options.unacked_timeout)));
+            .and_then(|()| socket.set_tcp_user_timeout(Some(options.unacked_timeout)))
+            .and_then(|()| {
+                let linger = options.resets_on_close.then_some(Duration::ZERO);
+                linger.map_or(Ok(()), |linger| socket.set_linger(Some(linger)))
+            });
         configured.map_err(|error| not_sent(error.to_string()))?;
         let overhead_bytes = Rc::<Cell<usize>>::default();
         let counted = overhead_bytes.clone();
@@ -102,6 +110,7 @@
             driver: Box::pin(driver),
             closed: false,
             overhead_bytes,
+            opened_in,
             requests: 0,
             refused: VecDeque::new(),
         })
@@ -132,6 +141,11 @@
         })
     }
 
+    /// Returns the time that it took to open: a round trip on the network.
+    pub(crate) const fn opened_in(&self) -> Duration {
+        self.opened_in
+    }
+
     /// Returns whether another request was sent on it before the last one.
     pub(crate) const fn is_reused(&self) -> bool {
         self.requests > 1
--- a/crates/link/src/options.rs
+++ b/crates/link/src/options.rs
@@ -15,6 +15,9 @@
     /// Time without an acknowledgement of sent data after which the connection is closed as failed
     /// (`TCP_USER_TIMEOUT`).
     pub unacked_timeout: Duration,
+    /// Whether closing a connection drops what was not sent or acknowledged yet, so that nothing of
+    /// a request arrives after its caller has given up.
+    pub resets_on_close: bool,
 }
 
 impl Default for PoolOptions {
@@ -24,6 +27,7 @@
             idle_timeout: Duration::from_secs(12),
             idle_connections_max: 32,
             unacked_timeout: Duration::from_secs(3),
+            resets_on_close: false,
         }
     }
 }
--- a/crates/link/src/response.rs
+++ b/crates/link/src/response.rs
@@ -60,6 +60,12 @@
         self.connection.as_ref().is_none_or(Connection::is_reused)
     }
 
+    /// Returns the time that its connection took to open, which is a round trip on the network.
+    #[must_use]
+    pub fn connect_time(&self) -> Option<Duration> {
+        self.connection.as_ref().map(Connection::opened_in)
+    }
+
     /// Returns whether the body has a length or chunks, so that its end is known.
     ///
     /// Any other body ends with its connection, also if the server fails.
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -19,4 +19,6 @@
     pub live_peers: u64,
     /// Whether the host accepts new requests.
     pub ready: bool,
+    /// Whether the host holds the singleton duties of the fleet.
+    pub duties_held: bool,
 }
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -33,3 +33,19 @@
     /// Why the response is incomplete: `caller_left` or `broken`.
     pub cause: &'static str,
 }
+
+/// Labels of a call that one daemon of the fleet makes at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DutyCallLabel {
+    /// Duty.
+    pub duty: &'static str,
+    /// Result of the call.
+    pub result: &'static str,
+}
+
+/// Label of a window of the usage reports.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WindowLabel {
+    /// Outcome: `reported` or `missed`.
+    pub outcome: &'static str,
+}
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -20,6 +20,6 @@
 pub use self::{
     attainment::Attainment,
     gauges::Gauges,
-    labels::{ClassLabel, CodeLabel, TierLabel, WasteLabel},
+    labels::{ClassLabel, CodeLabel, DutyCallLabel, TierLabel, WasteLabel, WindowLabel},
     metrics::Metrics,
 };
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -11,7 +11,9 @@
     registry::Registry,
 };
 
-use crate::{Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel};
+use crate::{
+    Attainment, ClassLabel, CodeLabel, DutyCallLabel, Gauges, TierLabel, WasteLabel, WindowLabel,
+};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "fireflylever";
@@ -34,6 +36,10 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
+    duty_holder_changes: Counter,
+    duty_calls: Family<DutyCallLabel, Counter>,
+    usage_windows: Family<WindowLabel, Counter>,
+    duties_held: Gauge,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -62,6 +68,10 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
+            duty_holder_changes: Counter::default(),
+            duty_calls: Family::default(),
+            usage_windows: Family::default(),
+            duties_held: Gauge::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -72,6 +82,7 @@
             ready: Gauge::default(),
         };
         metrics.register();
+        metrics.register_duties();
         metrics
     }
 }
@@ -160,6 +171,23 @@
         self.upstream_pauses.inc();
     }
 
+    /// Counts that this host began or ceased to hold the duties.
+    pub fn record_duty_holder_change(&self) {
+        self.duty_holder_changes.inc();
+    }
+
+    /// Counts a call of a duty by its result.
+    pub fn record_duty_call(&self, duty: &'static str, result: &'static str) {
+        let label = DutyCallLabel { duty, result };
+        self.duty_calls.get_or_create(&label).inc();
+    }
+
+    /// Counts a window of the usage reports by its outcome: `reported` or `missed`.
+    pub fn record_usage_window(&self, outcome: &'static str) {
+        let label = WindowLabel { outcome };
+        self.usage_windows.get_or_create(&label).inc();
+    }
+
     /// Sets the gauges and writes all families in the Prometheus text format.
     #[must_use]
     pub fn encode(&self, gauges: &Gauges) -> String {
@@ -181,6 +209,7 @@
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
         self.ready.set(i64::from(gauges.ready));
+        self.duties_held.set(i64::from(gauges.duties_held));
         let mut text = String::new();
         // Writing to a string can't fail.
         let _ = encode(&mut text, &self.registry);
@@ -197,6 +226,32 @@
         }
     }
 
+    fn register_duties(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "duty_holder_changes",
+            "Times that this host began or ceased to hold the duties",
+            self.duty_holder_changes.clone(),
+        );
+        register(
+            registry,
+            "duty_calls",
+            "Calls of the duties by result",
+            &self.duty_calls,
+        );
+        register(
+            registry,
+            "usage_windows",
+            "Windows of the usage reports by outcome",
+            &self.usage_windows,
+        );
+        registry.register(
+            "duties_held",
+            "Whether this host holds the duties",
+            self.duties_held.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         register(
--- a/crates/metric/src/tests.rs
+++ b/crates/metric/src/tests.rs
@@ -16,9 +16,13 @@
     metrics.record_attempt(2);
     metrics.record_preemption();
     metrics.record_hedge();
+    metrics.record_duty_holder_change();
+    metrics.record_duty_call("usage_report", "accepted");
+    metrics.record_usage_window("missed");
     let gauges = Gauges {
         queued: [1, 2, 3],
         config_version: 4,
+        duties_held: true,
         ..Gauges::default()
     };
     let text = metrics.encode(&gauges);
@@ -33,6 +37,10 @@
         "fireflylever_retries_total 1",
         "fireflylever_preemptions_total 1",
         "fireflylever_hedges_total 1",
+        "fireflylever_duty_holder_changes_total 1",
+        "fireflylever_duty_calls_total{duty=\"usage_report\",result=\"accepted\"} 1",
+        "fireflylever_usage_windows_total{outcome=\"missed\"} 1",
+        "fireflylever_duties_held 1",
         "fireflylever_queued_requests{tier=\"2\"} 3",
         "fireflylever_config_version 4",
         "fireflylever_first_token_seconds_count{class=\"urgent\"} 1",
