fix(duty): renew and poll the lease on the duties less often

Change: two reads a lease, renewal at half. Takes over within 4.8 s of the last renewal instead of 4.1 s.

--- a/crates/daemon/src/duties/status.rs
+++ b/crates/daemon/src/duties/status.rs
@@ -10,9 +10,9 @@
     let Some(duties) = &shared.host.duties else {
         return Value::Null;
     };
-    let held = &shared.held;
-    let now_us = held.now_us();
-    let hold = held.current();
+    let duty_hold = &shared.held;
+    let now_us = duty_hold.now_us();
+    let hold = duty_hold.current();
     let known = shared.usage.as_ref().and_then(|counter| {
         counter.with(now_us, |_, usage| {
             let holder = usage.holder()?;
@@ -28,7 +28,7 @@
         .kinds
         .iter()
         .map(|kind| {
-            let last = held.last_call(*kind);
+            let last = duty_hold.last_call(*kind);
             json!({
                 "duty": kind.name(),
                 "last_result": last.map(|call| call.result.name()),
--- a/crates/duty/src/holder.rs
+++ b/crates/duty/src/holder.rs
@@ -9,9 +9,8 @@
 /// Delay before a failed acquisition is tried again.
 const RETRY_US: u64 = 500_000;
 
-/// Part of the usable length of a lease that remains when it is renewed.
-const RENEW_NUMERATOR: u64 = 3;
-const RENEW_DENOMINATOR: u64 = 5;
+/// A lease is renewed when this part of its usable length remains.
+const RENEW_DIVISOR: u64 = 2;
 
 /// State machine of one host that may hold the duties of the fleet.
 ///
@@ -229,7 +228,7 @@
     /// Returns the remaining time of a hold at which it is renewed.
     fn renew_us(&self) -> u64 {
         let usable_us = self.lease.as_ref().map_or(0, Lease::usable_us);
-        usable_us * RENEW_NUMERATOR / RENEW_DENOMINATOR
+        usable_us / RENEW_DIVISOR
     }
 
     fn new_lease(&mut self, now_us: u64) -> Lease {
--- a/crates/duty/src/holder_timing.rs
+++ b/crates/duty/src/holder_timing.rs
@@ -4,7 +4,7 @@
 const CLOCK_ERROR_DIVISOR: u64 = 10;
 
 /// Reads of the row over the length of a lease.
-const POLLS: u64 = 4;
+const POLLS: u64 = 2;
 
 /// Times of a [`Holder`](crate::Holder).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
