--- a/crates/capacity/src/demand_window.rs
+++ b/crates/capacity/src/demand_window.rs
@@ -8,6 +8,10 @@
 /// steep slope, although it ends soon.
 const SLOPE_FACTOR_MAX: f64 = 1.25;
 
+/// Time constant of the moving average of the demand. Each estimate comes from a sample of the
+/// callers and is off by its size.
+const AVERAGE_US: f64 = 1_000_000.0;
+
 /// Shortest interval between two samples that are kept.
 const SAMPLE_INTERVAL_US: u64 = 250_000;
 
@@ -18,6 +22,9 @@
     samples: VecDeque<Sample>,
     /// Time of the first sample with any demand.
     first_busy_us: Option<u64>,
+    /// Moving average of the demand, and the time of its last change.
+    average: f64,
+    recorded_us: u64,
 }
 
 /// Demand at one time.
@@ -36,6 +43,10 @@
         if busy_servers > 0.0 {
             self.first_busy_us.get_or_insert(now_us);
         }
+        let elapsed_us = to_f64(now_us.saturating_sub(self.recorded_us));
+        self.recorded_us = now_us;
+        self.average += (1.0 - (-elapsed_us / AVERAGE_US).exp()) * (busy_servers - self.average);
+        let busy_servers = self.average;
         match self.samples.back_mut() {
             Some(last) if now_us < last.time_us + SAMPLE_INTERVAL_US => {
                 last.busy_servers = last.busy_servers.max(busy_servers);
--- a/crates/daemon/src/duties/capacity.rs
+++ b/crates/daemon/src/duties/capacity.rs
@@ -19,8 +19,9 @@
 /// a holder from ordering.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Share of the other daemons that have to have told their load for the demand to be known.
-const HEARD_SHARE_MIN: f64 = 0.5;
+/// Daemons whose load has to be known for an estimate of the demand, unless there are fewer. The
+/// callers of a daemon are a small sample of all.
+const KNOWN_DAEMONS_MIN: u32 = 4;
 
 /// Service whose upstreams are ordered.
 struct OrderedService {
@@ -31,6 +32,10 @@
 /// Follows the demand for each service that asks for it, and orders its upstreams while this host
 /// holds the duty.
 pub(crate) async fn order_upstreams(shared: Arc<Shared>, cloud: Box<dyn CloudAdapter>) {
+    let duties = shared.host.duties.as_ref();
+    if !duties.is_some_and(|duties| duties.has(DutyKind::Autoscale)) {
+        return;
+    }
     let mut services: Vec<OrderedService> = Vec::new();
     let mut token = None;
     loop {
@@ -123,7 +128,8 @@
     let zones = servers_by_zone(config, &service.name);
     let (now_us, demand) =
         shared.with_core(|now_us, core| (now_us, core.dispatcher.engine_demand(&service.name)));
-    let demand = demand.filter(|demand| demand.heard_share >= HEARD_SHARE_MIN);
+    let demand =
+        demand.filter(|demand| demand.known_daemons >= KNOWN_DAEMONS_MIN.min(demand.daemons));
     let observation = Observation {
         demand: demand.map(|demand| Demand {
             busy_servers: demand.busy_engines(),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -17,7 +17,7 @@
     time::Seconds,
     web::{self, App, HttpServer},
 };
-use settings::{DutyKind, Host};
+use settings::Host;
 use store::{HttpTable, Table};
 use tokio::{net::UdpSocket, sync::mpsc};
 
@@ -27,7 +27,7 @@
     announce_loads::announce_loads,
     completions,
     directory::{follow_config, follow_daemons, follow_peer, follow_upstreams},
-    duties::order_upstreams,
+    duties::{gather_usage, hold_duties, order_upstreams, report_usage},
     follow::follow_releases,
     grants::share_slots,
     loads::read_loads,
@@ -162,10 +162,11 @@
             running.spawn(announce_loads(shared.clone()));
             let table = (platform.connect_table)();
             running.spawn(keep_prompt_evidence(shared.clone(), table));
-            if let Some(connect_cloud) = platform.connect_cloud
-                && let Some(duties) = &shared.host.duties
-                && duties.has(DutyKind::Autoscale)
-            {
+            if let Some(connect_cloud) = platform.connect_cloud {
+                running.spawn(hold_duties(shared.clone(), (platform.connect_table)()));
+                running.spawn(gather_usage(shared.clone()));
+                let table = (platform.connect_table)();
+                running.spawn(report_usage(shared.clone(), table, connect_cloud()));
                 running.spawn(order_upstreams(shared.clone(), connect_cloud()));
             }
         } else {
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -55,3 +55,19 @@
     /// Result of the call.
     pub result: &'static str,
 }
+
+/// Labels of a call that one daemon of the fleet makes at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DutyCallLabel {
+    /// Duty.
+    pub duty: &'static str,
+    /// Result of the call.
+    pub result: &'static str,
+}
+
+/// Label of a window of the usage reports.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WindowLabel {
+    /// Outcome: `reported` or `missed`.
+    pub outcome: &'static str,
+}
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -20,6 +20,9 @@
 pub use self::{
     attainment::Attainment,
     gauges::Gauges,
-    labels::{ClassLabel, CodeLabel, OrderLabel, ServerLabel, TierLabel, WasteLabel},
+    labels::{
+        ClassLabel, CodeLabel, DutyCallLabel, OrderLabel, ServerLabel, TierLabel, WasteLabel,
+        WindowLabel,
+    },
     metrics::Metrics,
 };
--- a/crates/route/src/engine_demand.rs
+++ b/crates/route/src/engine_demand.rs
@@ -7,8 +7,10 @@
     pub prefill_share: f64,
     /// Mean share of its slots that an engine uses.
     pub slot_share: f64,
-    /// Share of the other daemons that told their load lately.
-    pub heard_share: f64,
+    /// Number of live daemons.
+    pub daemons: u32,
+    /// Number of daemons whose load is known, this one included; that of the others is estimated.
+    pub known_daemons: u32,
 }
 
 impl EngineDemand {
--- a/crates/route/src/pool/demand.rs
+++ b/crates/route/src/pool/demand.rs
@@ -18,15 +18,23 @@
         });
         let engines = u32::try_from(engines.count()).unwrap_or(u32::MAX);
         let load = self.cohorts[number].mean_load;
+        let daemons = self.live_daemons.max(1);
+        let heard = (self.heard_share * f64::from(daemons - 1)).round();
         (engines > 0).then(|| EngineDemand {
             engines,
             prefill_share: load.prefill_share,
             slot_share: load.running / load.slots.max(1.0),
-            heard_share: if self.live_daemons <= 1 {
-                1.0
-            } else {
-                self.heard_share
-            },
+            daemons,
+            known_daemons: whole(heard) + 1,
         })
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number lies between 0 and that of the daemons"
+)]
+const fn whole(number: f64) -> u32 {
+    number as u32
+}
