--- a/crates/capacity/src/allocation.rs
+++ b/crates/capacity/src/allocation.rs
@@ -1,55 +1,55 @@
-//! Division of a fleet into kinds of servers and availability zones.
+//! Division of a fleet into kinds of upstreams and availability zones.
 
 use std::cmp::Ordering;
 
-/// Availability zone to which servers are allocated.
+/// Availability zone to which upstreams are allocated.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ZoneSupply {
-    /// Price of a server, relative to other zones.
+    /// Price of an upstream, relative to other zones.
     pub price: f64,
-    /// Most servers of both kinds.
-    pub servers_max: u32,
-    /// Lasting servers that can't be given up yet.
+    /// Most upstreams of both kinds.
+    pub upstreams_max: u32,
+    /// Lasting upstreams that can't be given up yet.
     pub lasting_held: u32,
-    /// Reclaimable servers that were ordered.
+    /// Reclaimable upstreams that were ordered.
     pub reclaimable_held: u32,
-    /// Most lasting servers that are to be had.
+    /// Most lasting upstreams that are to be had.
     pub lasting_max: u32,
-    /// Most reclaimable servers that are to be had.
+    /// Most reclaimable upstreams that are to be had.
     pub reclaimable_max: u32,
 }
 
 /// Sizes from which a fleet is divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FleetSize {
-    /// Servers of both kinds.
+    /// Upstreams of both kinds.
     pub fleet: u32,
-    /// Servers that have to stay when the reclaimable servers of any one zone are gone.
+    /// Upstreams that have to stay when the reclaimable upstreams of any one zone are gone.
     pub after_loss: u32,
-    /// Lasting servers of all zones.
+    /// Lasting upstreams of all zones.
     pub lasting: u32,
-    /// Lasting servers of each zone.
+    /// Lasting upstreams of each zone.
     pub lasting_min: u32,
-    /// Reclaimable servers beyond the needed ones that are kept rather than moved to other zones.
+    /// Reclaimable upstreams beyond the needed ones that are kept rather than moved to other zones.
     pub spare: u32,
 }
 
-/// Servers of one zone.
+/// Upstreams of one zone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Allocation {
-    /// Servers that the platform doesn't reclaim.
+    /// Upstreams that the platform doesn't reclaim.
     pub lasting: u32,
-    /// Servers that the platform may reclaim.
+    /// Upstreams that the platform may reclaim.
     pub reclaimable: u32,
-    /// Lasting servers among them that stand in for reclaimable ones.
+    /// Lasting upstreams among them that stand in for reclaimable ones.
     pub replacements: u32,
 }
 
 /// Divides a fleet into kinds and zones.
 ///
 /// Both kinds are spread in inverse proportion to the price, so that cheap zones get more without
-/// getting all. No zone gets more reclaimable servers than the fleet can lose at once. Where too few
-/// are to be had, lasting servers replace them as far as the fleet needs them to carry its work.
+/// getting all. No zone gets more reclaimable upstreams than the fleet can lose at once. Where too few
+/// are to be had, lasting upstreams replace them as far as the fleet needs them to carry its work.
 pub fn allocate(size: &FleetSize, zones: &[ZoneSupply]) -> Vec<Allocation> {
     let weights: Vec<f64> = zones
         .iter()
@@ -65,14 +65,14 @@
     let lasting: Vec<u32> = lasting
         .iter()
         .zip(zones)
-        .map(|(&lasting, zone)| lasting.max(size.lasting_min).min(zone.servers_max))
+        .map(|(&lasting, zone)| lasting.max(size.lasting_min).min(zone.upstreams_max))
         .collect();
     let lasting_sum: u32 = lasting.iter().sum();
     let caps: Vec<u32> = zones
         .iter()
         .zip(&lasting)
         .map(|(zone, &lasting)| {
-            let room = zone.servers_max - lasting.max(zone.lasting_held).min(zone.servers_max);
+            let room = zone.upstreams_max - lasting.max(zone.lasting_held).min(zone.upstreams_max);
             room.min(zone.reclaimable_max).min(loss_max)
         })
         .collect();
@@ -90,7 +90,7 @@
         .iter()
         .zip(lasting.iter().zip(&reclaimable))
         .map(|(zone, (&lasting, &reclaimable))| {
-            let room = zone.servers_max.saturating_sub(lasting + reclaimable);
+            let room = zone.upstreams_max.saturating_sub(lasting + reclaimable);
             room.min(zone.lasting_max.saturating_sub(lasting))
         })
         .collect();
@@ -193,11 +193,11 @@
     given
 }
 
-/// Rounds a number of servers down.
+/// Rounds a number of upstreams down.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
-    reason = "numbers of servers are small and not negative"
+    reason = "numbers of upstreams are small and not negative"
 )]
 pub const fn floor(number: f64) -> u32 {
     number as u32
--- a/crates/capacity/src/demand_window.rs
+++ b/crates/capacity/src/demand_window.rs
@@ -15,7 +15,7 @@
 /// Shortest interval between two samples that are kept.
 const SAMPLE_INTERVAL_US: u64 = 250_000;
 
-/// Demand of the last seconds, in busy servers.
+/// Demand of the last seconds, in busy upstreams.
 #[derive(Debug, Clone, Default)]
 pub struct DemandWindow {
     /// Oldest first.
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Sample {
     time_us: u64,
-    busy_servers: f64,
+    busy_upstreams: f64,
     /// What the slope at that time led to.
     ahead: f64,
 }
@@ -39,28 +39,28 @@
 impl DemandWindow {
     /// Records the present demand, looks `ahead_us` ahead by its slope, and forgets what is older
     /// than `span_us`.
-    pub fn record(&mut self, now_us: u64, busy_servers: f64, ahead_us: u64, span_us: u64) {
-        if busy_servers > 0.0 {
+    pub fn record(&mut self, now_us: u64, busy_upstreams: f64, ahead_us: u64, span_us: u64) {
+        if busy_upstreams > 0.0 {
             self.first_busy_us.get_or_insert(now_us);
         }
         let elapsed_us = to_f64(now_us.saturating_sub(self.recorded_us));
         self.recorded_us = now_us;
-        self.average += (1.0 - (-elapsed_us / AVERAGE_US).exp()) * (busy_servers - self.average);
-        let busy_servers = self.average;
+        self.average += (1.0 - (-elapsed_us / AVERAGE_US).exp()) * (busy_upstreams - self.average);
+        let busy_upstreams = self.average;
         match self.samples.back_mut() {
             Some(last) if now_us < last.time_us + SAMPLE_INTERVAL_US => {
-                last.busy_servers = last.busy_servers.max(busy_servers);
+                last.busy_upstreams = last.busy_upstreams.max(busy_upstreams);
             }
             _ => self.samples.push_back(Sample {
                 time_us: now_us,
-                busy_servers,
+                busy_upstreams,
                 ahead: 0.0,
             }),
         }
         let rise = self.slope_per_us(now_us) * to_f64(ahead_us);
         if let Some(last) = self.samples.back_mut() {
-            let ahead = last.busy_servers + rise;
-            last.ahead = ahead.min(last.busy_servers * SLOPE_FACTOR_MAX);
+            let ahead = last.busy_upstreams + rise;
+            last.ahead = ahead.min(last.busy_upstreams * SLOPE_FACTOR_MAX);
         }
         while self
             .samples
@@ -86,7 +86,7 @@
     pub fn latest(&self) -> f64 {
         self.samples
             .back()
-            .map_or(0.0, |sample| sample.busy_servers)
+            .map_or(0.0, |sample| sample.busy_upstreams)
     }
 
     /// Returns the largest demand, or what its slope led to if that is more.
@@ -108,7 +108,7 @@
         if elapsed_us < SLOPE_US / 2 {
             return 0.0;
         }
-        ((to.busy_servers - from.busy_servers) / to_f64(elapsed_us)).max(0.0)
+        ((to.busy_upstreams - from.busy_upstreams) / to_f64(elapsed_us)).max(0.0)
     }
 }
 
--- a/crates/capacity/src/load_tests.rs
+++ b/crates/capacity/src/load_tests.rs
@@ -5,12 +5,12 @@
 
 use settings::{Autoscaling, ZonePrice};
 
-use crate::{Demand, Observation, OrderOutcome, Planner, ServerCount, ZoneServers};
+use crate::{Demand, Observation, OrderOutcome, Planner, UpstreamCount, ZoneUpstreams};
 
 const STEP_US: u64 = 500_000;
 const STEP_S: f64 = 0.5;
 const START_US: u64 = 4_000_000;
-/// Time after which a leaving server is gone.
+/// Time after which a leaving upstream is gone.
 const LEAVE_US: u64 = 4_000_000;
 /// Time for which requests are sent.
 const DAY_US: u64 = 90_000_000;
@@ -27,7 +27,7 @@
     ("f", 800),
 ];
 const RECLAIMABLE_PERMILLE: u32 = 180;
-const SERVERS_MAX: u32 = 48;
+const UPSTREAMS_MAX: u32 = 48;
 
 fn autoscaling() -> Autoscaling {
     let zones = PRICES.map(|(zone, price_permille)| ZonePrice {
@@ -35,15 +35,15 @@
         price_permille,
     });
     Autoscaling {
-        servers_min: 1,
-        servers_max: SERVERS_MAX,
+        upstreams_min: 1,
+        upstreams_max: UPSTREAMS_MAX,
         start_ms: START_US / 1_000,
         reclaimable_price_permille: RECLAIMABLE_PERMILLE,
         zones: zones.to_vec(),
     }
 }
 
-/// Loss of all reclaimable servers in some zones.
+/// Loss of all reclaimable upstreams in some zones.
 #[derive(Clone, Copy)]
 struct Reclaim {
     at_us: u64,
@@ -54,28 +54,28 @@
     for_us: u64,
 }
 
-/// Load with what happens to the servers and to the planner's view.
+/// Load with what happens to the upstreams and to the planner's view.
 struct Load {
     name: &'static str,
-    /// Busy servers at a time after the first request.
+    /// Busy upstreams at a time after the first request.
     demand: fn(f64) -> f64,
-    /// Lasting servers of each zone at the start.
-    servers: u32,
+    /// Lasting upstreams of each zone at the start.
+    upstreams: u32,
     reclaims: Vec<Reclaim>,
-    /// Reclaimable servers are refused at all times.
+    /// Reclaimable upstreams are refused at all times.
     refuses_reclaimable: bool,
     /// Times between which the list is known to be old and lacks half of the zones.
     old_view_us: (u64, u64),
     /// Times between which the list lacks half of the zones and nobody knows.
     wrong_view_us: (u64, u64),
-    /// Busy servers that are seen for each real one.
+    /// Busy upstreams that are seen for each real one.
     seen_share: f64,
 }
 
 const CALM: Load = Load {
     name: "calm",
     demand: |_| 40.0,
-    servers: 23,
+    upstreams: 23,
     reclaims: Vec::new(),
     refuses_reclaimable: false,
     old_view_us: (0, 0),
@@ -150,7 +150,7 @@
         Load {
             name: "more than needed at the start",
             demand: |_| 12.0,
-            servers: 40,
+            upstreams: 40,
             ..CALM
         },
         Load {
@@ -174,18 +174,18 @@
     ]
 }
 
-/// Servers of one kind in one zone, as the platform has them.
+/// Upstreams of one kind in one zone, as the platform has them.
 #[derive(Clone, Default)]
-struct Servers {
+struct Upstreams {
     desired: u32,
     live: u32,
-    /// Times at which servers begin to serve.
+    /// Times at which upstreams begin to serve.
     starting: Vec<u64>,
-    /// Times at which servers are gone.
+    /// Times at which upstreams are gone.
     leaving: Vec<u64>,
 }
 
-impl Servers {
+impl Upstreams {
     fn advance(&mut self, now_us: u64) {
         let starting = self.starting.len();
         self.starting.retain(|&at_us| at_us > now_us);
@@ -217,8 +217,8 @@
         self.count() + u32::try_from(self.leaving.len()).unwrap()
     }
 
-    fn seen(&self) -> ServerCount {
-        ServerCount {
+    fn seen(&self) -> UpstreamCount {
+        UpstreamCount {
             live: self.live,
             leaving: u32::try_from(self.leaving.len()).unwrap(),
         }
@@ -228,9 +228,9 @@
 /// What a day cost and how it went.
 #[derive(Default)]
 struct Day {
-    /// Servers times seconds times price.
+    /// Upstreams times seconds times price.
     cost: f64,
-    /// Requests that waited too long, and all requests, in busy servers times seconds.
+    /// Requests that waited too long, and all requests, in busy upstreams times seconds.
     late: f64,
     asked: f64,
     /// Work that waits.
@@ -240,7 +240,7 @@
     orders: u32,
     /// Largest number of orders in any second.
     gave_up_in_view: bool,
-    /// Smallest number of live servers for each busy one after the first request.
+    /// Smallest number of live upstreams for each busy one after the first request.
     least_cover: f64,
 }
 
@@ -282,12 +282,12 @@
     (from_us..to_us).contains(&now_us)
 }
 
-/// Plays a load with the planner, or with the servers of the start if there is none.
+/// Plays a load with the planner, or with the upstreams of the start if there is none.
 fn play(load: &Load, mut planner: Option<Planner>) -> Day {
-    let mut zones = vec![[Servers::default(), Servers::default()]; PRICES.len()];
+    let mut zones = vec![[Upstreams::default(), Upstreams::default()]; PRICES.len()];
     for zone in &mut zones {
-        zone[0].desired = load.servers;
-        zone[0].live = load.servers;
+        zone[0].desired = load.upstreams;
+        zone[0].live = load.upstreams;
     }
     let mut day = Day {
         least_cover: f64::INFINITY,
@@ -302,15 +302,15 @@
                 }
             }
         }
-        for servers in zones.iter_mut().flatten() {
-            servers.advance(now_us);
+        for upstreams in zones.iter_mut().flatten() {
+            upstreams.advance(now_us);
         }
         let demand = demand(load, now_us);
-        let live: u32 = zones.iter().flatten().map(|servers| servers.live).sum();
+        let live: u32 = zones.iter().flatten().map(|upstreams| upstreams.live).sum();
         day.serve(now_us, demand, f64::from(live));
         for (zone, kinds) in zones.iter().enumerate() {
-            for (kind, servers) in kinds.iter().enumerate() {
-                day.cost += f64::from(servers.billed()) * price(zone, kind == 1) * STEP_S;
+            for (kind, upstreams) in kinds.iter().enumerate() {
+                day.cost += f64::from(upstreams.billed()) * price(zone, kind == 1) * STEP_S;
             }
         }
         if let Some(planner) = &mut planner {
@@ -327,17 +327,17 @@
     now_us: u64,
     demand: f64,
     planner: &mut Planner,
-    zones: &mut [[Servers; 2]],
+    zones: &mut [[Upstreams; 2]],
     day: &mut Day,
 ) {
     let is_old = within(now_us, load.old_view_us);
     let is_wrong = within(now_us, load.wrong_view_us);
-    let seen: Vec<ZoneServers> = zones
+    let seen: Vec<ZoneUpstreams> = zones
         .iter()
         .zip(PRICES)
         .enumerate()
         .filter(|&(index, _)| !(is_old || is_wrong) || index % 2 == 0)
-        .map(|(_, (kinds, (zone, _)))| ZoneServers {
+        .map(|(_, (kinds, (zone, _)))| ZoneUpstreams {
             zone: zone.to_owned(),
             lasting: kinds[0].seen(),
             reclaimable: kinds[1].seen(),
@@ -345,7 +345,7 @@
         .collect();
     let observation = Observation {
         demand: Some(Demand {
-            busy_servers: demand * load.seen_share,
+            busy_upstreams: demand * load.seen_share,
         }),
         is_current: !is_old,
         zones: &seen,
@@ -371,11 +371,11 @@
         };
         planner.record_outcome(now_us, &order.zone, order.reclaimable, outcome);
         let both = zones[index][0].desired + zones[index][1].desired;
-        assert!(both <= SERVERS_MAX, "{}: {both} servers", load.name);
+        assert!(both <= UPSTREAMS_MAX, "{}: {both} upstreams", load.name);
     }
 }
 
-/// Returns the cost of the cheapest servers that carry the demand at each moment, reclaimable ones
+/// Returns the cost of the cheapest upstreams that carry the demand at each moment, reclaimable ones
 /// where they are to be had.
 fn oracle_cost(load: &Load) -> f64 {
     let mut cost = 0.0;
@@ -393,7 +393,7 @@
         }
         offers.sort_by(f64::total_cmp);
         for offer in offers {
-            let taken = left.min(f64::from(SERVERS_MAX));
+            let taken = left.min(f64::from(UPSTREAMS_MAX));
             cost += taken * offer * STEP_S;
             left -= taken;
         }
@@ -447,8 +447,8 @@
     }
 }
 
-/// Guards against servers that are kept at the high price: reclaimable ones take over, and the
-/// seconds of servers cost at least 40% less than those of the fleet of the start.
+/// Guards against upstreams that are kept at the high price: reclaimable ones take over, and the
+/// seconds of upstreams cost at least 40% less than those of the fleet of the start.
 #[test]
 fn a_calm_day_costs_less() {
     for name in ["calm", "wave", "more than needed at the start"] {
@@ -464,18 +464,18 @@
 fn a_wave_is_not_followed_down() {
     let day = planned(&load("wave"));
     assert!(day.late <= 0.0, "late {}", day.late_share());
-    // A server in six zones of both kinds may change in each of a few steps, not with each wave.
+    // An upstream in six zones of both kinds may change in each of a few steps, not with each wave.
     assert!(day.orders <= 60, "{} orders", day.orders);
 }
 
-/// Guards against callers that wait for servers to start when the demand jumps by 2.5.
+/// Guards against callers that wait for upstreams to start when the demand jumps by 2.5.
 #[test]
-fn a_jump_finds_its_servers() {
+fn a_jump_finds_its_upstreams() {
     let day = planned(&load("jump by 2.5"));
     assert!(day.late <= 0.0, "late {}", day.late_share());
 }
 
-/// Guards against a zone's reclaimable servers whose loss is felt by callers.
+/// Guards against a zone's reclaimable upstreams whose loss is felt by callers.
 #[test]
 fn a_reclaimed_zone_is_covered() {
     for name in [
@@ -487,11 +487,11 @@
     }
 }
 
-/// Guards against a fleet that has nothing left, or waits for reclaimable servers, when all of them
+/// Guards against a fleet that has nothing left, or waits for reclaimable upstreams, when all of them
 /// are gone and none are to be had: a quarter of the demand is carried at once, and all of it again
-/// once other servers have started and the work that waited is done.
+/// once other upstreams have started and the work that waited is done.
 #[test]
-fn others_replace_reclaimable_servers_that_are_not_to_be_had() {
+fn others_replace_reclaimable_upstreams_that_are_not_to_be_had() {
     let day = planned(&load("all reclaimed, none to be had"));
     assert!(day.least_cover >= 0.25, "cover {}", day.least_cover);
     let recovered_us = CREST_US + 2 * START_US + 4_000_000;
@@ -502,7 +502,7 @@
     );
 }
 
-/// Guards against servers that are given up because a list is old, or because it lacks servers that
+/// Guards against upstreams that are given up because a list is old, or because it lacks upstreams that
 /// are there.
 #[test]
 fn nothing_is_given_up_by_a_partial_view() {
@@ -513,7 +513,7 @@
     }
 }
 
-/// Guards against calls that are repeated without end while no servers are to be had.
+/// Guards against calls that are repeated without end while no upstreams are to be had.
 #[test]
 fn refusals_are_not_repeated_at_once() {
     let day = planned(&load("none to be had at any time"));
--- a/crates/capacity/src/observation.rs
+++ b/crates/capacity/src/observation.rs
@@ -1,45 +1,45 @@
-/// What the host that orders servers knows about a service at one time.
+/// What the host that orders upstreams knows about a service at one time.
 #[derive(Debug, Clone, Copy)]
 pub struct Observation<'a> {
     /// Demand of the whole fleet; `None` if too few hosts told theirs lately.
     pub demand: Option<Demand>,
-    /// Whether the list of servers is up to date. Nothing is taken away by an old list.
+    /// Whether the list of upstreams is up to date. Nothing is taken away by an old list.
     pub is_current: bool,
-    /// Servers by availability zone, sorted by its name.
-    pub zones: &'a [ZoneServers],
+    /// Upstreams by availability zone, sorted by its name.
+    pub zones: &'a [ZoneUpstreams],
 }
 
 /// Demand for a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Demand {
-    /// Number of servers that the present work would keep fully busy.
-    pub busy_servers: f64,
+    /// Number of upstreams that the present work would keep fully busy.
+    pub busy_upstreams: f64,
 }
 
-/// Servers of a service in one availability zone.
+/// Upstreams of a service in one availability zone.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ZoneServers {
+pub struct ZoneUpstreams {
     /// Availability zone.
     pub zone: String,
-    /// Servers that the platform doesn't reclaim.
-    pub lasting: ServerCount,
-    /// Servers that the platform may reclaim.
-    pub reclaimable: ServerCount,
+    /// Upstreams that the platform doesn't reclaim.
+    pub lasting: UpstreamCount,
+    /// Upstreams that the platform may reclaim.
+    pub reclaimable: UpstreamCount,
 }
 
-/// Servers of one kind.
+/// Upstreams of one kind.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ServerCount {
-    /// Servers that take new requests.
+pub struct UpstreamCount {
+    /// Upstreams that take new requests.
     pub live: u32,
-    /// Servers that finish their requests and leave.
+    /// Upstreams that finish their requests and leave.
     pub leaving: u32,
 }
 
-impl ZoneServers {
-    /// Returns the servers of one kind.
+impl ZoneUpstreams {
+    /// Returns the upstreams of one kind.
     #[must_use]
-    pub const fn count(&self, reclaimable: bool) -> ServerCount {
+    pub const fn count(&self, reclaimable: bool) -> UpstreamCount {
         if reclaimable {
             self.reclaimable
         } else {
--- a/crates/capacity/src/order.rs
+++ b/crates/capacity/src/order.rs
@@ -1,13 +1,13 @@
 use std::fmt::{Display, Formatter, Result};
 
-/// Order for a number of servers of one kind in an availability zone.
+/// Order for a number of upstreams of one kind in an availability zone.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Order {
     /// Availability zone.
     pub zone: String,
-    /// Whether the order is for reclaimable servers.
+    /// Whether the order is for reclaimable upstreams.
     pub reclaimable: bool,
-    /// Number of servers that there should be.
+    /// Number of upstreams that there should be.
     pub desired: u32,
     /// Why it is sent.
     pub reason: Reason,
@@ -18,28 +18,28 @@
 /// What an order was decided by.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OrderInputs {
-    /// Servers that the present work would keep fully busy.
-    pub busy_servers: f64,
-    /// The same as expected by the time at which a new server serves.
-    pub expected_busy_servers: f64,
-    /// Servers that the service should have in all zones.
+    /// Upstreams that the present work would keep fully busy.
+    pub busy_upstreams: f64,
+    /// The same as expected by the time at which a new upstream serves.
+    pub expected_busy_upstreams: f64,
+    /// Upstreams that the service should have in all zones.
     pub fleet: u32,
-    /// Live servers of this kind in the zone.
+    /// Live upstreams of this kind in the zone.
     pub live: u32,
-    /// Leaving servers of this kind in the zone.
+    /// Leaving upstreams of this kind in the zone.
     pub leaving: u32,
 }
 
 /// Reason of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
-    /// More servers are needed.
+    /// More upstreams are needed.
     More,
-    /// Fewer servers are needed.
+    /// Fewer upstreams are needed.
     Fewer,
-    /// Servers of the other kind take over.
+    /// Upstreams of the other kind take over.
     OtherKind,
-    /// Reclaimable servers aren't to be had elsewhere.
+    /// Reclaimable upstreams aren't to be had elsewhere.
     Replacement,
     /// An earlier order had no visible effect.
     Repeat,
@@ -50,7 +50,7 @@
 pub enum OrderOutcome {
     /// The platform accepted it.
     Accepted,
-    /// No servers of the kind are to be had in the zone at the moment.
+    /// No upstreams of the kind are to be had in the zone at the moment.
     Unavailable,
     /// It wasn't carried out, or that isn't known.
     Failed,
--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -1,43 +1,43 @@
 use settings::Autoscaling;
 
 use crate::{
-    Observation, Order, OrderInputs, OrderOutcome, Reason, ZoneServers,
+    Observation, Order, OrderInputs, OrderOutcome, Reason, ZoneUpstreams,
     allocation::{Allocation, FleetSize, ZoneSupply, allocate, distribute, floor},
     demand_window::DemandWindow,
     subject::Subject,
 };
 
-/// Share of its time for which a server is busy if the fleet has the right size. Demand that jumps
-/// by 2.5 still finds the servers it needs before new ones have started.
+/// Share of its time for which an upstream is busy if the fleet has the right size. Demand that jumps
+/// by 2.5 still finds the upstreams it needs before new ones have started.
 const TARGET_UTILISATION: f64 = 0.4;
 
-/// Share of its time for which a server may be busy while the reclaimable servers of one zone are
+/// Share of its time for which an upstream may be busy while the reclaimable upstreams of one zone are
 /// gone.
 const LOSS_UTILISATION: f64 = 0.6;
 
-/// Share of the demand that the lasting servers carry when they are fully busy, so that the most
-/// urgent work continues if no reclaimable servers are left anywhere.
+/// Share of the demand that the lasting upstreams carry when they are fully busy, so that the most
+/// urgent work continues if no reclaimable upstreams are left anywhere.
 const LASTING_DEMAND_SHARE: f64 = 0.25;
 
 /// Factor by which the fleet becomes larger than needed when it grows, so that a slow rise takes few
 /// orders.
 const MORE_FACTOR: f64 = 1.05;
 
-/// Factor between the size in force and the needed one from which on servers are given up.
+/// Factor between the size in force and the needed one from which on upstreams are given up.
 const FEWER_FACTOR: f64 = 0.8;
 
-/// Largest share of the servers that is given up in one step. Each server takes cached prompts
+/// Largest share of the upstreams that is given up in one step. Each upstream takes cached prompts
 /// along.
 const STEP_SHARE: f64 = 0.1;
 
-/// Share of the fleet up to which reclaimable servers beyond the needed ones stay where they are.
+/// Share of the fleet up to which reclaimable upstreams beyond the needed ones stay where they are.
 /// Moving them to another zone would cost their cached prompts.
 const SPARE_SHARE: f64 = 0.05;
 
-/// Interval between two steps in which servers are given up.
+/// Interval between two steps in which upstreams are given up.
 const STEP_INTERVAL_US: u64 = 4_000_000;
 
-/// Time for which the largest demand counts, in starts of a server: a server that is given up and
+/// Time for which the largest demand counts, in starts of an upstream: an upstream that is given up and
 /// needed again is missing for one.
 const WINDOW_STARTS: u64 = 5;
 
@@ -47,32 +47,32 @@
 /// Time by which a change of the demand is known late.
 const DEMAND_LAG_US: u64 = 1_000_000;
 
-/// Time for which the list of servers has to be up to date before the first order.
+/// Time for which the list of upstreams has to be up to date before the first order.
 const SETTLE_US: u64 = 2_000_000;
 
-/// Share of the ordered servers that may be missing in the list while others are given up.
+/// Share of the ordered upstreams that may be missing in the list while others are given up.
 const MISSING_SHARE_MAX: f64 = 0.1;
 
-/// Decides how many servers of each kind a service needs in each availability zone.
+/// Decides how many upstreams of each kind a service needs in each availability zone.
 ///
-/// Each host follows the demand and the servers with [`observe`](Self::observe), so that any of them
+/// Each host follows the demand and the upstreams with [`observe`](Self::observe), so that any of them
 /// can begin to [`plan`](Self::plan) at once; only one does at a time.
 ///
 /// ```
-/// use capacity::{Demand, Observation, Planner, ServerCount, ZoneServers};
+/// use capacity::{Demand, Observation, Planner, UpstreamCount, ZoneUpstreams};
 /// use settings::{Autoscaling, ZonePrice};
 ///
 /// let autoscaling = Autoscaling {
-///     servers_min: 1,
-///     servers_max: 48,
+///     upstreams_min: 1,
+///     upstreams_max: 48,
 ///     start_ms: 4_000,
 ///     reclaimable_price_permille: 180,
 ///     zones: vec![ZonePrice { zone: "costa-norte".into(), price_permille: 1_000 }],
 /// };
 /// let mut planner = Planner::new(&autoscaling);
-/// let lasting = ServerCount { live: 4, leaving: 0 };
-/// let zones = [ZoneServers { zone: "costa-norte".into(), lasting, ..ZoneServers::default() }];
-/// let demand = Some(Demand { busy_servers: 8.0 });
+/// let lasting = UpstreamCount { live: 4, leaving: 0 };
+/// let zones = [ZoneUpstreams { zone: "costa-norte".into(), lasting, ..ZoneUpstreams::default() }];
+/// let demand = Some(Demand { busy_upstreams: 8.0 });
 /// let observation = Observation { demand, is_current: true, zones: &zones };
 /// planner.observe(0, &observation);
 /// let orders = planner.plan(2_000_000, &observation);
@@ -84,33 +84,33 @@
     autoscaling: Autoscaling,
     zones: Vec<Zone>,
     window: DemandWindow,
-    /// Servers of both kinds that the fleet should have; 0 before the first observation.
+    /// Upstreams of both kinds that the fleet should have; 0 before the first observation.
     fleet: u32,
-    /// Time of the last step in which servers were given up.
+    /// Time of the last step in which upstreams were given up.
     step_us: u64,
-    /// Time since which the list of servers has been up to date.
+    /// Time since which the list of upstreams has been up to date.
     current_since_us: Option<u64>,
 }
 
-/// Servers of an availability zone.
+/// Upstreams of an availability zone.
 #[derive(Debug, Clone)]
 struct Zone {
     name: String,
     price: f64,
-    /// First of the lasting servers, then of the reclaimable ones.
+    /// First of the lasting upstreams, then of the reclaimable ones.
     subjects: [Subject; 2],
 }
 
-/// Numbers of servers in all zones, for metrics.
+/// Numbers of upstreams in all zones, for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Totals {
-    /// Servers that were ordered.
+    /// Upstreams that were ordered.
     pub desired: u32,
-    /// Servers that take requests.
+    /// Upstreams that take requests.
     pub live: u32,
-    /// Servers that were ordered and aren't listed yet.
+    /// Upstreams that were ordered and aren't listed yet.
     pub starting: u32,
-    /// Servers that finish their requests and leave.
+    /// Upstreams that finish their requests and leave.
     pub leaving: u32,
 }
 
@@ -160,8 +160,8 @@
         }
         let wanted = self.wanted(now_us);
         let inputs = OrderInputs {
-            busy_servers: self.window.latest(),
-            expected_busy_servers: self.window.expected(),
+            busy_upstreams: self.window.latest(),
+            expected_busy_upstreams: self.window.expected(),
             fleet: self.fleet,
             ..OrderInputs::default()
         };
@@ -175,7 +175,7 @@
             // More comes before fewer, so that a zone isn't short in between.
             let room = |other: usize| {
                 let other = zone.subjects[other].ordered();
-                self.autoscaling.servers_max.saturating_sub(other)
+                self.autoscaling.upstreams_max.saturating_sub(other)
             };
             let numbers = [
                 (0, wanted.lasting.min(room(1))),
@@ -237,7 +237,7 @@
         }
     }
 
-    /// Returns the numbers of servers of one kind.
+    /// Returns the numbers of upstreams of one kind.
     #[must_use]
     pub fn totals(&self, reclaimable: bool) -> Totals {
         let mut totals = Totals::default();
@@ -260,15 +260,15 @@
         }
     }
 
-    /// Takes in the servers and the demand without ordering anything.
+    /// Takes in the upstreams and the demand without ordering anything.
     pub fn observe(&mut self, now_us: u64, observation: &Observation<'_>) {
         let start_us = self.start_us();
         if observation.is_current {
             self.current_since_us.get_or_insert(now_us);
             for zone in &mut self.zones {
-                let servers = find(observation.zones, &zone.name);
+                let upstreams = find(observation.zones, &zone.name);
                 for (kind, subject) in zone.subjects.iter_mut().enumerate() {
-                    let count = servers.map(|servers| servers.count(kind == 1));
+                    let count = upstreams.map(|upstreams| upstreams.count(kind == 1));
                     let count = count.unwrap_or_default();
                     if kind == 1 {
                         subject.observe_reclaimable(now_us, count, start_us);
@@ -281,11 +281,11 @@
             self.current_since_us = None;
         }
         if let Some(demand) = observation.demand {
-            let busy_servers = Some(demand.busy_servers).filter(|busy| busy.is_finite());
+            let busy_upstreams = Some(demand.busy_upstreams).filter(|busy| busy.is_finite());
             let (ahead_us, window_us) = (self.start_us() + DEMAND_LAG_US, self.window_us());
-            let busy_servers = busy_servers.unwrap_or(0.0).max(0.0);
+            let busy_upstreams = busy_upstreams.unwrap_or(0.0).max(0.0);
             self.window
-                .record(now_us, busy_servers, ahead_us, window_us);
+                .record(now_us, busy_upstreams, ahead_us, window_us);
         }
     }
 
@@ -297,7 +297,7 @@
             self.fleet = self.zones.iter().map(ordered).sum();
         }
         if self.fleet > 0 && !self.window.has_demand() {
-            // Servers that were there at the start may be listed late.
+            // Upstreams that were there at the start may be listed late.
             let lasting = self.zones.iter().map(|zone| zone.subjects[0].count.live);
             self.fleet = self.fleet.max(lasting.sum());
         }
@@ -319,14 +319,14 @@
         self.fleet = self.fleet.clamp(min, max);
     }
 
-    /// Returns the servers that each zone should have now.
+    /// Returns the upstreams that each zone should have now.
     fn wanted(&self, now_us: u64) -> Vec<Allocation> {
         let fleet = f64::from(self.fleet);
         let size = FleetSize {
             fleet: self.fleet,
             after_loss: ceil(fleet * TARGET_UTILISATION / LOSS_UTILISATION),
             lasting: ceil(fleet * TARGET_UTILISATION * LASTING_DEMAND_SHARE),
-            lasting_min: self.autoscaling.servers_min,
+            lasting_min: self.autoscaling.upstreams_min,
             spare: floor(fleet * SPARE_SHARE),
         };
         let supplies: Vec<ZoneSupply> = self
@@ -344,14 +344,14 @@
         let [lasting, reclaimable] = &zone.subjects;
         let limit = |subject: &Subject| {
             if subject.is_available(now_us) {
-                self.autoscaling.servers_max
+                self.autoscaling.upstreams_max
             } else {
                 subject.count.live
             }
         };
         ZoneSupply {
             price: zone.price,
-            servers_max: self.autoscaling.servers_max,
+            upstreams_max: self.autoscaling.upstreams_max,
             lasting_held: lasting.ordered(),
             reclaimable_held: reclaimable.ordered(),
             lasting_max: limit(lasting),
@@ -359,7 +359,7 @@
         }
     }
 
-    /// Keeps lasting servers that are given up until reclaimable ones have taken over, and gives them
+    /// Keeps lasting upstreams that are given up until reclaimable ones have taken over, and gives them
     /// up step by step.
     fn hold_lasting(&self, now_us: u64, wanted: &mut [Allocation]) {
         let ordered: Vec<u32> = self
@@ -384,7 +384,7 @@
         let needed = self.fleet.saturating_sub(live(1)).max(wanted_lasting);
         let may_give_up = ordered.iter().sum::<u32>().saturating_sub(needed);
         let all = f64::from(live(0) + live(1));
-        // Before the first requests no server has anything cached.
+        // Before the first requests no upstream has anything cached.
         let is_idle = !self.window.has_demand();
         let step = if is_idle {
             surplus_sum
@@ -401,7 +401,7 @@
         }
     }
 
-    /// Returns whether servers may be given up: the list is up to date, and hardly any that were
+    /// Returns whether upstreams may be given up: the list is up to date, and hardly any that were
     /// ordered are missing in it.
     fn may_give_up(&self, now_us: u64) -> bool {
         let subjects = self.zones.iter().flat_map(|zone| &zone.subjects);
@@ -413,17 +413,17 @@
         is_complete && self.is_settled(now_us)
     }
 
-    /// Returns whether the list of servers has been up to date for some time.
+    /// Returns whether the list of upstreams has been up to date for some time.
     fn is_settled(&self, now_us: u64) -> bool {
         self.current_since_us
             .is_some_and(|since_us| now_us >= since_us + SETTLE_US)
     }
 
-    /// Returns the fewest and the most servers of all zones.
+    /// Returns the fewest and the most upstreams of all zones.
     fn bounds(&self) -> (u32, u32) {
         let zones = u32::try_from(self.zones.len()).unwrap_or(u32::MAX);
-        let min = zones.saturating_mul(self.autoscaling.servers_min);
-        let max = zones.saturating_mul(self.autoscaling.servers_max);
+        let min = zones.saturating_mul(self.autoscaling.upstreams_min);
+        let max = zones.saturating_mul(self.autoscaling.upstreams_max);
         (min.max(1).min(max), max)
     }
 
@@ -438,13 +438,13 @@
     }
 }
 
-/// Returns the servers of a zone.
-fn find<'a>(zones: &'a [ZoneServers], name: &str) -> Option<&'a ZoneServers> {
+/// Returns the upstreams of a zone.
+fn find<'a>(zones: &'a [ZoneUpstreams], name: &str) -> Option<&'a ZoneUpstreams> {
     let found = zones.binary_search_by(|zone| zone.zone.as_str().cmp(name));
     found.ok().map(|index| &zones[index])
 }
 
-/// Rounds a number of servers up.
+/// Rounds a number of upstreams up.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/capacity/src/subject.rs
+++ b/crates/capacity/src/subject.rs
@@ -1,4 +1,4 @@
-use crate::{OrderOutcome, Reason, ServerCount};
+use crate::{OrderOutcome, Reason, UpstreamCount};
 
 /// Time after which a refused kind is asked for again in the same zone; it doubles with each
 /// refusal.
@@ -13,20 +13,20 @@
 /// Longest time after which a failed order is sent again.
 const FAILED_MAX_US: u64 = 8_000_000;
 
-/// Time beyond its start by which a server is listed.
+/// Time beyond its start by which an upstream is listed.
 const LISTED_US: u64 = 3_000_000;
 
 /// Largest number of doublings of a pause.
 const DOUBLINGS_MAX: u32 = 8;
 
-/// Time for which reclaimable servers aren't asked for in a zone in which they were taken back.
+/// Time for which reclaimable upstreams aren't asked for in a zone in which they were taken back.
 const RECLAIMED_US: u64 = 8_000_000;
 
-/// Servers of one kind in one availability zone, as ordered and as seen.
+/// Upstreams of one kind in one availability zone, as ordered and as seen.
 #[derive(Debug, Clone, Default)]
 pub struct Subject {
     /// Number of the last accepted order; `None` before the first one and after the platform took
-    /// servers back.
+    /// upstreams back.
     ordered: Option<u32>,
     /// Number of the order that is under way.
     in_flight: Option<u32>,
@@ -34,7 +34,7 @@
     repeat_due_us: u64,
     /// Repeats without a visible effect.
     repeats: u32,
-    /// Time up to which no servers are to be had.
+    /// Time up to which no upstreams are to be had.
     unavailable_until_us: u64,
     /// Consecutive refusals.
     refusals: u32,
@@ -42,13 +42,13 @@
     failed_until_us: u64,
     /// Consecutive failures.
     failures: u32,
-    /// Servers that are listed.
-    pub count: ServerCount,
+    /// Upstreams that are listed.
+    pub count: UpstreamCount,
 }
 
 impl Subject {
-    /// Records the servers that are listed.
-    pub fn observe(&mut self, now_us: u64, count: ServerCount, start_us: u64) {
+    /// Records the upstreams that are listed.
+    pub fn observe(&mut self, now_us: u64, count: UpstreamCount, start_us: u64) {
         self.count = count;
         if count.live >= self.ordered() {
             self.repeats = 0;
@@ -56,9 +56,9 @@
         }
     }
 
-    /// Records the reclaimable servers that are listed. If most of them leave at once, the platform
+    /// Records the reclaimable upstreams that are listed. If most of them leave at once, the platform
     /// takes them back.
-    pub fn observe_reclaimable(&mut self, now_us: u64, count: ServerCount, start_us: u64) {
+    pub fn observe_reclaimable(&mut self, now_us: u64, count: UpstreamCount, start_us: u64) {
         let before = self.count;
         let is_lower = count.live.saturating_mul(2) < before.live && count.live < self.ordered();
         if is_lower && count.leaving > before.leaving {
@@ -79,7 +79,7 @@
         self.ordered.unwrap_or(self.count.live)
     }
 
-    /// Returns whether servers of this kind are to be had.
+    /// Returns whether upstreams of this kind are to be had.
     pub const fn is_available(&self, now_us: u64) -> bool {
         now_us >= self.unavailable_until_us
     }
--- a/crates/daemon/src/duties/capacity.rs
+++ b/crates/daemon/src/duties/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use capacity::{Demand, Observation, Order, OrderOutcome, Planner, ZoneServers};
+use capacity::{Demand, Observation, Order, OrderOutcome, Planner, ZoneUpstreams};
 use futures::future::join_all;
 use log::{info, warn};
 use settings::{Autoscaling, Config, DutyKind, Host, UpstreamLifecycle};
@@ -48,7 +48,7 @@
             for service in &mut services {
                 service.planner.release();
             }
-            shared.metrics.clear_servers();
+            shared.metrics.clear_ordered_upstreams();
         }
         for service in &mut services {
             let orders = follow(&shared, &snapshot.config, service, hold.is_some());
@@ -125,14 +125,14 @@
     service: &mut OrderedService,
     orders: bool,
 ) -> Vec<Order> {
-    let zones = servers_by_zone(config, &service.name);
+    let zones = upstreams_by_zone(config, &service.name);
     let (now_us, demand) =
         shared.with_core(|now_us, core| (now_us, core.dispatcher.engine_demand(&service.name)));
     let demand =
         demand.filter(|demand| demand.known_daemons >= KNOWN_DAEMONS_MIN.min(demand.daemons));
     let observation = Observation {
         demand: demand.map(|demand| Demand {
-            busy_servers: demand.busy_engines(),
+            busy_upstreams: demand.busy_engines(),
         }),
         is_current: shared.cluster_state.has_current_upstreams(),
         zones: &zones,
@@ -146,15 +146,15 @@
 }
 
 /// Counts the upstreams of a service, sorted by availability zone.
-fn servers_by_zone(config: &Config, service: &str) -> Vec<ZoneServers> {
-    let mut zones: Vec<ZoneServers> = Vec::new();
+fn upstreams_by_zone(config: &Config, service: &str) -> Vec<ZoneUpstreams> {
+    let mut zones: Vec<ZoneUpstreams> = Vec::new();
     let upstreams = config.upstreams.iter();
     for upstream in upstreams.filter(|upstream| upstream.service == service) {
         let found = zones.binary_search_by(|zone| zone.zone.cmp(&upstream.zone));
         let index = found.unwrap_or_else(|index| {
-            let zone = ZoneServers {
+            let zone = ZoneUpstreams {
                 zone: upstream.zone.clone(),
-                ..ZoneServers::default()
+                ..ZoneUpstreams::default()
             };
             zones.insert(index, zone);
             index
@@ -199,7 +199,7 @@
     let kind = kind(order.reclaimable);
     shared
         .metrics
-        .record_server_order(service, kind, result.name());
+        .record_upstream_order(service, kind, result.name());
     let inputs = &order.inputs;
     info!(
         "capacity: ordered service={service} zone={} kind={kind} desired={} reason={} result={} \
@@ -208,8 +208,8 @@
         order.desired,
         order.reason,
         result.name(),
-        inputs.busy_servers,
-        inputs.expected_busy_servers,
+        inputs.busy_upstreams,
+        inputs.expected_busy_upstreams,
         inputs.fleet,
         inputs.live,
         inputs.leaving,
@@ -239,7 +239,7 @@
         for (state, count) in numbers {
             shared
                 .metrics
-                .set_servers(&service.name, kind(reclaimable), state, count);
+                .set_ordered_upstreams(&service.name, kind(reclaimable), state, count);
         }
     }
 }
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -34,23 +34,23 @@
     pub cause: &'static str,
 }
 
-/// Labels of the number of servers of a service.
+/// Labels of the number of upstreams of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ServerLabel {
+pub struct UpstreamCountLabel {
     /// Name of the service.
     pub service: String,
-    /// Kind of the servers: `lasting` or `reclaimable`.
+    /// Kind of the upstreams: `lasting` or `reclaimable`.
     pub kind: &'static str,
     /// What is counted: `desired`, `live`, `starting` or `leaving`.
     pub state: &'static str,
 }
 
-/// Labels of the orders of servers for a service.
+/// Labels of the orders of upstreams for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct OrderLabel {
+pub struct UpstreamOrderLabel {
     /// Name of the service.
     pub service: String,
-    /// Kind of the servers: `lasting` or `reclaimable`.
+    /// Kind of the upstreams: `lasting` or `reclaimable`.
     pub kind: &'static str,
     /// Result of the call.
     pub result: &'static str,
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -21,8 +21,8 @@
     attainment::Attainment,
     gauges::Gauges,
     labels::{
-        ClassLabel, CodeLabel, DutyCallLabel, OrderLabel, ServerLabel, TierLabel, WasteLabel,
-        WindowLabel,
+        ClassLabel, CodeLabel, DutyCallLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel,
+        WasteLabel, WindowLabel,
     },
     metrics::Metrics,
 };
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    Attainment, ClassLabel, CodeLabel, DutyCallLabel, Gauges, OrderLabel, ServerLabel, TierLabel,
-    WasteLabel, WindowLabel,
+    Attainment, ClassLabel, CodeLabel, DutyCallLabel, Gauges, TierLabel, UpstreamCountLabel,
+    UpstreamOrderLabel, WasteLabel, WindowLabel,
 };
 
 /// Prefix of all metric names.
@@ -37,8 +37,8 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
-    servers: Family<ServerLabel, Gauge>,
-    server_orders: Family<OrderLabel, Counter>,
+    ordered_upstreams: Family<UpstreamCountLabel, Gauge>,
+    upstream_orders: Family<UpstreamOrderLabel, Counter>,
     duty_holder_changes: Counter,
     duty_calls: Family<DutyCallLabel, Counter>,
     usage_windows: Family<WindowLabel, Counter>,
@@ -71,8 +71,8 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
-            servers: Family::default(),
-            server_orders: Family::default(),
+            ordered_upstreams: Family::default(),
+            upstream_orders: Family::default(),
             duty_holder_changes: Counter::default(),
             duty_calls: Family::default(),
             usage_windows: Family::default(),
@@ -87,7 +87,7 @@
             ready: Gauge::default(),
         };
         metrics.register();
-        metrics.register_servers();
+        metrics.register_orders();
         metrics.register_duties();
         metrics
     }
@@ -177,29 +177,37 @@
         self.upstream_pauses.inc();
     }
 
-    /// Sets the number of servers of one kind that a service has in one state.
-    pub fn set_servers(&self, service: &str, kind: &'static str, state: &'static str, count: u32) {
-        let label = ServerLabel {
+    /// Sets the number of upstreams of one kind that a service has in one state.
+    pub fn set_ordered_upstreams(
+        &self,
+        service: &str,
+        kind: &'static str,
+        state: &'static str,
+        count: u32,
+    ) {
+        let label = UpstreamCountLabel {
             service: service.to_owned(),
             kind,
             state,
         };
-        self.servers.get_or_create(&label).set(i64::from(count));
+        self.ordered_upstreams
+            .get_or_create(&label)
+            .set(i64::from(count));
     }
 
-    /// Forgets the numbers of servers, which another host writes from now on.
-    pub fn clear_servers(&self) {
-        self.servers.clear();
+    /// Forgets the numbers of upstreams, which another host writes from now on.
+    pub fn clear_ordered_upstreams(&self) {
+        self.ordered_upstreams.clear();
     }
 
-    /// Counts an order of servers by its result.
-    pub fn record_server_order(&self, service: &str, kind: &'static str, result: &'static str) {
-        let label = OrderLabel {
+    /// Counts an order of upstreams by its result.
+    pub fn record_upstream_order(&self, service: &str, kind: &'static str, result: &'static str) {
+        let label = UpstreamOrderLabel {
             service: service.to_owned(),
             kind,
             result,
         };
-        self.server_orders.get_or_create(&label).inc();
+        self.upstream_orders.get_or_create(&label).inc();
     }
 
     /// Counts that this host began or ceased to hold the duties.
@@ -257,18 +265,18 @@
         }
     }
 
-    fn register_servers(&mut self) {
+    fn register_orders(&mut self) {
         let registry = &mut self.registry;
         registry.register(
-            "servers",
-            "Servers that this host orders for a service, by kind and state",
-            self.servers.clone(),
+            "ordered_upstreams",
+            "Upstreams that this host orders for a service, by kind and state",
+            self.ordered_upstreams.clone(),
         );
         register(
             registry,
-            "server_orders",
-            "Orders of servers by result",
-            &self.server_orders,
+            "upstream_orders",
+            "Orders of upstreams by result",
+            &self.upstream_orders,
         );
     }
 
--- a/crates/metric/src/tests.rs
+++ b/crates/metric/src/tests.rs
@@ -16,8 +16,8 @@
     metrics.record_attempt(2);
     metrics.record_preemption();
     metrics.record_hedge();
-    metrics.set_servers("drafts", "reclaimable", "starting", 4);
-    metrics.record_server_order("drafts", "reclaimable", "unavailable");
+    metrics.set_ordered_upstreams("drafts", "reclaimable", "starting", 4);
+    metrics.record_upstream_order("drafts", "reclaimable", "unavailable");
     metrics.record_duty_holder_change();
     metrics.record_duty_call("usage_report", "accepted");
     metrics.record_usage_window("missed");
@@ -39,8 +39,8 @@
         "fireflylever_retries_total 1",
         "fireflylever_preemptions_total 1",
         "fireflylever_hedges_total 1",
-        "fireflylever_servers{service=\"drafts\",kind=\"reclaimable\",state=\"starting\"} 4",
-        "fireflylever_server_orders_total{service=\"drafts\",kind=\"reclaimable\",result=\"unavailable\"} 1",
+        "fireflylever_ordered_upstreams{service=\"drafts\",kind=\"reclaimable\",state=\"starting\"} 4",
+        "fireflylever_upstream_orders_total{service=\"drafts\",kind=\"reclaimable\",result=\"unavailable\"} 1",
         "fireflylever_duty_holder_changes_total 1",
         "fireflylever_duty_calls_total{duty=\"usage_report\",result=\"accepted\"} 1",
         "fireflylever_usage_windows_total{outcome=\"missed\"} 1",
--- a/crates/settings/src/autoscaling.rs
+++ b/crates/settings/src/autoscaling.rs
@@ -1,28 +1,28 @@
 use serde::{Deserialize, Serialize};
 
-/// Bounds and prices of the servers that the fleet orders for a service.
+/// Bounds and prices of the upstreams that the fleet orders for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Autoscaling {
-    /// Fewest servers in each availability zone, reclaimable ones included.
-    pub servers_min: u32,
-    /// Most servers in each availability zone, reclaimable ones included.
-    pub servers_max: u32,
-    /// Time from an order until the server serves.
+    /// Fewest upstreams in each availability zone, reclaimable ones included.
+    pub upstreams_min: u32,
+    /// Most upstreams in each availability zone, reclaimable ones included.
+    pub upstreams_max: u32,
+    /// Time from an order until the upstream serves.
     pub start_ms: u64,
-    /// Price of a reclaimable server in thousandths of that of another one in the same zone.
+    /// Price of a reclaimable upstream in thousandths of that of another one in the same zone.
     pub reclaimable_price_permille: u32,
-    /// Availability zones in which servers can be ordered, with their prices, sorted by name.
+    /// Availability zones in which upstreams can be ordered, with their prices, sorted by name.
     pub zones: Vec<ZonePrice>,
 }
 
-/// Price of a server in an availability zone.
+/// Price of an upstream in an availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ZonePrice {
     /// Availability zone.
     pub zone: String,
-    /// Price of a server and second in thousandths of the platform's unit.
+    /// Price of an upstream and second in thousandths of the platform's unit.
     pub price_permille: u32,
 }
 
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -41,14 +41,14 @@
 pub(crate) const SLOTS: Range = 1..=65_536;
 pub(crate) const ANSWER_MAX_MS: Range = 1..=3_600_000;
 
-/// Servers of a service in one availability zone.
-pub(crate) const SERVERS_MIN: Range = 0..=10_000;
-pub(crate) const SERVERS_MAX: Range = 1..=10_000;
-/// Time from an order until the server serves.
-pub(crate) const SERVER_START_MS: Range = 0..=3_600_000;
-/// Relative to the usual price of a server.
+/// Upstreams of a service in one availability zone.
+pub(crate) const UPSTREAMS_MIN: Range = 0..=10_000;
+pub(crate) const UPSTREAMS_MAX: Range = 1..=10_000;
+/// Time from an order until the upstream serves.
+pub(crate) const UPSTREAM_START_MS: Range = 0..=3_600_000;
+/// Relative to the usual price of an upstream.
 pub(crate) const PRICE_PERMILLE: Range = 0..=1_000_000;
-/// Reclaimable servers cost at most as much as the others.
+/// Reclaimable upstreams cost at most as much as the others.
 pub(crate) const RECLAIMABLE_PRICE_PERMILLE: Range = 1..=1_000;
 
 pub(crate) const WORKERS: Range = 1..=256;
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -194,7 +194,7 @@
     }
 }
 
-/// Checks the bounds and prices of a service's servers against their schema and rules.
+/// Checks the bounds and prices of a service's upstreams against their schema and rules.
 ///
 /// Returns every error, without lines.
 pub(crate) fn check_autoscaling_value(autoscaling: &Value) -> Vec<Problem> {
@@ -204,18 +204,18 @@
     problems
 }
 
-/// Appends the errors between different fields of the bounds and prices of a service's servers.
+/// Appends the errors between different fields of the bounds and prices of a service's upstreams.
 fn check_autoscaling(autoscaling: &Value, path: &str, problems: &mut Vec<Problem>) {
     let field_path = |field: &str| match path {
         "" => field.to_owned(),
         _ => format!("{path}.{field}"),
     };
     let bound = |field: &str| autoscaling[field].as_u64();
-    if let (Some(min), Some(max)) = (bound("servers_min"), bound("servers_max"))
+    if let (Some(min), Some(max)) = (bound("upstreams_min"), bound("upstreams_max"))
         && min > max
     {
-        let message = format!("{min} is more than servers_max, which is {max}");
-        problems.push(Problem::new(0, &field_path("servers_min"), &message));
+        let message = format!("{min} is more than upstreams_max, which is {max}");
+        problems.push(Problem::new(0, &field_path("upstreams_min"), &message));
     }
     let mut seen = BTreeMap::new();
     for (index, zone) in items(autoscaling, "zones") {
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -85,9 +85,9 @@
 
 /// Schema of [`Autoscaling`](crate::Autoscaling).
 pub const AUTOSCALING: Schema = Schema::Object(&[
-    Field::required("servers_min", Schema::Number(limits::SERVERS_MIN)),
-    Field::required("servers_max", Schema::Number(limits::SERVERS_MAX)),
-    Field::required("start_ms", Schema::Number(limits::SERVER_START_MS)),
+    Field::required("upstreams_min", Schema::Number(limits::UPSTREAMS_MIN)),
+    Field::required("upstreams_max", Schema::Number(limits::UPSTREAMS_MAX)),
+    Field::required("start_ms", Schema::Number(limits::UPSTREAM_START_MS)),
     Field::required(
         "reclaimable_price_permille",
         Schema::Number(limits::RECLAIMABLE_PRICE_PERMILLE),
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -16,7 +16,7 @@
     /// Capacity of its engines, if the service is provided by model engines.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub engine: Option<EngineCapacity>,
-    /// Bounds and prices of the servers that the fleet orders for the service; without it, none are
+    /// Bounds and prices of the upstreams that the fleet orders for the service; without it, none are
     /// ordered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub autoscaling: Option<Autoscaling>,
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -38,7 +38,7 @@
         ],
         "services": [{"name": "parts", "answer_max_ms": 5_000,
             "non_idempotent": [{"method": "POST", "path_prefix": "/orders"}],
-            "autoscaling": {"servers_min": 1, "servers_max": 48, "start_ms": 4_000,
+            "autoscaling": {"upstreams_min": 1, "upstreams_max": 48, "start_ms": 4_000,
                 "reclaimable_price_permille": 180,
                 "zones": [{"zone": "costa-norte", "price_permille": 1_000},
                     {"zone": "costa-sur", "price_permille": 800}]}}],
@@ -126,9 +126,9 @@
 state | /upstreams/0/state | "gone" | upstreams[0].state | live, leaving
 method | /services/0/non_idempotent/0/method | "post" | services[0].non_idempotent[0].method | POST
 path | /services/0/non_idempotent/0/path_prefix | "x" | services[0].non_idempotent[0].path_prefix | '/'
-servers | /services/0/autoscaling/servers_min | 49 | services[0].autoscaling.servers_min | more than servers_max, which is 48
-too many | /services/0/autoscaling/servers_max | 10001 | services[0].autoscaling.servers_max | from 1 to 10000
-overflow | /services/0/autoscaling/servers_max | 18446744073709551616 | services[0].autoscaling.servers_max | from 1 to 10000
+upstreams | /services/0/autoscaling/upstreams_min | 49 | services[0].autoscaling.upstreams_min | more than upstreams_max, which is 48
+too many | /services/0/autoscaling/upstreams_max | 10001 | services[0].autoscaling.upstreams_max | from 1 to 10000
+overflow | /services/0/autoscaling/upstreams_max | 18446744073709551616 | services[0].autoscaling.upstreams_max | from 1 to 10000
 price | /services/0/autoscaling/zones/0/price_permille | -1 | services[0].autoscaling.zones[0].price_permille | from 0
 free | /services/0/autoscaling/reclaimable_price_permille | 0 | services[0].autoscaling.reclaimable_price_permille | from 1 to 1000
 dearer | /services/0/autoscaling/reclaimable_price_permille | 1001 | services[0].autoscaling.reclaimable_price_permille | from 1 to 1000
