feat(capacity): enlarge a fleet that was never ordered for its first requests

Before the first request the demand isn't known, so the size is twice that of the start, with reclaimable ones only.

--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -19,6 +19,10 @@
 /// urgent work continues if no reclaimable upstreams are left anywhere.
 const LASTING_DEMAND_SHARE: f64 = 0.25;
 
+/// Factor between the upstreams that were there at the start and those for the first requests. No
+/// prompt is cached then, and shared parts are read again on each engine.
+const EMPTY_CACHES_FACTOR: f64 = 2.0;
+
 /// Factor by which the fleet becomes larger than needed when it grows, so that a slow rise takes few
 /// orders.
 const MORE_FACTOR: f64 = 1.05;
@@ -86,6 +90,8 @@
     window: DemandWindow,
     /// Upstreams of both kinds that the fleet should have; 0 before the first observation.
     fleet: u32,
+    /// Upstreams that were there before this host ordered any.
+    present: u32,
     /// Time of the last step in which upstreams were given up.
     step_us: u64,
     /// Time since which the list of upstreams has been up to date.
@@ -123,6 +129,7 @@
             zones: Vec::new(),
             window: DemandWindow::default(),
             fleet: 0,
+            present: 0,
             step_us: 0,
             current_since_us: None,
         };
@@ -295,16 +302,15 @@
         if self.fleet == 0 && self.is_settled(now_us) {
             let ordered = |zone: &Zone| zone.subjects.iter().map(Subject::ordered).sum::<u32>();
             self.fleet = self.zones.iter().map(ordered).sum();
+            self.present = self.fleet;
         }
         if self.fleet > 0 && !self.window.has_demand() {
-            // Upstreams that were there at the start may be listed late.
-            let lasting = self.zones.iter().map(|zone| zone.subjects[0].count.live);
-            self.fleet = self.fleet.max(lasting.sum());
+            self.prepare_first_requests();
         }
         if self.fleet == 0 {
             return;
         }
-        let needed = ceil(self.window.expected() / TARGET_UTILISATION).clamp(min, max);
+        let needed = self.needed();
         if needed > self.fleet {
             self.fleet = ceil(f64::from(needed) * MORE_FACTOR);
         }
@@ -319,12 +325,32 @@
         self.fleet = self.fleet.clamp(min, max);
     }
 
+    /// Enlarges a fleet that was never ordered for the first requests, whose prompts are read whole.
+    fn prepare_first_requests(&mut self) {
+        let sum = |kind: usize, number: fn(&Subject) -> u32| -> u32 {
+            let subjects = self.zones.iter().map(|zone| &zone.subjects[kind]);
+            subjects.map(number).sum()
+        };
+        // Upstreams that were there at the start may be listed late.
+        let lasting = sum(0, |subject| subject.count.live);
+        self.present = self.present.max(lasting);
+        if lasting >= self.present && sum(1, Subject::ordered) == 0 {
+            self.fleet = ceil(f64::from(self.present) * EMPTY_CACHES_FACTOR);
+        }
+        self.fleet = self.fleet.max(self.present);
+    }
+
     /// Returns the upstreams that each zone should have now.
     fn wanted(&self, now_us: u64) -> Vec<Allocation> {
         let fleet = f64::from(self.fleet);
+        let after_loss = ceil(fleet * TARGET_UTILISATION / LOSS_UTILISATION);
+        let mut carries_demand = ceil(self.window.expected() / LOSS_UTILISATION);
+        if !self.window.covers(now_us, self.window_us()) {
+            carries_demand = carries_demand.max(self.present);
+        }
         let size = FleetSize {
             fleet: self.fleet,
-            after_loss: ceil(fleet * TARGET_UTILISATION / LOSS_UTILISATION),
+            after_loss: after_loss.min(carries_demand),
             lasting: ceil(fleet * TARGET_UTILISATION * LASTING_DEMAND_SHARE),
             lasting_min: self.autoscaling.upstreams_min,
             spare: floor(fleet * SPARE_SHARE),
@@ -381,7 +407,14 @@
             counts.sum()
         };
         let wanted_lasting: u32 = wanted.iter().map(|wanted| wanted.lasting).sum();
-        let needed = self.fleet.saturating_sub(live(1)).max(wanted_lasting);
+        let needed = self.needed();
+        let enough = if self.window.covers(now_us, self.window_us()) {
+            needed
+        } else {
+            needed.max(self.present)
+        };
+        let enough = enough.min(self.fleet);
+        let needed = enough.saturating_sub(live(1)).max(wanted_lasting);
         let may_give_up = ordered.iter().sum::<u32>().saturating_sub(needed);
         let all = f64::from(live(0) + live(1));
         // Before the first requests no upstream has anything cached.
@@ -419,6 +452,12 @@
             .is_some_and(|since_us| now_us >= since_us + SETTLE_US)
     }
 
+    /// Returns the upstreams that the demand needs in all zones.
+    fn needed(&self) -> u32 {
+        let (min, max) = self.bounds();
+        ceil(self.window.expected() / TARGET_UTILISATION).clamp(min, max)
+    }
+
     /// Returns the fewest and the most upstreams of all zones.
     fn bounds(&self) -> (u32, u32) {
         let zones = u32::try_from(self.zones.len()).unwrap_or(u32::MAX);
