--- a/crates/daemon/src/duties/capacity.rs
+++ b/crates/daemon/src/duties/capacity.rs
@@ -251,3 +251,7 @@
         "lasting"
     }
 }
+
+#[cfg(test)]
+#[path = "capacity_tests.rs"]
+mod tests;
