--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -92,6 +92,8 @@
     fleet: u32,
     /// Upstreams that were there before this host ordered any.
     present: u32,
+    /// Whether no upstreams were ordered before this host did.
+    is_new: bool,
     /// Time of the last step in which upstreams were given up.
     step_us: u64,
     /// Time since which the list of upstreams has been up to date.
@@ -130,6 +132,7 @@
             window: DemandWindow::default(),
             fleet: 0,
             present: 0,
+            is_new: false,
             step_us: 0,
             current_since_us: None,
         };
@@ -303,6 +306,8 @@
             let ordered = |zone: &Zone| zone.subjects.iter().map(Subject::ordered).sum::<u32>();
             self.fleet = self.zones.iter().map(ordered).sum();
             self.present = self.fleet;
+            let reclaimable = self.zones.iter().map(|zone| zone.subjects[1].ordered());
+            self.is_new = reclaimable.sum::<u32>() == 0;
         }
         if self.fleet > 0 && !self.window.has_demand() {
             self.prepare_first_requests();
@@ -327,17 +332,15 @@
 
     /// Enlarges a fleet that was never ordered for the first requests, whose prompts are read whole.
     fn prepare_first_requests(&mut self) {
-        let sum = |kind: usize, number: fn(&Subject) -> u32| -> u32 {
-            let subjects = self.zones.iter().map(|zone| &zone.subjects[kind]);
-            subjects.map(number).sum()
-        };
         // Upstreams that were there at the start may be listed late.
-        let lasting = sum(0, |subject| subject.count.live);
-        self.present = self.present.max(lasting);
-        if lasting >= self.present && sum(1, Subject::ordered) == 0 {
-            self.fleet = ceil(f64::from(self.present) * EMPTY_CACHES_FACTOR);
-        }
-        self.fleet = self.fleet.max(self.present);
+        let lasting = self.zones.iter().map(|zone| zone.subjects[0].count.live);
+        self.present = self.present.max(lasting.sum());
+        let factor = if self.is_new {
+            EMPTY_CACHES_FACTOR
+        } else {
+            1.0
+        };
+        self.fleet = self.fleet.max(ceil(f64::from(self.present) * factor));
     }
 
     /// Returns the upstreams that each zone should have now.
--- a/crates/capacity/src/planner_tests.rs
+++ b/crates/capacity/src/planner_tests.rs
@@ -212,3 +212,18 @@
         }
     }
 }
+
+/// Guards against a fleet that is sized by a list that lacked most upstreams when it was first read,
+/// and against first requests that find only the upstreams of the start, whose caches are empty.
+#[test]
+fn the_first_requests_find_twice_the_upstreams_of_the_start() {
+    let accepted = Some(OrderOutcome::Accepted);
+    let mut planner = Planner::new(&autoscaling());
+    let mut orders = run(&mut planner, 0, 4, &upstreams(4, 0), 0.0, accepted);
+    orders.extend(run(&mut planner, 4, 8, &upstreams(12, 0), 0.0, accepted));
+    let last = orders.iter().rfind(|order| order.reclaimable);
+    let inputs = last.map(|order| order.inputs.fleet);
+    assert_eq!(inputs, Some(72));
+    // A tenth of the fleet is lasting: a quarter of the demand for which it has the right size.
+    assert_eq!(planner.totals(true).desired, 72 - 8);
+}
