--- a/crates/daemon/src/duties/capacity_tests.rs
+++ b/crates/daemon/src/duties/capacity_tests.rs
@@ -144,8 +144,7 @@
         }
     };
     let _ = timeout(Duration::from_secs(20), join(orders, hold)).await;
-    let calls = cloud.calls.borrow().clone();
-    calls
+    cloud.calls.take()
 }
 
 /// Guards against a service that asks for orders and gets none, and against orders in a zone that
