--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -286,6 +286,10 @@
                         subject.observe(now_us, count, start_us);
                     }
                 }
+                // An order by a list that lacked lasting upstreams was too large.
+                let [lasting, reclaimable] = &mut zone.subjects;
+                let room = self.autoscaling.upstreams_max;
+                reclaimable.limit(room.saturating_sub(lasting.ordered()));
             }
         } else {
             self.current_since_us = None;
--- a/crates/capacity/src/planner_tests.rs
+++ b/crates/capacity/src/planner_tests.rs
@@ -227,3 +227,16 @@
     // A tenth of the fleet is lasting: a quarter of the demand for which it has the right size.
     assert_eq!(planner.totals(true).desired, 72 - 8);
 }
+
+/// Guards against lasting upstreams that are kept because reclaimable ones count as missing that the
+/// platform never had room for: they were ordered by a list that lacked upstreams.
+#[test]
+fn an_order_beyond_the_room_of_a_zone_holds_nothing_up() {
+    let accepted = Some(OrderOutcome::Accepted);
+    let mut planner = Planner::new(&autoscaling());
+    run(&mut planner, 0, 3, &upstreams(16, 0), 0.0, accepted);
+    run(&mut planner, 3, 7, &upstreams(24, 0), 0.0, accepted);
+    let orders = run(&mut planner, 7, 9, &upstreams(24, 16), 0.0, accepted);
+    let gives_up = |order: &&Order| !order.reclaimable && order.reason == Reason::OtherKind;
+    assert_eq!(orders.iter().filter(gives_up).count(), 3, "{orders:?}");
+}
--- a/crates/capacity/src/subject.rs
+++ b/crates/capacity/src/subject.rs
@@ -68,6 +68,11 @@
         self.observe(now_us, count, start_us);
     }
 
+    /// Records that no more than `most` can have been put in force, beside the other kind.
+    pub fn limit(&mut self, most: u32) {
+        self.ordered = self.ordered.map(|ordered| ordered.min(most));
+    }
+
     /// Forgets the orders of this host, because another one orders from now on.
     pub const fn release(&mut self) {
         self.ordered = None;
