--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -18,9 +18,17 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
-    directory::ClusterState, fingerprint::FingerprintKey, follow::ReleaseState, handle::JobHandle,
-    peers::Peers, pending_work::PendingWork,
+    adapter::HeaderAdapter,
+    clock::Clock,
+    config_snapshot::ConfigSnapshot,
+    core::Core,
+    directory::ClusterState,
+    duties::{Held, UsageCounter},
+    fingerprint::FingerprintKey,
+    follow::ReleaseState,
+    handle::JobHandle,
+    peers::Peers,
+    pending_work::PendingWork,
 };
 
 /// Lowest tier of the dispatcher; engines distinguish more ranks.
@@ -33,6 +41,10 @@
     pub(crate) snapshot: ArcSwap<ConfigSnapshot>,
     pub(crate) release_state: ReleaseState,
     pub(crate) peers: Peers,
+    /// Hold of this host on the duties of the fleet.
+    pub(crate) held: Held,
+    /// Counts of the usage reports, if it is a duty of the deployment to send them.
+    pub(crate) usage: Option<UsageCounter>,
     draining: AtomicBool,
     draining_since_us: AtomicU64,
     /// Cancelled when a graceful stop has used up its time: whoever still waits is answered now.
@@ -58,12 +70,17 @@
     pub(crate) fn new(host: Host, peers: Peers) -> Self {
         let core = Core::new(&host);
         let fingerprint_key = FingerprintKey::new(&host);
+        let start_nonce = rand::random();
+        let held = Held::new(&host, start_nonce);
+        let usage = UsageCounter::new(&host, start_nonce);
         Self {
             host,
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(ConfigSnapshot::default()),
             release_state: ReleaseState::default(),
             peers,
+            held,
+            usage,
             draining: AtomicBool::new(false),
             draining_since_us: AtomicU64::new(0),
             stop_expired: CancellationToken::new(),
@@ -73,7 +90,7 @@
             header_adapter: None,
             fingerprint_key,
             pending_work: PendingWork::default(),
-            start_nonce: rand::random(),
+            start_nonce,
             evidence: Notify::new(),
             queued: Notify::new(),
             core: Mutex::new(core),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -22,11 +22,12 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
-    adapter::{HeaderAdapter, StoreAdapter},
+    adapter::{CloudAdapter, HeaderAdapter, StoreAdapter},
     admin,
     announce_loads::announce_loads,
     completions,
     directory::{follow_config, follow_daemons, follow_peer, follow_upstreams},
+    duties::{gather_usage, hold_duties, order_upstreams, report_usage},
     follow::follow_releases,
     grants::share_slots,
     loads::read_loads,
@@ -83,6 +84,9 @@
     pub connect_store: Box<dyn Fn() -> Box<dyn StoreAdapter>>,
     /// Opens a connection to the table of the store that holds rows of the router's own.
     pub connect_table: Box<dyn Fn() -> Box<dyn Table>>,
+    /// Opens a connection to the platform's control service, if the deployment has duties there;
+    /// each duty has its own.
+    pub connect_cloud: Option<Box<dyn Fn() -> Box<dyn CloudAdapter>>>,
 }
 
 /// Daemon of one host, before it is started.
@@ -158,6 +162,13 @@
             running.spawn(announce_loads(shared.clone()));
             let table = (platform.connect_table)();
             running.spawn(keep_prompt_evidence(shared.clone(), table));
+            if let Some(connect_cloud) = platform.connect_cloud {
+                running.spawn(hold_duties(shared.clone(), (platform.connect_table)()));
+                running.spawn(gather_usage(shared.clone()));
+                let table = (platform.connect_table)();
+                running.spawn(report_usage(shared.clone(), table, connect_cloud()));
+                running.spawn(order_upstreams(shared.clone(), connect_cloud()));
+            }
         } else {
             let table = store_client(&shared).await;
             running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -311,6 +311,7 @@
                 })
             }),
             connect_table: Box::new(|| Box::new(MemoryTable::default())),
+            connect_cloud: None,
         };
         let daemon = Daemon::new(host)
             .with_platform(platform)
@@ -411,5 +412,6 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     }
 }
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -33,3 +33,41 @@
     /// Why the response is incomplete: `caller_left` or `broken`.
     pub cause: &'static str,
 }
+
+/// Labels of the number of upstreams of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UpstreamCountLabel {
+    /// Name of the service.
+    pub service: String,
+    /// Kind of the upstreams: `lasting` or `reclaimable`.
+    pub kind: &'static str,
+    /// What is counted: `desired`, `live`, `starting` or `leaving`.
+    pub state: &'static str,
+}
+
+/// Labels of the orders of upstreams for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UpstreamOrderLabel {
+    /// Name of the service.
+    pub service: String,
+    /// Kind of the upstreams: `lasting` or `reclaimable`.
+    pub kind: &'static str,
+    /// Result of the call.
+    pub result: &'static str,
+}
+
+/// Labels of a call that one daemon of the fleet makes at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DutyCallLabel {
+    /// Duty.
+    pub duty: &'static str,
+    /// Result of the call.
+    pub result: &'static str,
+}
+
+/// Label of a window of the usage reports.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WindowLabel {
+    /// Outcome: `reported` or `missed`.
+    pub outcome: &'static str,
+}
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -20,6 +20,9 @@
 pub use self::{
     attainment::Attainment,
     gauges::Gauges,
-    labels::{ClassLabel, CodeLabel, TierLabel, WasteLabel},
+    labels::{
+        ClassLabel, CodeLabel, DutyCallLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel,
+        WasteLabel, WindowLabel,
+    },
     metrics::Metrics,
 };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -24,10 +24,12 @@
 
 mod account;
 mod api_key;
+mod autoscaling;
 mod caller_limits;
 mod class;
 mod config;
 mod document;
+mod duties;
 mod engine_capacity;
 mod field;
 mod honours;
@@ -52,10 +54,12 @@
 pub use self::{
     account::Account,
     api_key::hash_api_key,
+    autoscaling::{Autoscaling, ZonePrice},
     caller_limits::CallerLimits,
     class::Class,
     config::Config,
     document::Document,
+    duties::{Duties, DutyKind, UsageWindows},
     engine_capacity::EngineCapacity,
     field::Field,
     honours::Honours,
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -7,7 +7,10 @@
 
 use serde_json::Value;
 
-use crate::{Problem, limits, schemas};
+use crate::{DutyKind, Problem, limits, schemas};
+
+/// Shortest time after a window by which its counts can be gathered and reported.
+const USAGE_LATE_MIN_S: u64 = 2;
 
 /// Checks an untyped configuration against its schema and rules.
 ///
@@ -46,6 +49,33 @@
             problems.push(Problem::new(0, field, &message));
         }
     }
+    check_duties(&host["duties"], problems);
+}
+
+fn check_duties(duties: &Value, problems: &mut Vec<Problem>) {
+    let mut seen = Vec::new();
+    for (index, kind) in texts(duties, "kinds") {
+        let path = format!("duties.kinds[{index}]");
+        if seen.contains(&kind) {
+            let message = format!("duty {kind:?} is listed twice");
+            problems.push(Problem::new(0, &path, &message));
+        }
+        if kind == DutyKind::UsageReport.name() && duties["usage"].is_null() {
+            let message = format!("duty {kind:?} needs the windows of the reports");
+            problems.push(Problem::new(0, "duties.usage", &message));
+        }
+        seen.push(kind);
+    }
+    let usage = &duties["usage"];
+    if let (Some(window_s), Some(late_s)) = (usage["window_s"].as_u64(), usage["late_s"].as_u64())
+        && late_s < USAGE_LATE_MIN_S
+    {
+        let message = format!(
+            "expected at least the {USAGE_LATE_MIN_S} s in which the counts of a window of \
+             {window_s} s are gathered, found {late_s}"
+        );
+        problems.push(Problem::new(0, "duties.usage.late_s", &message));
+    }
 }
 
 fn check_classes(config: &Value, problems: &mut Vec<Problem>) {
@@ -146,6 +176,11 @@
             let message = format!("no upstream provides service {name:?}");
             problems.push(Problem::new(0, &path, &message));
         }
+        check_autoscaling(
+            &service["autoscaling"],
+            &format!("{path}.autoscaling"),
+            problems,
+        );
         for (position, rule) in items(service, "non_idempotent") {
             if !text(rule, "path_prefix").starts_with('/') {
                 let path = format!("{path}.non_idempotent[{position}].path_prefix");
@@ -159,6 +194,40 @@
     }
 }
 
+/// Checks the bounds and prices of a service's upstreams against their schema and rules.
+///
+/// Returns every error, without lines.
+pub(crate) fn check_autoscaling_value(autoscaling: &Value) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    schemas::AUTOSCALING.check(autoscaling, "", &mut problems);
+    check_autoscaling(autoscaling, "", &mut problems);
+    problems
+}
+
+/// Appends the errors between different fields of the bounds and prices of a service's upstreams.
+fn check_autoscaling(autoscaling: &Value, path: &str, problems: &mut Vec<Problem>) {
+    let field_path = |field: &str| match path {
+        "" => field.to_owned(),
+        _ => format!("{path}.{field}"),
+    };
+    let bound = |field: &str| autoscaling[field].as_u64();
+    if let (Some(min), Some(max)) = (bound("upstreams_min"), bound("upstreams_max"))
+        && min > max
+    {
+        let message = format!("{min} is more than upstreams_max, which is {max}");
+        problems.push(Problem::new(0, &field_path("upstreams_min"), &message));
+    }
+    let mut seen = BTreeMap::new();
+    for (index, zone) in items(autoscaling, "zones") {
+        let name = text(zone, "zone");
+        if let Some(first) = seen.insert(name, index).filter(|_| !name.is_empty()) {
+            let message = format!("zone {name:?} is already zones[{first}]");
+            let path = field_path(&format!("zones[{index}].zone"));
+            problems.push(Problem::new(0, &path, &message));
+        }
+    }
+}
+
 /// Appends an error for each item of a list whose value of a field occurred before.
 fn check_unique(document: &Value, list: &str, field: &str, problems: &mut Vec<Problem>) {
     let mut seen = BTreeMap::new();
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -53,6 +53,7 @@
     Field::optional("state", Schema::OneOf(&["live", "leaving"])),
     Field::optional("engine", ENGINE),
     Field::optional("started_ms", Schema::Number(limits::SAFE_INTEGER)),
+    Field::optional("reclaimable", Schema::Bool),
 ]);
 
 const ENGINE: Schema = Schema::Object(&[Field::required(
@@ -74,6 +75,24 @@
     Field::required("answer_max_ms", Schema::Number(limits::ANSWER_MAX_MS)),
     Field::optional("non_idempotent", Schema::List(0, &REQUEST_MATCHER)),
     Field::optional("engine", ENGINE),
+    Field::optional("autoscaling", AUTOSCALING),
+]);
+
+const ZONE_PRICE: Schema = Schema::Object(&[
+    Field::required("zone", Schema::Text(limits::PLATFORM_NAME_LENGTH)),
+    Field::required("price_permille", Schema::Number(limits::PRICE_PERMILLE)),
+]);
+
+/// Schema of [`Autoscaling`](crate::Autoscaling).
+pub const AUTOSCALING: Schema = Schema::Object(&[
+    Field::required("upstreams_min", Schema::Number(limits::UPSTREAMS_MIN)),
+    Field::required("upstreams_max", Schema::Number(limits::UPSTREAMS_MAX)),
+    Field::required("start_ms", Schema::Number(limits::UPSTREAM_START_MS)),
+    Field::required(
+        "reclaimable_price_permille",
+        Schema::Number(limits::RECLAIMABLE_PRICE_PERMILLE),
+    ),
+    Field::required("zones", Schema::List(1, &ZONE_PRICE)),
 ]);
 
 const SHARE: Schema = Schema::Object(&[
@@ -130,6 +149,24 @@
     Field::required("region", NAME),
 ]);
 
+const USAGE_WINDOWS: Schema = Schema::Object(&[
+    Field::required("window_s", Schema::Number(limits::WINDOW_S)),
+    Field::required("late_s", Schema::Number(limits::WINDOW_S)),
+    Field::required("tolerance", Schema::Decimal(limits::TOLERANCE)),
+]);
+
+const DUTY: Schema = Schema::OneOf(&["usage_report", "autoscale"]);
+
+const DUTIES: Schema = Schema::Object(&[
+    Field::required("address", Schema::Address),
+    Field::required("kinds", Schema::List(1, &DUTY)),
+    Field::required("calls_per_s", Schema::Decimal(limits::CALLS_PER_S)),
+    Field::required("lease_ms", Schema::Number(limits::LEASE_MS)),
+    Field::optional("thaw_ms", Schema::Number(limits::THAW_MS)),
+    Field::optional("checks_tokens", Schema::Bool),
+    Field::optional("usage", USAGE_WINDOWS),
+]);
+
 /// Schema of a [`Host`](crate::Host).
 pub const HOST: Schema = Schema::Object(&[
     Field::required("name", NAME),
@@ -155,4 +192,5 @@
         "cross_region_bytes_per_s",
         Schema::Number(limits::CROSS_REGION_BYTES_PER_S),
     ),
+    Field::optional("duties", DUTIES),
 ]);
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -48,6 +48,7 @@
                 path_prefix: "/reservations".to_owned(),
             }],
             engine: None,
+            autoscaling: None,
         }],
         ..Config::default()
     };
@@ -89,6 +90,7 @@
         store_poll_ms: 50,
         drain_max_ms: 60_000,
         cross_region_bytes_per_s: 312_500,
+        duties: None,
     }
 }
 
@@ -132,5 +134,6 @@
         state: UpstreamLifecycle::Live,
         engine: None,
         started_ms: None,
+        reclaimable: false,
     }
 }
