test(duty): fuzz the holder against what the control service sees

Three hosts with clocks wrong by up to a tenth, freezes at any stage, cuts from the store, stops, restarts and lost calls; the oracle checks one sender a token, no lower token after a higher one and no A, B, A within a lease.

A call that a killed process left under way may arrive a second after the restart, which the rest of the new run did not count, so the rest at start is longer by the time limit of a call.

--- a/crates/daemon/src/duties/held.rs
+++ b/crates/daemon/src/duties/held.rs
@@ -8,6 +8,9 @@
 use super::steady_clock::SteadyClock;
 use crate::adapter::CallResult;
 
+/// Longest time limit of a call of any duty.
+pub(crate) const CALL_TIMEOUT_US: u64 = 1_000_000;
+
 /// Last call of a duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct LastCall {
@@ -41,7 +44,11 @@
         let now_us = clock.now_us();
         let duties = host.duties.as_ref();
         let holder = duties.map(|duties| {
-            let timing = HolderTiming::new(duties.lease_ms * 1_000, duties.thaw_ms * 1_000);
+            let timing = HolderTiming::new(
+                duties.lease_ms * 1_000,
+                duties.thaw_ms * 1_000,
+                CALL_TIMEOUT_US,
+            );
             Holder::new(timing, &host.name, &format!("{run:016x}"), now_us)
         });
         Self {
--- a/crates/daemon/src/duties/report.rs
+++ b/crates/daemon/src/duties/report.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     adapter::{CallHolder, CallResult, CloudAdapter},
+    duties::held::CALL_TIMEOUT_US,
     shared::Shared,
 };
 
@@ -16,7 +17,7 @@
 const REPORTS_KEY: &str = "duty/usage";
 
 /// Time limit of a call: a round trip between regions with a margin for a slow service.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_micros(CALL_TIMEOUT_US);
 
 /// Pause before a report without an answer is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -73,8 +74,7 @@
 
 /// Sends a report and logs its result.
 async fn call(shared: &Shared, cloud: &dyn CloudAdapter, report: &Report) -> CallOutcome {
-    let call_us = u64::try_from(CALL_TIMEOUT.as_micros()).unwrap_or(u64::MAX);
-    let Some(hold) = shared.held.begin_call(call_us) else {
+    let Some(hold) = shared.held.begin_call(CALL_TIMEOUT_US) else {
         tokio::time::sleep(BLOCKED_PAUSE).await;
         return CallOutcome::Blocked;
     };
--- a/crates/duty/src/holder.rs
+++ b/crates/duty/src/holder.rs
@@ -65,7 +65,7 @@
             acquisitions: 0,
             aim: Aim::Leave,
             // An earlier run on this host may have held the duties until just now.
-            rest_until_us: now_us.saturating_add(timing.rest_us),
+            rest_until_us: now_us.saturating_add(timing.start_rest_us),
             retry_us: now_us,
             lease: None,
             failed_lease: None,
--- a/crates/duty/src/holder_timing.rs
+++ b/crates/duty/src/holder_timing.rs
@@ -11,9 +11,11 @@
 pub struct HolderTiming {
     /// Times of the lease.
     pub lease: LeaseTiming,
-    /// Time after a hold, or after the start of the process, before which this host does not hold
-    /// the duties again.
+    /// Time after a hold before which this host does not hold the duties again.
     pub rest_us: u64,
+    /// Time after the start of the process before which this host does not hold the duties: the
+    /// last call of its earlier run may still be under way when it starts.
+    pub start_rest_us: u64,
     /// Number of calls in a row without an answer after which another host shall try.
     pub failures_max: u32,
     /// Rest after a hold that ended because of such calls.
@@ -21,10 +23,10 @@
 }
 
 impl HolderTiming {
-    /// Creates the times for a length of the lease and the time within which late calls of an
-    /// earlier holder may still arrive.
+    /// Creates the times for a length of the lease, the time within which late calls of an earlier
+    /// holder may still arrive after a suspension, and the time limit of a call.
     #[must_use]
-    pub const fn new(length_us: u64, late_call_us: u64) -> Self {
+    pub const fn new(length_us: u64, late_call_us: u64, call_us: u64) -> Self {
         let least_us = length_us / CLOCK_ERROR_DIVISOR;
         let half_us = length_us / 2;
         let mut clock_error_us = if late_call_us > least_us {
@@ -44,6 +46,7 @@
                 wait_max_us: u64::MAX,
             },
             rest_us,
+            start_rest_us: rest_us + call_us + call_us / CLOCK_ERROR_DIVISOR,
             failures_max: 4,
             failed_rest_us: 5 * rest_us,
         }
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -15,7 +15,7 @@
 //! ```
 //! use duty::{Holder, HolderStep, HolderTiming};
 //!
-//! let timing = HolderTiming::new(3_000_000, 300_000);
+//! let timing = HolderTiming::new(3_000_000, 300_000, 1_000_000);
 //! let mut holder = Holder::new(timing, "ana", "run-1", 0);
 //! holder.set_candidate(true);
 //! assert_eq!(holder.step(0), HolderStep::Read);
@@ -27,6 +27,8 @@
 
 mod candidates;
 mod counts;
+#[cfg(test)]
+mod fuzz_tests;
 mod hold;
 mod holder;
 mod holder_step;
