fix(duty): a new holder waits for the other hosts' sums before it reports

Change: it waits 1.5 s after the begin of its hold, unless the window is overdue 1.2 s later; a restarted host counts as complete by its new run; the other keeper also hands over the sums of earlier runs of restarted hosts; a host that stops tells its counts at each tick.

--- a/crates/daemon/src/duties/gather.rs
+++ b/crates/daemon/src/duties/gather.rs
@@ -22,7 +22,7 @@
         });
         let token = shared.held.current().map(|hold| hold.token);
         let now_us = shared.held.now_us();
-        for (to, message) in counter.tick(now_us, live, token) {
+        for (to, message) in counter.tick(now_us, live, token, shared.is_draining()) {
             send(&shared, &to, message);
         }
         let known = counter.with(now_us, |_, usage| usage.holder().map(|holder| holder.token));
--- a/crates/daemon/src/duties/usage_counter.rs
+++ b/crates/daemon/src/duties/usage_counter.rs
@@ -89,10 +89,14 @@
         now_us: u64,
         live: Vec<String>,
         token: Option<u64>,
+        stops: bool,
     ) -> Vec<(String, Message)> {
         let mut state = self.state();
         let unix_us = state.unix_us(now_us);
         state.usage.set_live(live);
+        if stops {
+            state.usage.stop();
+        }
         let messages = state.usage.tick(now_us, unix_us, token);
         state.outbox.extend(messages);
         state.take_round()
--- a/crates/duty/src/reporter.rs
+++ b/crates/duty/src/reporter.rs
@@ -7,6 +7,12 @@
 /// Time after the end of a window at which it is reported at the earliest.
 const EARLIEST_US: u64 = 800_000;
 
+/// Time after the begin of a hold in which the other hosts tell the new holder their sums.
+const GATHER_US: u64 = 1_500_000;
+
+/// Time before a window is overdue at which it is reported with what is known.
+const LAST_CALL_US: u64 = 1_200_000;
+
 /// Time between two checks.
 const CHECK_US: u64 = 200_000;
 
@@ -58,6 +64,8 @@
 pub struct Reporter {
     /// Token of the hold under which the row was read.
     token: u64,
+    /// Time at which the hold began.
+    held_since_us: u64,
     row: Option<KnownRow>,
     pause_until_us: u64,
     /// Windows that were accepted or refused under this hold.
@@ -97,6 +105,7 @@
         if token != self.token {
             // Another holder may have written the row since.
             self.token = token;
+            self.held_since_us = now_us;
             self.row = None;
             self.writing = None;
             self.done.clear();
@@ -116,7 +125,8 @@
             return ReporterStep::Call(report.clone());
         }
         let expect = row.expect;
-        match self.next_reports(unix_us, usage) {
+        let has_gathered = now_us.saturating_sub(self.held_since_us) >= GATHER_US;
+        match self.next_reports(unix_us, has_gathered, usage) {
             Some(reports) => {
                 self.writing = Some(reports.clone());
                 ReporterStep::Write { expect, reports }
@@ -202,7 +212,7 @@
     }
 
     /// Returns the content of the row with the windows that can be reported now, if there is one.
-    fn next_reports(&mut self, unix_us: u64, usage: &Usage) -> Option<Reports> {
+    fn next_reports(&mut self, unix_us: u64, has_gathered: bool, usage: &Usage) -> Option<Reports> {
         let through = self.row.as_ref()?.reports.through;
         let current = usage.window_of(unix_us);
         let mut next = self.row.as_ref()?.reports.clone();
@@ -216,7 +226,7 @@
                 next.through = window;
                 continue;
             }
-            if !is_ready(unix_us, window, usage) {
+            if !is_ready(unix_us, window, has_gathered, usage) {
                 break;
             }
             next.through = window;
@@ -264,10 +274,13 @@
 }
 
 /// Returns whether all hosts have told their counts of a window, or can't be waited for any longer.
-fn is_ready(unix_us: u64, window: u64, usage: &Usage) -> bool {
-    let end_us = usage.end_us(window);
-    let late_us = usage.due_us(window).saturating_sub(end_us);
-    let latest_us = (late_us / 2).max(EARLIEST_US);
+fn is_ready(unix_us: u64, window: u64, has_gathered: bool, usage: &Usage) -> bool {
+    let (end_us, due_us) = (usage.end_us(window), usage.due_us(window));
+    if unix_us >= due_us.saturating_sub(LAST_CALL_US) {
+        return true;
+    }
+    let latest_us = (due_us.saturating_sub(end_us) / 2).max(EARLIEST_US);
     let passed_us = unix_us.saturating_sub(end_us);
-    passed_us >= latest_us || (passed_us >= EARLIEST_US && usage.is_complete(window))
+    let is_late = passed_us >= latest_us && has_gathered;
+    is_late || (passed_us >= EARLIEST_US && usage.is_complete(window))
 }
--- a/crates/duty/src/tally.rs
+++ b/crates/duty/src/tally.rs
@@ -84,6 +84,8 @@
     }
 
     /// Returns whether each of these hosts has told all of its counts of a window.
+    ///
+    /// A run that has ended never closes its window, so one complete run of a host suffices.
     #[must_use]
     pub fn is_complete<'a, I>(&self, window: u64, hosts: I) -> bool
     where
@@ -91,15 +93,19 @@
     {
         let of_window = self.of_window(window);
         hosts.into_iter().all(|host| {
-            let of_host = of_window.iter().filter(|sums| sums.origin.host == host);
-            let mut any = false;
-            of_host.fold(true, |all, sums| {
-                any = true;
-                all && sums.is_complete()
-            }) && any
+            let mut of_host = of_window.iter().filter(|sums| sums.origin.host == host);
+            of_host.any(Sums::is_complete)
         })
     }
 
+    /// Returns whether a host has told counts of several runs.
+    #[must_use]
+    pub fn has_restarted(&self, host: &str) -> bool {
+        let mut runs = self.sums.iter().filter(|sums| sums.origin.host == host);
+        let first = runs.next();
+        first.is_some_and(|first| runs.any(|sums| sums.origin.run != first.origin.run))
+    }
+
     /// Forgets the windows before this one.
     pub fn forget_before(&mut self, window: u64) {
         self.sums.retain(|sums| sums.window >= window);
--- a/crates/duty/src/usage.rs
+++ b/crates/duty/src/usage.rs
@@ -32,6 +32,7 @@
     told: Vec<Told>,
     /// Daemons that were told them.
     told_to: Vec<String>,
+    stops: bool,
     next_tell_us: u64,
     next_notice_us: u64,
     /// Hosts that were asked for sums, with the window and the time.
@@ -68,6 +69,7 @@
             tally: Tally::default(),
             told: Vec::new(),
             told_to: Vec::new(),
+            stops: false,
             next_tell_us: 0,
             next_notice_us: 0,
             wanted: Vec::new(),
@@ -112,10 +114,9 @@
         self.live = live;
     }
 
-    /// Returns whether this host is one of the candidates for the duties.
-    #[must_use]
-    pub fn is_candidate(&self) -> bool {
-        self.candidates().contains(&self.origin.host.as_str())
+    /// Makes the host tell its counts as they change, because it stops soon.
+    pub const fn stop(&mut self) {
+        self.stops = true;
     }
 
     /// Records who holds the duties, unless a newer holder is known.
@@ -145,7 +146,7 @@
         );
         let mut messages = Vec::new();
         let closed_one = self.close(unix_us);
-        if closed_one || now_us >= self.next_tell_us {
+        if closed_one || self.stops || now_us >= self.next_tell_us {
             self.next_tell_us = now_us + self.window_us / TELLS;
             self.tell(&mut messages);
         }
@@ -200,15 +201,6 @@
         self.tally.is_complete(window, hosts)
     }
 
-    /// Returns the live hosts that have not told all of their counts of a window.
-    #[must_use]
-    pub fn missing(&self, window: u64) -> usize {
-        let hosts = self.live.iter();
-        hosts
-            .filter(|host| !self.tally.is_complete(window, [host.as_str()]))
-            .count()
-    }
-
     /// Closes the windows that are over at this host; returns whether there was one.
     fn close(&mut self, unix_us: u64) -> bool {
         let closing_us = unix_us.saturating_sub(CLOSE_DELAY_US);
@@ -324,9 +316,11 @@
         self.told.retain(|told| told.window >= window);
     }
 
-    /// Returns whether an origin is a host that isn't live.
+    /// Returns whether an origin may be a run that has ended.
     fn is_gone(&self, origin: &Origin) -> bool {
-        origin.host != self.origin.host && self.live.binary_search(&origin.host).is_err()
+        let is_live = self.live.binary_search(&origin.host).is_ok();
+        let is_own = origin.host == self.origin.host;
+        !(is_live || is_own) || self.tally.has_restarted(&origin.host)
     }
 
     /// Returns the daemons that keep this host's sums: the holder and the best candidates.
