test(duty): counts under loss and restarts, reports under racing holders

The test of a dead host failed at first: the holder asked the other candidates for the sums of hosts that are gone once, at the begin of its hold and not for the window in progress. It asks once for each window now, and reports 1.2 s after its end at the earliest.

--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -39,6 +39,8 @@
 mod reporter;
 mod tally;
 mod usage;
+#[cfg(test)]
+mod usage_tests;
 mod wall_clock;
 
 pub use self::{
--- a/crates/duty/src/reporter.rs
+++ b/crates/duty/src/reporter.rs
@@ -4,8 +4,9 @@
 
 use crate::{Report, Reports, Usage};
 
-/// Time after the end of a window at which it is reported at the earliest.
-const EARLIEST_US: u64 = 800_000;
+/// Time after the end of a window at which it is reported at the earliest: the other candidates have
+/// told by then what they keep of hosts that are gone.
+const EARLIEST_US: u64 = 1_200_000;
 
 /// Time after the begin of a hold in which the other hosts tell the new holder their sums.
 const GATHER_US: u64 = 1_500_000;
--- a/crates/duty/src/usage.rs
+++ b/crates/duty/src/usage.rs
@@ -12,7 +12,7 @@
 const TELLS: u64 = 4;
 
 /// Time after the end of a window at which the holder asks for sums that it has not got.
-const WANT_AFTER_US: u64 = 700_000;
+const WANT_AFTER_US: u64 = 500_000;
 
 /// Time between two such requests to a host.
 const WANT_INTERVAL_US: u64 = 600_000;
@@ -37,8 +37,9 @@
     next_notice_us: u64,
     /// Hosts that were asked for sums, with the window and the time.
     wanted: Vec<(String, u64, u64)>,
-    /// Token under which the other candidates were asked for sums of hosts that are gone.
-    orphans_asked: u64,
+    /// Token and window for which the other candidates were last asked for sums of hosts that are
+    /// gone.
+    orphans_asked: Option<(u64, u64)>,
     holder: Option<HolderNotice>,
     /// Live hosts, sorted; without this one.
     live: Vec<String>,
@@ -73,7 +74,7 @@
             next_tell_us: 0,
             next_notice_us: 0,
             wanted: Vec::new(),
-            orphans_asked: 0,
+            orphans_asked: None,
             holder: None,
             live: Vec::new(),
             closed: None,
@@ -289,12 +290,13 @@
             orphans,
             holder: notice.clone(),
         };
-        if self.orphans_asked != notice.token {
-            self.orphans_asked = notice.token;
-            for host in self.candidates() {
-                let windows = oldest..=last + 1;
-                messages.extend(windows.map(|window| (host.to_owned(), want(window, true))));
-            }
+        let first = match self.orphans_asked {
+            Some((token, window)) if token == notice.token => oldest.max(window + 1),
+            _ => oldest,
+        };
+        self.orphans_asked = Some((notice.token, last));
+        for host in self.candidates() {
+            messages.extend((first..=last).map(|window| (host.to_owned(), want(window, true))));
         }
         for window in oldest..=last {
             for host in &self.live {
