--- a/crates/daemon/src/duties/held.rs
+++ b/crates/daemon/src/duties/held.rs
@@ -1,4 +1,7 @@
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use duty::{Hold, HoldChange, Holder, HolderStep, HolderTiming};
 use limit::TokenBucket;
@@ -8,8 +11,11 @@
 use super::steady_clock::SteadyClock;
 use crate::adapter::CallResult;
 
-/// Longest time limit of a call of any duty.
-pub(crate) const CALL_TIMEOUT_US: u64 = 1_000_000;
+/// Longest time limit of a call: a round trip between regions with a margin for a slow service.
+const CALL_TIMEOUT_MAX: Duration = Duration::from_secs(1);
+
+/// Part of a lease that a call may take: it has to fit into what remains when a lease is renewed.
+const CALL_DIVISOR: u32 = 3;
 
 /// Last call of a duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Held {
     clock: SteadyClock,
+    call_timeout: Duration,
     state: Mutex<State>,
 }
 
@@ -44,15 +51,14 @@
         let now_us = clock.now_us();
         let duties = host.duties.as_ref();
         let holder = duties.map(|duties| {
-            let timing = HolderTiming::new(
-                duties.lease_ms * 1_000,
-                duties.thaw_ms * 1_000,
-                CALL_TIMEOUT_US,
-            );
+            let call_us = micros(call_timeout(duties));
+            let timing =
+                HolderTiming::new(duties.lease_ms * 1_000, duties.thaw_ms * 1_000, call_us);
             Holder::new(timing, &host.name, &format!("{run:016x}"), now_us)
         });
         Self {
             clock,
+            call_timeout: duties.map_or(CALL_TIMEOUT_MAX, call_timeout),
             state: Mutex::new(State {
                 holder,
                 calls: TokenBucket::new(now_us, calls_per_s(duties)),
@@ -66,6 +72,11 @@
         self.clock.now_us()
     }
 
+    /// Returns the longest time limit of a call.
+    pub(crate) const fn call_timeout(&self) -> Duration {
+        self.call_timeout
+    }
+
     /// Returns the hold, if there is one now.
     pub(crate) fn current(&self) -> Option<Hold> {
         let now_us = self.now_us();
@@ -165,3 +176,13 @@
 fn calls_per_s(duties: Option<&Duties>) -> u32 {
     duties.map_or(1, |duties| duties.calls_per_s.max(1.0) as u32)
 }
+
+/// Returns the longest time limit of a call.
+fn call_timeout(duties: &Duties) -> Duration {
+    let lease = Duration::from_millis(duties.lease_ms);
+    CALL_TIMEOUT_MAX.min(lease / CALL_DIVISOR)
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/duties/report.rs
+++ b/crates/daemon/src/duties/report.rs
@@ -9,16 +9,12 @@
 
 use crate::{
     adapter::{CallHolder, CallResult, CloudAdapter},
-    duties::held::CALL_TIMEOUT_US,
     shared::Shared,
 };
 
 /// Row in which reports are written ahead.
 const REPORTS_KEY: &str = "duty/usage";
 
-/// Time limit of a call: a round trip between regions with a margin for a slow service.
-const CALL_TIMEOUT: Duration = Duration::from_micros(CALL_TIMEOUT_US);
-
 /// Pause before a report without an answer is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -74,7 +70,9 @@
 
 /// Sends a report and logs its result.
 async fn call(shared: &Shared, cloud: &dyn CloudAdapter, report: &Report) -> CallOutcome {
-    let Some(hold) = shared.held.begin_call(CALL_TIMEOUT_US) else {
+    let limit = shared.held.call_timeout();
+    let limit_us = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
+    let Some(hold) = shared.held.begin_call(limit_us) else {
         tokio::time::sleep(BLOCKED_PAUSE).await;
         return CallOutcome::Blocked;
     };
@@ -83,9 +81,7 @@
         token: hold.token,
     };
     let (window, counts) = (report.window, report.counts.entries());
-    let result = cloud
-        .report_usage(holder, window, counts, CALL_TIMEOUT)
-        .await;
+    let result = cloud.report_usage(holder, window, counts, limit).await;
     shared.held.finish_call(DutyKind::UsageReport, result);
     let kind = DutyKind::UsageReport.name();
     shared.metrics.record_duty_call(kind, result.name());
--- a/crates/duty/src/reporter.rs
+++ b/crates/duty/src/reporter.rs
@@ -9,10 +9,7 @@
 const EARLIEST_US: u64 = 1_200_000;
 
 /// Time after the begin of a hold in which the other hosts tell the new holder their sums.
-const GATHER_US: u64 = 1_500_000;
-
-/// Time before a window is overdue at which it is reported with what is known.
-const LAST_CALL_US: u64 = 1_200_000;
+const GATHER_US: u64 = 1_000_000;
 
 /// Time between two checks.
 const CHECK_US: u64 = 200_000;
@@ -275,11 +272,10 @@
 }
 
 /// Returns whether all hosts have told their counts of a window, or can't be waited for any longer.
+///
+/// A holder that has not gathered yet leaves a window out rather than report a part of its counts.
 fn is_ready(unix_us: u64, window: u64, has_gathered: bool, usage: &Usage) -> bool {
     let (end_us, due_us) = (usage.end_us(window), usage.due_us(window));
-    if unix_us >= due_us.saturating_sub(LAST_CALL_US) {
-        return true;
-    }
     let latest_us = (due_us.saturating_sub(end_us) / 2).max(EARLIEST_US);
     let passed_us = unix_us.saturating_sub(end_us);
     let is_late = passed_us >= latest_us && has_gathered;
