--- a/crates/duty/src/usage.rs
+++ b/crates/duty/src/usage.rs
@@ -12,7 +12,7 @@
 const TELLS: u64 = 4;
 
 /// Time after the end of a window at which the holder asks for sums that it has not got.
-const WANT_AFTER_US: u64 = 700_000;
+const WANT_AFTER_US: u64 = 500_000;
 
 /// Time between two such requests to a host.
 const WANT_INTERVAL_US: u64 = 600_000;
@@ -32,12 +32,14 @@
     told: Vec<Told>,
     /// Daemons that were told them.
     told_to: Vec<String>,
+    stops: bool,
     next_tell_us: u64,
     next_notice_us: u64,
     /// Hosts that were asked for sums, with the window and the time.
     wanted: Vec<(String, u64, u64)>,
-    /// Token under which the other candidates were asked for sums of hosts that are gone.
-    orphans_asked: u64,
+    /// Token and window for which the other candidates were last asked for sums of hosts that are
+    /// gone.
+    orphans_asked: Option<(u64, u64)>,
     holder: Option<HolderNotice>,
     /// Live hosts, sorted; without this one.
     live: Vec<String>,
@@ -68,10 +70,11 @@
             tally: Tally::default(),
             told: Vec::new(),
             told_to: Vec::new(),
+            stops: false,
             next_tell_us: 0,
             next_notice_us: 0,
             wanted: Vec::new(),
-            orphans_asked: 0,
+            orphans_asked: None,
             holder: None,
             live: Vec::new(),
             closed: None,
@@ -112,10 +115,9 @@
         self.live = live;
     }
 
-    /// Returns whether this host is one of the candidates for the duties.
-    #[must_use]
-    pub fn is_candidate(&self) -> bool {
-        self.candidates().contains(&self.origin.host.as_str())
+    /// Makes the host tell its counts as they change, because it stops soon.
+    pub const fn stop(&mut self) {
+        self.stops = true;
     }
 
     /// Records who holds the duties, unless a newer holder is known.
@@ -145,7 +147,7 @@
         );
         let mut messages = Vec::new();
         let closed_one = self.close(unix_us);
-        if closed_one || now_us >= self.next_tell_us {
+        if closed_one || self.stops || now_us >= self.next_tell_us {
             self.next_tell_us = now_us + self.window_us / TELLS;
             self.tell(&mut messages);
         }
@@ -200,15 +202,6 @@
         self.tally.is_complete(window, hosts)
     }
 
-    /// Returns the live hosts that have not told all of their counts of a window.
-    #[must_use]
-    pub fn missing(&self, window: u64) -> usize {
-        let hosts = self.live.iter();
-        hosts
-            .filter(|host| !self.tally.is_complete(window, [host.as_str()]))
-            .count()
-    }
-
     /// Closes the windows that are over at this host; returns whether there was one.
     fn close(&mut self, unix_us: u64) -> bool {
         let closing_us = unix_us.saturating_sub(CLOSE_DELAY_US);
@@ -297,12 +290,13 @@
             orphans,
             holder: notice.clone(),
         };
-        if self.orphans_asked != notice.token {
-            self.orphans_asked = notice.token;
-            for host in self.candidates() {
-                let windows = oldest..=last + 1;
-                messages.extend(windows.map(|window| (host.to_owned(), want(window, true))));
-            }
+        let first = match self.orphans_asked {
+            Some((token, window)) if token == notice.token => oldest.max(window + 1),
+            _ => oldest,
+        };
+        self.orphans_asked = Some((notice.token, last));
+        for host in self.candidates() {
+            messages.extend((first..=last).map(|window| (host.to_owned(), want(window, true))));
         }
         for window in oldest..=last {
             for host in &self.live {
@@ -324,9 +318,11 @@
         self.told.retain(|told| told.window >= window);
     }
 
-    /// Returns whether an origin is a host that isn't live.
+    /// Returns whether an origin may be a run that has ended.
     fn is_gone(&self, origin: &Origin) -> bool {
-        origin.host != self.origin.host && self.live.binary_search(&origin.host).is_err()
+        let is_live = self.live.binary_search(&origin.host).is_ok();
+        let is_own = origin.host == self.origin.host;
+        !(is_live || is_own) || self.tally.has_restarted(&origin.host)
     }
 
     /// Returns the daemons that keep this host's sums: the holder and the best candidates.
