--- a/crates/capacity/src/planner_tests.rs
+++ b/crates/capacity/src/planner_tests.rs
@@ -1,5 +1,6 @@
 //! Orders of a single planner: who sends them, how often, and what is remembered.
 
+use proptest::prelude::*;
 use settings::{Autoscaling, ZonePrice};
 
 use crate::{
@@ -240,3 +241,69 @@
     let gives_up = |order: &&Order| !order.reclaimable && order.reason == Reason::OtherKind;
     assert_eq!(orders.iter().filter(gives_up).count(), 3, "{orders:?}");
 }
+
+/// What a planner meets in half a second: upstreams of each zone, demand, whether the list is up to
+/// date, and the result of its orders; `None` leaves them unanswered until the next step.
+type Step = (
+    [(u32, u32, u32, u32); 3],
+    Option<f64>,
+    bool,
+    Option<OrderOutcome>,
+);
+
+fn step() -> impl Strategy<Value = Step> {
+    let counts = || (0_u32..50, 0_u32..20, 0_u32..50, 0_u32..20);
+    let outcome = prop::option::weighted(
+        0.8,
+        prop_oneof![
+            3 => Just(OrderOutcome::Accepted),
+            1 => Just(OrderOutcome::Unavailable),
+            1 => Just(OrderOutcome::Failed),
+        ],
+    );
+    let demand = prop::option::weighted(0.8, 0.0..200.0);
+    (
+        [counts(), counts(), counts()],
+        demand,
+        prop::bool::weighted(0.8),
+        outcome,
+    )
+}
+
+proptest! {
+    /// Guards against orders beyond the bounds, a second order for a zone while one is under way, and
+    /// upstreams that are given up by an old list, whatever the lists, results and demands are.
+    #[test]
+    fn orders_stay_within_their_bounds(steps in prop::collection::vec(step(), 1..120)) {
+        let mut planner = Planner::new(&autoscaling());
+        let mut open: Vec<Order> = Vec::new();
+        for (number, (counts, demand, is_current, outcome)) in steps.iter().enumerate() {
+            let now_us = number as u64 * SECOND_US / 2;
+            let zones = ["a", "b", "c"].iter().zip(counts);
+            let zones = zones.map(|(zone, &(lasting, lasting_leaving, reclaimable, leaving))| {
+                ZoneUpstreams {
+                    zone: (*zone).to_owned(),
+                    lasting: UpstreamCount { live: lasting, leaving: lasting_leaving },
+                    reclaimable: UpstreamCount { live: reclaimable, leaving },
+                }
+            });
+            let zones: Vec<ZoneUpstreams> = zones.collect();
+            let observation = Observation {
+                demand: demand.map(|busy_upstreams| Demand { busy_upstreams }),
+                is_current: *is_current,
+                zones: &zones,
+            };
+            for order in planner.plan(now_us, &observation) {
+                prop_assert!(order.desired <= 40, "{order:?}");
+                prop_assert!(open.iter().all(|open| open.zone != order.zone), "{order:?}");
+                prop_assert!(*is_current || order.desired >= order.inputs.live, "{order:?}");
+                open.push(order);
+            }
+            if let Some(outcome) = outcome {
+                for order in open.drain(..) {
+                    planner.record_outcome(now_us, &order.zone, order.reclaimable, *outcome);
+                }
+            }
+        }
+    }
+}
--- a/crates/capacity/src/subject.rs
+++ b/crates/capacity/src/subject.rs
@@ -68,8 +68,10 @@
         self.observe(now_us, count, start_us);
     }
 
-    /// Records that no more than `most` can have been put in force, beside the other kind.
+    /// Records that no more than `most` can have been put in force beside the other kind, except for
+    /// what is there.
     pub fn limit(&mut self, most: u32) {
+        let most = most.max(self.count.live);
         self.ordered = self.ordered.map(|ordered| ordered.min(most));
     }
 
@@ -107,7 +109,8 @@
             return None;
         }
         if desired > ordered {
-            return Some(Reason::More);
+            // What is there beyond the order would be lost by a number between the two.
+            return (desired > self.count.live).then_some(Reason::More);
         }
         if desired < ordered {
             return Some(Reason::Fewer);
