--- a/crates/capacity/src/planner.rs
+++ b/crates/capacity/src/planner.rs
@@ -34,8 +34,8 @@
 /// along.
 const STEP_SHARE: f64 = 0.1;
 
-/// Share of the fleet up to which upstreams of a kind beyond the needed ones stay where they are.
-/// Replacing them would cost their cached prompts.
+/// Share of the fleet up to which reclaimable upstreams beyond the needed ones stay where they are.
+/// Moving them to another zone would cost their cached prompts.
 const SPARE_SHARE: f64 = 0.05;
 
 /// Interval between two steps in which upstreams are given up.
@@ -358,9 +358,7 @@
         let size = FleetSize {
             fleet: self.fleet,
             after_loss: after_loss.min(carries_demand),
-            lasting: ceil(
-                f64::from(self.enough(now_us)) * TARGET_UTILISATION * LASTING_DEMAND_SHARE,
-            ),
+            lasting: ceil(fleet * TARGET_UTILISATION * LASTING_DEMAND_SHARE),
             lasting_min: self.autoscaling.upstreams_min,
             spare: floor(fleet * SPARE_SHARE),
         };
@@ -411,18 +409,18 @@
         if surplus_sum == 0 {
             return;
         }
-        if self.window.has_demand() && surplus_sum <= floor(f64::from(self.fleet) * SPARE_SHARE) {
-            for (wanted, surplus) in wanted.iter_mut().zip(surplus) {
-                wanted.lasting += surplus;
-            }
-            return;
-        }
         let live = |kind: usize| -> u32 {
             let counts = self.zones.iter().map(|zone| zone.subjects[kind].count.live);
             counts.sum()
         };
         let wanted_lasting: u32 = wanted.iter().map(|wanted| wanted.lasting).sum();
-        let enough = self.enough(now_us);
+        let needed = self.needed();
+        let enough = if self.window.covers(now_us, self.window_us()) {
+            needed
+        } else {
+            needed.max(self.present)
+        };
+        let enough = enough.min(self.fleet);
         let needed = enough.saturating_sub(live(1)).max(wanted_lasting);
         let may_give_up = ordered.iter().sum::<u32>().saturating_sub(needed);
         let all = f64::from(live(0) + live(1));
@@ -467,16 +465,6 @@
         ceil(self.window.expected() / TARGET_UTILISATION).clamp(min, max)
     }
 
-    /// Returns the part of the fleet that the demand needs. As long as the demand wasn't followed for
-    /// a whole window, what was there before counts as needed.
-    fn enough(&self, now_us: u64) -> u32 {
-        let mut enough = self.needed();
-        if !self.window.covers(now_us, self.window_us()) {
-            enough = enough.max(self.present);
-        }
-        enough.min(self.fleet)
-    }
-
     /// Returns the fewest and the most upstreams of all zones.
     fn bounds(&self) -> (u32, u32) {
         let zones = u32::try_from(self.zones.len()).unwrap_or(u32::MAX);
--- a/crates/capacity/src/planner_tests.rs
+++ b/crates/capacity/src/planner_tests.rs
@@ -225,8 +225,8 @@
     let last = orders.iter().rfind(|order| order.reclaimable);
     let inputs = last.map(|order| order.inputs.fleet);
     assert_eq!(inputs, Some(72));
-    // Of what was there, a tenth is lasting: a quarter of the demand for which it has the right size.
-    assert_eq!(planner.totals(true).desired, 72 - 4);
+    // A tenth of the fleet is lasting: a quarter of the demand for which it has the right size.
+    assert_eq!(planner.totals(true).desired, 72 - 8);
 }
 
 /// Guards against lasting upstreams that are kept because reclaimable ones count as missing that the
