--- a/crates/capacity/src/allocation.rs
+++ b/crates/capacity/src/allocation.rs
@@ -65,7 +65,14 @@
     let lasting: Vec<u32> = lasting
         .iter()
         .zip(zones)
-        .map(|(&lasting, zone)| lasting.max(size.lasting_min).min(zone.upstreams_max))
+        .map(|(&lasting, zone)| {
+            // Reclaimable upstreams aren't given up to make room for lasting ones.
+            let beside = zone.upstreams_max.saturating_sub(zone.reclaimable_held);
+            lasting
+                .min(beside)
+                .max(size.lasting_min)
+                .min(zone.upstreams_max)
+        })
         .collect();
     let lasting_sum: u32 = lasting.iter().sum();
     let caps: Vec<u32> = zones
--- a/crates/capacity/src/allocation_tests.rs
+++ b/crates/capacity/src/allocation_tests.rs
@@ -86,6 +86,26 @@
     assert_eq!(sums(&fewer).1, 90);
 }
 
+/// Guards against warm upstreams that are given up at the crest because a full zone should have more
+/// lasting ones.
+#[test]
+fn a_full_zone_gives_nothing_up_for_lasting_upstreams() {
+    let mut zones = [1.0; 6].map(zone);
+    for zone in &mut zones {
+        zone.lasting_held = 3;
+        zone.reclaimable_held = 45;
+    }
+    let full = FleetSize {
+        lasting: 60,
+        ..size(6 * 48)
+    };
+    let allocated = allocate(&full, &zones);
+    assert!(
+        allocated.iter().all(|zone| zone.reclaimable == 45),
+        "{allocated:?}"
+    );
+}
+
 prop_compose! {
     fn supplies()(zones in prop::collection::vec((1_u32..5_000, 0_u32..60, 0_u32..60, 0_u32..60, 0_u32..60), 1..8)) -> Vec<ZoneSupply> {
         zones.into_iter().map(|(price, lasting, reclaimable, lasting_max, reclaimable_max)| ZoneSupply {
