feat(route): let an engine fetch cached prompt parts from another

Change: the declared size of a cached token and the rate of the link are parsed; a decision names the engine to fetch from, and the platform's adapter sends its address. Placement is unchanged. Without both figures nothing changes.

--- a/crates/bench/src/baseline.rs
+++ b/crates/bench/src/baseline.rs
@@ -106,6 +106,7 @@
                     attempt: job_state.attempt,
                     priority: 0,
                     work_tokens: 0,
+                    fetch_from: None,
                     reason: Reason::FreeSlot,
                 });
             }
--- a/crates/bench/src/day/setup.rs
+++ b/crates/bench/src/day/setup.rs
@@ -142,6 +142,7 @@
             non_idempotent: Vec::new(),
             engine: Some(EngineCapacity {
                 cache_tokens: deployment.profile.kv_capacity_tokens.unwrap_or(0),
+                ..EngineCapacity::default()
             }),
         }],
         ..Config::default()
--- a/crates/daemon/src/adapter/attempt_info.rs
+++ b/crates/daemon/src/adapter/attempt_info.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 /// Data about one attempt that is sent to the upstream in headers.
 #[derive(Debug, Clone, Copy)]
@@ -14,4 +14,6 @@
     pub rank: Option<u8>,
     /// Identifier of the last event that the caller received, if a stream is resumed.
     pub resume_after: Option<&'a str>,
+    /// Engine from which the upstream should fetch the cached parts of the prompt that it lacks.
+    pub fetch_from: Option<SocketAddr>,
 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -1,6 +1,6 @@
 //! Dispatcher together with the channels to the request tasks, guarded by one lock.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use audit::{Journal, Step};
 use code::Code;
@@ -21,6 +21,8 @@
         priority: i32,
         /// Prompt tokens that the upstream is expected to process before the first output token.
         work_tokens: u32,
+        /// Engine from which the upstream should fetch the cached parts of the prompt that it lacks.
+        fetch_from: Option<SocketAddr>,
     },
     /// Respond with this code; the job has ended.
     Refuse { code: Code, retry_after_ms: u64 },
@@ -127,6 +129,7 @@
             attempt,
             priority,
             work_tokens,
+            fetch_from,
             ..
         } => {
             let step = Step::Started {
@@ -139,6 +142,7 @@
                 attempt,
                 priority,
                 work_tokens,
+                fetch_from,
             };
             (Some(decision), step)
         }
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends one attempt of a routed request to an upstream and logs its start and failure.
 
-use std::{fmt::Write as _, rc::Rc, time::Duration};
+use std::{fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration};
 
 use link::{ConnectionPool, RequestError, Response};
 use log::info;
@@ -26,6 +26,7 @@
     pool: &Rc<ConnectionPool>,
     call: &Call,
     upstream: &str,
+    fetch_from: Option<SocketAddr>,
     resume_after: Option<&str>,
 ) -> Result<Response, Outcome> {
     let snapshot = shared.snapshot.load_full();
@@ -33,7 +34,7 @@
         return Err(Outcome::NotSent);
     };
     let adapter = shared.header_adapter();
-    let Some(request) = call.request(adapter, upstream_settings, resume_after) else {
+    let Some(request) = call.request(adapter, upstream_settings, fetch_from, resume_after) else {
         return Err(Outcome::NotSent);
     };
     let idle_max = if call.kind.is_repeatable() {
@@ -118,11 +119,13 @@
     upstream: &str,
     attempt: u32,
     work_tokens: u32,
+    fetch_from: Option<SocketAddr>,
 ) {
     shared.metrics.record_attempt(attempt);
     let now = Instant::now();
+    let fetch_from = fetch_from.map_or_else(|| "none".to_owned(), |source| source.to_string());
     info!(
-        "attempt: started request={} upstream={upstream} attempt={attempt} rank={} work_tokens={work_tokens} waited_ms={} left_ms={}",
+        "attempt: started request={} upstream={upstream} attempt={attempt} rank={} work_tokens={work_tokens} fetch_from={fetch_from} waited_ms={} left_ms={}",
         call.request_id,
         call.rank,
         now.duration_since(call.received_at).as_millis(),
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -1,6 +1,6 @@
 //! Serves routed requests whose response is read completely before it is forwarded.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use code::Run;
@@ -77,11 +77,12 @@
                 upstream,
                 attempt,
                 work_tokens,
+                fetch_from,
                 ..
             } => {
-                record_start(shared, call, &upstream, attempt, work_tokens);
+                record_start(shared, call, &upstream, attempt, work_tokens, fetch_from);
                 progress.record_start();
-                match try_upstream(shared, pool, call, upstream, attempt).await {
+                match try_upstream(shared, pool, call, upstream, attempt, fetch_from).await {
                     Ok(buffered)
                         if buffered.status.is_server_error() && call.kind.is_repeatable() =>
                     {
@@ -124,8 +125,9 @@
     call: &Call,
     upstream: Arc<str>,
     attempt: u32,
+    fetch_from: Option<SocketAddr>,
 ) -> Result<BufferedResponse, Outcome> {
-    let mut response = attempt::send(shared, pool, call, &upstream, None).await?;
+    let mut response = attempt::send(shared, pool, call, &upstream, fetch_from, None).await?;
     let body = response
         .read_body(RESPONSE_MAX_BYTES)
         .await
--- a/crates/daemon/src/routed/call.rs
+++ b/crates/daemon/src/routed/call.rs
@@ -1,6 +1,6 @@
 //! Routed request in the form in which it is sent to upstreams.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use link::{Full, HeaderMap, Method, Request, header};
@@ -51,6 +51,7 @@
         &self,
         adapter: &dyn HeaderAdapter,
         upstream: &Upstream,
+        fetch_from: Option<SocketAddr>,
         resume_after: Option<&str>,
     ) -> Option<Request<Full<Bytes>>> {
         let attempt = AttemptInfo {
@@ -59,6 +60,7 @@
             account: self.account.as_deref(),
             rank: (!self.prompt.is_empty()).then_some(self.rank),
             resume_after,
+            fetch_from,
         };
         let mut headers = self.headers.clone();
         adapter.rewrite_request(&mut headers, &attempt);
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -1,6 +1,6 @@
 //! Serves routed requests whose response is an event stream.
 
-use std::{io, rc::Rc, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use code::{Code, Run};
@@ -39,6 +39,8 @@
     call: Call,
     handle: JobHandle,
     upstream: Arc<str>,
+    /// Engine from which the upstream fetches cached parts of the prompt.
+    fetch_from: Option<SocketAddr>,
     response: Option<Response>,
     /// Time of the first event of the current attempt.
     begun_at: Option<Instant>,
@@ -63,6 +65,7 @@
         call,
         handle,
         upstream: "".into(),
+        fetch_from: None,
         response: None,
         begun_at: None,
         events: EventBuffer::default(),
@@ -208,11 +211,20 @@
                     upstream,
                     attempt,
                     work_tokens,
+                    fetch_from,
                     ..
                 } => {
-                    record_start(&self.shared, &self.call, &upstream, attempt, work_tokens);
+                    record_start(
+                        &self.shared,
+                        &self.call,
+                        &upstream,
+                        attempt,
+                        work_tokens,
+                        fetch_from,
+                    );
                     progress.record_start();
                     self.upstream = upstream;
+                    self.fetch_from = fetch_from;
                     match self.first().await {
                         Ok(FirstPart::Error(body)) if self.may_retry_error() => {
                             progress.error_response = self.response.take().zip(Some(body));
@@ -260,6 +272,7 @@
             &self.pool,
             &self.call,
             &self.upstream,
+            self.fetch_from,
             resume_after.as_deref(),
         );
         let mut response = sending.await?;
--- a/crates/route/src/engine_state.rs
+++ b/crates/route/src/engine_state.rs
@@ -29,6 +29,8 @@
     pub reserved_for_short: bool,
     /// Assumed content of its cache.
     pub cache: PrefixCache,
+    /// Time at which its known transfers of cached parts are complete.
+    pub transfers_end_us: u64,
     attempts: Vec<Attempt>,
     /// Time since which the engine has been processing the first of the unread prompts.
     prefill_since_us: u64,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -39,6 +39,7 @@
 mod prefix_table;
 mod prompt_part;
 mod ratio;
+mod reuse;
 mod route_request;
 mod step_time;
 mod target;
--- a/crates/route/src/placement_tests.rs
+++ b/crates/route/src/placement_tests.rs
@@ -30,6 +30,7 @@
             state: UpstreamLifecycle::Live,
             engine: Some(EngineCapacity {
                 cache_tokens: 600_000,
+                ..EngineCapacity::default()
             }),
             started_ms: None,
         }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -14,6 +14,7 @@
 mod notices;
 mod outlier_detection;
 mod placement;
+mod sources;
 
 pub use self::notices::PAUSE_MAX_US;
 
--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -8,6 +8,7 @@
     group::{DISTANCES, Group},
     link_budget::LinkBudget,
     pending::Pending,
+    reuse::Supply,
 };
 
 /// Additional round trip by distance: none inside the availability zone, 1.5 ms one way between
@@ -254,11 +255,13 @@
     /// Takes a slot on a member and records the attempt.
     fn assign(&mut self, now_us: u64, index: usize, request: &RouteRequest<'_>) -> Pick {
         self.picks += 1;
-        let work_tokens = if request.parts.is_empty() {
-            f64::from(request.prompt_tokens)
+        let (work_tokens, supply) = if request.parts.is_empty() {
+            (f64::from(request.prompt_tokens), Supply::default())
         } else {
             self.start_prompt(now_us, index, request)
         };
+        let source = supply.source.map(|index| &self.members[index]);
+        let fetch_from = source.map(|source| source.settings.address);
         let member = &mut self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
         member.outstanding += 1;
@@ -276,6 +279,7 @@
             upstream: member.name.clone(),
             honours_priority: member.settings.honours.priority,
             work_tokens: truncate_tokens(work_tokens),
+            fetch_from,
         };
         self.update_key(now_us, index);
         pick
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -29,16 +29,17 @@
     lateness::late_chance,
     member::Member,
     partition::{MeanLoad, PromptSample},
+    reuse::Supply,
 };
 
 /// Round trip to an engine by distance.
-const ROUND_TRIP_US: [f64; DISTANCES] = [0.0, 3_000.0, 60_000.0];
+pub(super) const ROUND_TRIP_US: [f64; DISTANCES] = [0.0, 3_000.0, 60_000.0];
 
 /// Cost of distance: traffic between zones and regions takes bandwidth from other requests.
 const DISTANCE_COST: [f64; DISTANCES] = [0.0, 0.008, 0.1];
 
 /// Probability that the home of a shared part has it cached although this daemon didn't send it.
-const HOME_HIT_CHANCE: f64 = 0.6;
+pub(super) const HOME_HIT_CHANCE: f64 = 0.6;
 
 /// Cost of a copied shared part, as a multiple of its prefill time: the copy also takes memory from
 /// other parts, which are then read again.
@@ -89,9 +90,9 @@
 /// Engines that should cache the shared part of a prompt, ranked first and second by rendezvous
 /// hashing.
 #[derive(Debug, Clone, Copy, Default)]
-struct Homes {
-    first: Option<usize>,
-    second: Option<usize>,
+pub(super) struct Homes {
+    pub(super) first: Option<usize>,
+    pub(super) second: Option<usize>,
 }
 
 impl Pool {
@@ -215,7 +216,7 @@
     ///
     /// They are the same in every daemon and may be in another region, because processing a part
     /// again takes longer than the round trip.
-    fn homes(&self, group: usize, parts: &[PromptPart]) -> Homes {
+    pub(super) fn homes(&self, group: usize, parts: &[PromptPart]) -> Homes {
         let mut homes = Homes::default();
         let Some(shared) = parts.len().checked_sub(2).map(|index| parts[index]) else {
             return homes;
@@ -331,13 +332,16 @@
 
     /// Records the work and the cached parts that a prompt adds to an engine.
     ///
-    /// Returns the tokens that are processed before its first token: its own and those ahead of it.
+    /// Returns the tokens that are processed before its first token, its own and those ahead of it,
+    /// and how the engine gets the shared parts.
     pub(super) fn start_prompt(
         &mut self,
         now_us: u64,
         index: usize,
         request: &RouteRequest<'_>,
-    ) -> f64 {
+    ) -> (f64, Supply) {
+        let supply = self.supply_at(now_us, index, request);
+        self.start_fetch(now_us, index, &supply);
         let member = &mut self.members[index];
         let cohort = &mut self.cohorts[member.cohort as usize];
         let token_us = cohort.token_us();
@@ -365,7 +369,8 @@
             event_gap_us: to_f64(request.aims.event_gap_us),
             first_event_us: to_f64(request.aims.first_event_due_us.saturating_sub(now_us)),
         });
-        ahead.ahead_tokens(request.tier) + f64::from(unread_tokens)
+        let work_tokens = ahead.ahead_tokens(request.tier) + f64::from(unread_tokens);
+        (work_tokens, supply)
     }
 
     /// Records that an engine has processed the prompt of a job.
--- a/crates/route/src/prefix_cache.rs
+++ b/crates/route/src/prefix_cache.rs
@@ -29,6 +29,12 @@
         unread.iter().map(|part| part.tokens).sum()
     }
 
+    /// Returns the tokens of the leading parts that are cached.
+    pub fn kept_tokens(&self, parts: &[PromptPart]) -> u32 {
+        let kept = parts.iter().take_while(|part| self.find(part.id).is_ok());
+        kept.map(|part| part.tokens).sum()
+    }
+
     /// Records that a prompt was processed, and evicts parts beyond the cache's share of memory.
     pub fn insert(&mut self, now_us: u64, parts: &[PromptPart], kv_capacity_tokens: u64) {
         for part in parts {
--- a/crates/sched/src/action.rs
+++ b/crates/sched/src/action.rs
@@ -1,6 +1,6 @@
 //! Decisions of the dispatcher.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use code::Code;
 
@@ -21,6 +21,8 @@
         priority: i32,
         /// Prompt tokens that the upstream is expected to prefill before the first output token.
         work_tokens: u32,
+        /// Engine from which the upstream should fetch the cached parts of the prompt that it lacks.
+        fetch_from: Option<SocketAddr>,
         /// Why the job starts now.
         reason: Reason,
     },
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -102,6 +102,7 @@
             attempt: entry.attempt,
             priority: entry.priority(),
             work_tokens: pick.work_tokens,
+            fetch_from: pick.fetch_from,
             reason,
         });
         let upstream = pick.upstream.clone();
