--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -46,6 +46,7 @@
 #[cfg(test)]
 mod tests;
 mod tree_position;
+mod uncertainty;
 mod upstream_status;
 
 pub use self::{
--- a/crates/route/src/pending.rs
+++ b/crates/route/src/pending.rs
@@ -1,3 +1,5 @@
+use crate::uncertainty::Uncertainty;
+
 /// Attempt that has not received its first token.
 #[derive(Debug, Clone, Copy)]
 pub struct Pending {
@@ -5,6 +7,8 @@
     pub sent_us: u64,
     /// Time to first token predicted from the prompt tokens to be processed.
     pub expected_us: f64,
+    /// Bounds of the time to first token, if it isn't known what the upstream has to process.
+    pub uncertainty: Option<Uncertainty>,
 }
 
 impl Pending {
--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -2,7 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Pool, outlier_detection::PROBE_INTERVAL_US};
+use super::{Pool, outlier_detection::PROBE_INTERVAL_US, placement::StartedPrompt};
 use crate::{
     Pick, RouteRequest,
     group::{DISTANCES, Group},
@@ -255,12 +255,17 @@
     /// Takes a slot on a member and records the attempt.
     fn assign(&mut self, now_us: u64, index: usize, request: &RouteRequest<'_>) -> Pick {
         self.picks += 1;
-        let (work_tokens, supply) = if request.parts.is_empty() {
-            (f64::from(request.prompt_tokens), Supply::default())
+        let started = if request.parts.is_empty() {
+            StartedPrompt {
+                work_tokens: f64::from(request.prompt_tokens),
+                uncertainty: None,
+                supply: Supply::default(),
+            }
         } else {
             self.start_prompt(now_us, index, request)
         };
-        let source = supply.source.map(|index| &self.members[index]);
+        let work_tokens = started.work_tokens;
+        let source = started.supply.source.map(|index| &self.members[index]);
         let fetch_from = source.map(|source| source.settings.address);
         let member = &mut self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
@@ -268,6 +273,7 @@
         member.pending.push(Pending {
             sent_us: now_us,
             expected_us: cohort.first_token.predict(work_tokens),
+            uncertainty: started.uncertainty,
         });
         let bits = xxh3_64_with_seed(&self.picks.to_le_bytes(), self.seed ^ member.id);
         member.jitter = 0.5 + 0.5 * unit_interval(bits);
@@ -298,7 +304,7 @@
     clippy::cast_sign_loss,
     reason = "a float that is too large becomes the largest integer"
 )]
-const fn truncate_tokens(tokens: f64) -> u32 {
+pub(super) const fn truncate_tokens(tokens: f64) -> u32 {
     tokens as u32
 }
 
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -37,12 +37,17 @@
         let member = &mut self.members[index];
         let cohort = &mut self.cohorts[member.cohort as usize];
         let sent_us = now_us.saturating_sub(elapsed_us);
-        member.take_pending(sent_us);
+        let pending = member.take_pending(sent_us);
         let elapsed_us = elapsed_us as f64;
-        let expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
-        cohort
-            .first_token
-            .observe(f64::from(prompt_tokens), elapsed_us);
+        let mut expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
+        if let Some(uncertainty) = pending.and_then(|pending| pending.uncertainty) {
+            cohort.observe_kept_parts(uncertainty.surplus(elapsed_us));
+            expected_us = uncertainty.explained_us(elapsed_us);
+        } else {
+            cohort
+                .first_token
+                .observe(f64::from(prompt_tokens), elapsed_us);
+        }
         cohort.has_first_token = true;
         let ratio = elapsed_us / expected_us;
         member
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -18,7 +18,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Pool;
+use super::{Pool, choice::truncate_tokens, sources::Sources};
 use crate::{
     AttemptOutcome, LoadAnnouncement, PeerLoads, PromptPart, RouteRequest,
     candidate_tree::CandidateTree,
@@ -30,6 +30,7 @@
     member::Member,
     partition::{MeanLoad, PromptSample},
     reuse::Supply,
+    uncertainty::Uncertainty,
 };
 
 /// Round trip to an engine by distance.
@@ -95,6 +96,18 @@
     pub(super) second: Option<usize>,
 }
 
+/// Prompt that was placed on an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StartedPrompt {
+    /// Tokens that are processed before its first token, its own and those ahead of it.
+    pub(super) work_tokens: f64,
+    /// Bounds of its first event, if it isn't known whether the engine gets the shared parts
+    /// without reading them.
+    pub(super) uncertainty: Option<Uncertainty>,
+    /// How the engine gets the shared parts.
+    pub(super) supply: Supply,
+}
+
 impl Pool {
     /// Selects the engine of a group for a prompt; `None` if none can take it.
     ///
@@ -140,6 +153,7 @@
         healthy_only: bool,
     ) -> Option<usize> {
         let homes = self.homes(group, request.parts);
+        let sources = self.sources(now_us, group, request.parts, homes);
         let members = self.groups[group].trees.iter().enumerate();
         // Each distance has two trees.
         let members = members.flat_map(|(tree, entry)| {
@@ -156,7 +170,7 @@
             if !eligible || healthy_only && (member.ejected || member.is_failing(now_us)) {
                 continue;
             }
-            let cost = self.placement_cost(now_us, request, index, distance, homes);
+            let cost = self.placement_cost(now_us, request, index, distance, homes, &sources);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
@@ -172,32 +186,44 @@
         index: usize,
         distance: usize,
         homes: Homes,
+        sources: &Sources,
     ) -> f64 {
         let member = &self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
         let token_us = cohort.token_us();
         let work = member.engine.work(now_us, token_us);
-        let unread_tokens = member.engine.cache.unread_tokens(request.parts);
         let own_tokens = request.parts.last().map_or(0, |part| part.tokens);
-        let mut shared = f64::from(unread_tokens.saturating_sub(own_tokens));
-        let mut copy_share = 1.0;
-        if homes.first == Some(index) {
-            shared *= 1.0 - HOME_HIT_CHANCE;
-            copy_share = 0.0;
-        } else if homes.second == Some(index) {
-            copy_share = SECOND_HOME_COPY_SHARE;
+        let unread_tokens = member.engine.cache.unread_tokens(request.parts);
+        let mut supply = self.supply(index, request.parts, homes, sources);
+        if member.engine.reserved_for_short {
+            // A fetch doesn't make long prompts welcome there.
+            supply = Supply {
+                read_tokens: supply.read_tokens + supply.fetched_tokens,
+                ..Supply::default()
+            };
         }
-        let unread = f64::from(unread_tokens.min(own_tokens)) + shared;
+        let copy_share = if supply.is_known || homes.first == Some(index) {
+            0.0
+        } else if homes.second == Some(index) {
+            SECOND_HOME_COPY_SHARE
+        } else {
+            1.0
+        };
+        let unread = f64::from(unread_tokens.min(own_tokens)) + supply.read_tokens;
         let slowdown = member.slowdown.max(1.0);
         let ahead_tokens = work.ahead_tokens(request.tier) + unread;
-        let first_event_us =
-            cohort.first_event_us(ahead_tokens) * slowdown + ROUND_TRIP_US[distance];
+        let first_event_us = cohort.first_event_us(ahead_tokens) * slowdown
+            + ROUND_TRIP_US[distance]
+            + supply.fetch_us;
         let prefill_us = unread * token_us * slowdown;
         let crowded = late_chance(
             work.all_running() + f64::from(member.outstanding),
             f64::from(member.settings.slots),
         );
-        let copy_us = COPY_FACTOR * shared * token_us;
+        // A fetched copy takes memory, which costs what others lose by it, and the links.
+        let displaced = supply.fetched_tokens * (1.0 - cohort.home_hit_chance);
+        let copy_us = (COPY_FACTOR * supply.read_tokens + displaced) * token_us;
+        let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         let own_us = f64::from(own_tokens) * token_us;
         let mean_prefill_us = cohort.partition.mean_prefill_us().unwrap_or(own_us);
         let mean_prefill_us = mean_prefill_us.max(MEAN_PREFILL_MIN_US);
@@ -206,7 +232,7 @@
             + late_gap(request, cohort, &work, slowdown)
             + delayed_streams(cohort, &work, prefill_us, slowdown)
             + prefill_us / mean_prefill_us
-            + copy_share * copy_us / mean_prefill_us
+            + (copy_share * copy_us + transfer_us) / mean_prefill_us
             + crowded
             + DISTANCE_COST[distance]
             + member.jitter * JITTER_COST
@@ -331,17 +357,15 @@
     }
 
     /// Records the work and the cached parts that a prompt adds to an engine.
-    ///
-    /// Returns the tokens that are processed before its first token, its own and those ahead of it,
-    /// and how the engine gets the shared parts.
     pub(super) fn start_prompt(
         &mut self,
         now_us: u64,
         index: usize,
         request: &RouteRequest<'_>,
-    ) -> (f64, Supply) {
+    ) -> StartedPrompt {
         let supply = self.supply_at(now_us, index, request);
         self.start_fetch(now_us, index, &supply);
+        let is_declared = self.fetch_token_us(index).is_some();
         let member = &mut self.members[index];
         let cohort = &mut self.cohorts[member.cohort as usize];
         let token_us = cohort.token_us();
@@ -352,11 +376,21 @@
         let engine = &mut member.engine;
         let ahead = engine.work(now_us, token_us);
         let unread_tokens = engine.cache.unread_tokens(request.parts);
+        let own_tokens = request
+            .parts
+            .last()
+            .map_or(0, |part| part.tokens.min(unread_tokens));
+        // Without a link, the parts that it isn't known to keep count as unread.
+        let expected_tokens = if is_declared {
+            f64::from(own_tokens) + supply.read_tokens
+        } else {
+            f64::from(unread_tokens)
+        };
         engine.start(
             now_us,
             request.job,
             request.tier,
-            unread_tokens,
+            truncate_tokens(expected_tokens),
             request.aims.event_gap_us,
         );
         engine
@@ -364,13 +398,27 @@
             .insert(now_us, request.parts, kv_capacity_tokens);
         cohort.partition.record(PromptSample {
             prompt_tokens: request.parts.iter().map(|part| part.tokens).sum(),
-            prefill_us: f64::from(unread_tokens) * token_us,
+            prefill_us: expected_tokens * token_us,
             events: cohort.expected_events(request.output_tokens_max),
             event_gap_us: to_f64(request.aims.event_gap_us),
             first_event_us: to_f64(request.aims.first_event_due_us.saturating_sub(now_us)),
         });
-        let work_tokens = ahead.ahead_tokens(request.tier) + f64::from(unread_tokens);
-        (work_tokens, supply)
+        let ahead_tokens = ahead.ahead_tokens(request.tier);
+        let fetch_tokens = supply.fetch_us / token_us;
+        let kept_tokens = ahead_tokens + f64::from(own_tokens);
+        let read_tokens = ahead_tokens + f64::from(unread_tokens);
+        StartedPrompt {
+            work_tokens: ahead_tokens + expected_tokens + fetch_tokens,
+            uncertainty: Uncertainty::new(
+                cohort.first_token.predict(kept_tokens),
+                cohort.first_token.predict(read_tokens),
+                cohort
+                    .first_token
+                    .predict(ahead_tokens + expected_tokens + fetch_tokens),
+            )
+            .filter(|_| is_declared && !supply.is_known),
+            supply,
+        }
     }
 
     /// Records that an engine has processed the prompt of a job.
--- a/crates/route/src/pool/sources.rs
+++ b/crates/route/src/pool/sources.rs
@@ -45,10 +45,12 @@
             let index = index as usize;
             let member = &self.members[index];
             let kept_tokens = member.engine.cache.kept_tokens(shared);
-            let home_chance = match index {
-                _ if homes.first == Some(index) => HOME_HIT_CHANCE,
-                _ if homes.second == Some(index) => HOME_HIT_CHANCE * SECOND_HOME_SHARE,
-                _ => 0.0,
+            let home_chance = if homes.first == Some(index) {
+                self.home_hit_chance(index)
+            } else if homes.second == Some(index) {
+                self.home_hit_chance(index) * SECOND_HOME_SHARE
+            } else {
+                0.0
             };
             if kept_tokens == 0 && home_chance == 0.0 || !can_be_source(member, now_us) {
                 continue;
@@ -82,21 +84,22 @@
         let cohort = &self.cohorts[member.cohort as usize];
         let shared = shared_parts(parts);
         let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-        let fetch_token_us = member
-            .settings
-            .engine
-            .and_then(|engine| engine.fetch_token_us());
+        let fetch_token_us = self.fetch_token_us(index);
         let kept_tokens = member.engine.cache.kept_tokens(shared);
-        // What was sent to it may have been lost since, and a fetch of what it keeps takes nothing.
-        let (kept_tokens, kept_chance) = match kept_tokens {
-            _ if kept_tokens == shared_tokens => (0, SENT_KEPT_CHANCE),
-            _ if homes.first == Some(index) => (kept_tokens, HOME_HIT_CHANCE),
-            _ => (kept_tokens, 0.0),
+        let is_known = shared_tokens > 0 && kept_tokens == shared_tokens;
+        let (kept_tokens, kept_chance) = if is_known && fetch_token_us.is_some() {
+            // What was sent to it may be lost, and a fetch of what it keeps takes nothing.
+            (0, SENT_KEPT_CHANCE)
+        } else if homes.first == Some(index) {
+            (kept_tokens, self.home_hit_chance(index))
+        } else {
+            (kept_tokens, 0.0)
         };
         let holding = Holding {
             shared_tokens: f64::from(shared_tokens),
             kept_tokens: f64::from(kept_tokens),
             kept_chance,
+            is_known,
             read_token_us: cohort.token_us() * member.slowdown.max(1.0),
             fetch_token_us: fetch_token_us.unwrap_or(0.0),
         };
@@ -126,12 +129,23 @@
         self.supply(index, request.parts, homes, &sources)
     }
 
+    /// Returns the time in which an engine fetches a cached token; `None` if that isn't declared.
+    pub(super) fn fetch_token_us(&self, index: usize) -> Option<f64> {
+        self.members[index].settings.engine?.fetch_token_us()
+    }
+
+    /// Returns the chance that an engine keeps the parts whose home it is.
+    fn home_hit_chance(&self, index: usize) -> f64 {
+        if self.fetch_token_us(index).is_none() {
+            return HOME_HIT_CHANCE;
+        }
+        self.cohorts[self.members[index].cohort as usize].home_hit_chance
+    }
+
     /// Records the transfer of a fetch at both engines.
     pub(super) fn start_fetch(&mut self, now_us: u64, index: usize, supply: &Supply) {
         let Some(source) = supply.source else { return };
-        let capacity = self.members[index].settings.engine;
-        let fetch_token_us = capacity.and_then(|engine| engine.fetch_token_us());
-        let transfer_us = supply.fetched_tokens * fetch_token_us.unwrap_or(0.0);
+        let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         for index in [source, index] {
             let engine = &mut self.members[index].engine;
             engine.transfers_end_us = engine.transfers_end_us.max(now_us) + to_u64(transfer_us);
--- a/crates/route/src/reuse.rs
+++ b/crates/route/src/reuse.rs
@@ -29,6 +29,8 @@
     pub kept_tokens: f64,
     /// Chance that it keeps the rest nonetheless.
     pub kept_chance: f64,
+    /// Whether that chance rests on what was sent to it.
+    pub is_known: bool,
     /// Time in which it reads a token.
     pub read_token_us: f64,
     /// Time in which it fetches a token.
@@ -46,6 +48,8 @@
     pub fetch_us: f64,
     /// Engine from which it fetches.
     pub source: Option<usize>,
+    /// Whether the engine is known to keep the parts.
+    pub is_known: bool,
 }
 
 impl Holding {
@@ -54,6 +58,7 @@
     pub fn read(&self) -> Supply {
         Supply {
             read_tokens: (1.0 - self.kept_chance) * self.missing_tokens(),
+            is_known: self.is_known,
             ..Supply::default()
         }
     }
@@ -88,6 +93,7 @@
                     fetched_tokens,
                     fetch_us,
                     source: Some(source.engine),
+                    is_known: self.is_known,
                 };
             }
         }
