--- a/crates/route/src/engine_load.rs
+++ b/crates/route/src/engine_load.rs
@@ -10,6 +10,9 @@
     /// Requests that are generating tokens, by the class of their target for the gap between
     /// events, smallest targets first.
     pub running: [u32; GAP_CLASSES],
+    /// Tokens that running and waiting requests take of the engine's memory, with the answers that
+    /// they may generate.
+    pub held_tokens: u32,
     /// Prompt tokens sent in the last seconds, exponentially decayed.
     pub recent_tokens: u32,
     /// Sum of the squares of those prompts' tokens, decayed alike; with `recent_tokens` it gives the
@@ -38,6 +41,7 @@
         for (running, other) in self.running.iter_mut().zip(other.running) {
             *running = running.saturating_add(other);
         }
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
         self.recent_tokens = self.recent_tokens.saturating_add(other.recent_tokens);
         self.recent_tokens_squared = self
             .recent_tokens_squared
--- a/crates/route/src/engine_state.rs
+++ b/crates/route/src/engine_state.rs
@@ -20,6 +20,18 @@
     unread_tokens: u32,
     gap_class: usize,
     has_first_token: bool,
+    demand: MemoryDemand,
+}
+
+/// What a request takes of an engine's memory.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct MemoryDemand {
+    /// Last shared part of the prompt; requests that share it take its memory once. 0 for none.
+    pub shared_id: u64,
+    /// Tokens of all shared parts.
+    pub shared_tokens: u32,
+    /// Tokens of the request's own part, and of its answer at most.
+    pub own_tokens: u32,
 }
 
 /// This daemon's view of the work and the cache of a model engine.
@@ -55,6 +67,8 @@
     pub unread_tokens: [f64; 3],
     /// Requests that are generating tokens, by the class of their target for the gap.
     pub running: [f64; GAP_CLASSES],
+    /// Tokens that requests take of the engine's memory.
+    pub held_tokens: f64,
     /// Decayed sum of the tokens of recent prompts.
     pub recent_tokens: f64,
     /// Decayed sum of the squares of those tokens.
@@ -66,6 +80,7 @@
     pub const ZERO: Self = Self {
         unread_tokens: [0.0; 3],
         running: [0.0; GAP_CLASSES],
+        held_tokens: 0.0,
         recent_tokens: 0.0,
         recent_tokens_squared: 0.0,
     };
@@ -82,6 +97,7 @@
         for (sum, running) in self.running.iter_mut().zip(load.running) {
             *sum += f64::from(running);
         }
+        self.held_tokens += f64::from(load.held_tokens);
         self.recent_tokens += f64::from(load.recent_tokens);
         self.recent_tokens_squared += load.recent_tokens_squared as f64;
     }
@@ -92,6 +108,7 @@
         Self {
             unread_tokens: self.unread_tokens.map(|tokens| tokens * factor),
             running: self.running.map(|running| running * factor),
+            held_tokens: self.held_tokens * factor,
             recent_tokens: self.recent_tokens * factor,
             recent_tokens_squared: self.recent_tokens_squared * factor,
         }
@@ -106,6 +123,7 @@
         for (average, value) in self.running.iter_mut().zip(value.running) {
             step(average, value);
         }
+        step(&mut self.held_tokens, value.held_tokens);
         step(&mut self.recent_tokens, value.recent_tokens);
         step(&mut self.recent_tokens_squared, value.recent_tokens_squared);
     }
@@ -131,6 +149,7 @@
             unread_tokens,
             gap_class: gap_class(event_gap_us),
             has_first_token: false,
+            demand: MemoryDemand::default(),
         });
         let decay = self.recent_decay(now_us);
         let tokens = f64::from(unread_tokens);
@@ -139,6 +158,26 @@
         self.recent_us = self.recent_us.max(now_us);
     }
 
+    /// Sets what a started attempt takes of the engine's memory.
+    pub fn set_memory_demand(&mut self, job: u64, demand: MemoryDemand) {
+        let mut attempts = self.attempts.iter_mut();
+        if let Some(attempt) = attempts.find(|attempt| attempt.job == job) {
+            attempt.demand = demand;
+        }
+    }
+
+    /// Returns what this daemon's requests take of the engine's memory.
+    fn held_tokens(&self) -> u32 {
+        let held = self.attempts.iter().enumerate().map(|(index, attempt)| {
+            let demand = attempt.demand;
+            let mut before = self.attempts[..index].iter();
+            let is_shared = before.any(|other| other.demand.shared_id == demand.shared_id);
+            let shared_tokens = if is_shared { 0 } else { demand.shared_tokens };
+            demand.own_tokens.saturating_add(shared_tokens)
+        });
+        held.fold(0, u32::saturating_add)
+    }
+
     /// Records the first token of an attempt.
     pub fn record_first_token(&mut self, now_us: u64, job: u64) {
         let mut attempts = self.attempts.iter_mut();
@@ -184,6 +223,7 @@
                 load.unread_tokens[tier] += attempt.unread_tokens;
             }
         }
+        load.held_tokens = self.held_tokens();
         let decay = self.recent_decay(now_us);
         load.recent_tokens = (self.recent_tokens * decay) as u32;
         load.recent_tokens_squared = (self.recent_tokens_squared * decay) as u64;
@@ -222,6 +262,9 @@
                 f64::from(own_load.running[class] + peer_load.running[class])
                     + background.running[class]
             }),
+            held_tokens: f64::from(own_load.held_tokens)
+                + f64::from(peer_load.held_tokens)
+                + background.held_tokens,
             prefill_share: recent_tokens * token_us / RECENT_DECAY_US,
             prompt_tokens: squared / recent_tokens.max(1.0),
         }
@@ -240,6 +283,8 @@
     pub unread_tokens: [f64; 3],
     /// Requests that are generating tokens, by the class of their target for the gap.
     pub running: [f64; GAP_CLASSES],
+    /// Tokens that requests take of the engine's memory.
+    pub held_tokens: f64,
     /// Share of the last seconds that the engine needed for prompts; above 1 they pile up.
     pub prefill_share: f64,
     /// Size of the prompt that is processed at a typical moment of prefill.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -40,6 +40,8 @@
 mod prompt_part;
 mod ratio;
 mod reuse;
+#[cfg(test)]
+mod reuse_load_tests;
 mod route_request;
 mod step_time;
 mod target;
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -23,7 +23,7 @@
     AttemptOutcome, LoadAnnouncement, PeerLoads, PromptPart, RouteRequest,
     candidate_tree::CandidateTree,
     cohort::Cohort,
-    engine_state::{Background, Work},
+    engine_state::{Background, MemoryDemand, Work},
     gap_class::GAP_CLASS_TARGETS_US,
     group::DISTANCES,
     lateness::late_chance,
@@ -222,6 +222,17 @@
         );
         // A fetched copy takes memory, which costs what others lose by it, and the links.
         let displaced = supply.fetched_tokens * (1.0 - cohort.home_hit_chance);
+        let memory_full = match member.settings.engine {
+            Some(engine) if engine.cache_tokens > 0 => {
+                let demand = memory_demand(request);
+                let needed_tokens = f64::from(demand.own_tokens) + f64::from(demand.shared_tokens);
+                late_chance(
+                    work.held_tokens + needed_tokens,
+                    to_f64(engine.cache_tokens),
+                )
+            }
+            _ => 0.0,
+        };
         let copy_us = (COPY_FACTOR * supply.read_tokens + displaced) * token_us;
         let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         let own_us = f64::from(own_tokens) * token_us;
@@ -234,6 +245,7 @@
             + prefill_us / mean_prefill_us
             + (copy_share * copy_us + transfer_us) / mean_prefill_us
             + crowded
+            + memory_full
             + DISTANCE_COST[distance]
             + member.jitter * JITTER_COST
     }
@@ -393,6 +405,7 @@
             truncate_tokens(expected_tokens),
             request.aims.event_gap_us,
         );
+        engine.set_memory_demand(request.job, memory_demand(request));
         engine
             .cache
             .insert(now_us, request.parts, kv_capacity_tokens);
@@ -507,6 +520,19 @@
         }
 }
 
+/// Returns what a request takes of an engine's memory.
+fn memory_demand(request: &RouteRequest<'_>) -> MemoryDemand {
+    let (own, shared) = request
+        .parts
+        .split_last()
+        .map_or((0, &[][..]), |(own, shared)| (own.tokens, shared));
+    MemoryDemand {
+        shared_id: shared.last().map_or(0, |part| part.id),
+        shared_tokens: shared.iter().map(|part| part.tokens).sum(),
+        own_tokens: own.saturating_add(request.output_tokens_max),
+    }
+}
+
 /// Returns the expected time from the first to the last event of a new stream.
 fn answer_us(request: &RouteRequest<'_>, cohort: &Cohort, work: &Work, slowdown: f64) -> f64 {
     let running = work.all_running() + 1.0;
