--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -9,7 +9,7 @@
     types::{Path, State},
 };
 use quarantine::{CrashEvidence, QuarantinedPart, VerdictState};
-use sched::UpstreamStatus;
+use sched::{ReuseTotals, UpstreamStatus};
 use serde_json::json;
 
 use crate::{prompt_evidence, shared::Shared};
@@ -97,7 +97,7 @@
             .iter()
             .filter(|part| part.state == VerdictState::Quarantined)
             .count() as u64,
-        ..Gauges::default()
+        ..reuse_gauges(&core.dispatcher.reuse_totals())
     });
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.snapshot.load().config.version;
@@ -107,6 +107,23 @@
         .body(shared.metrics.encode(&gauges))
 }
 
+/// Returns gauges with only the sums about the reuse of shared prompt parts.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "sums are positive and far below 2^64"
+)]
+fn reuse_gauges(totals: &ReuseTotals) -> Gauges {
+    Gauges {
+        prompt_fetches: totals.fetches,
+        prompt_fetched_tokens: totals.fetched_tokens as u64,
+        prompt_reuse_judged: totals.judged,
+        prompt_reuse_expected: totals.expected_hits as u64,
+        prompt_reuse_missed: totals.misses,
+        ..Gauges::default()
+    }
+}
+
 /// Serves `/admin/explain/ID`: the recorded decisions of one request.
 pub(crate) async fn explain(id: Path<String>, shared: State<Arc<Shared>>) -> HttpResponse {
     // A request ID is the host name, a hyphen and the number of the request in hexadecimal.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -42,6 +42,7 @@
 mod reuse;
 #[cfg(test)]
 mod reuse_load_tests;
+mod reuse_totals;
 mod route_request;
 mod step_time;
 mod target;
@@ -63,6 +64,7 @@
     pick::Pick,
     pool::{PAUSE_MAX_US, Pool},
     prompt_part::PromptPart,
+    reuse_totals::ReuseTotals,
     route_request::RouteRequest,
     target::Target,
     upstream_status::UpstreamStatus,
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Locality, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
+    Locality, ReuseTotals, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
     departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
     prefix_table::PrefixTable,
 };
@@ -53,6 +53,7 @@
     heard_share: f64,
     link_budget: LinkBudget,
     prefixes: PrefixTable,
+    reuse_totals: ReuseTotals,
 }
 
 impl Pool {
@@ -163,6 +164,12 @@
         members.any(|member| member.is_usable() && member.has_reduced_capacity())
     }
 
+    /// Returns sums about the reuse of shared prompt parts.
+    #[must_use]
+    pub const fn reuse_totals(&self) -> ReuseTotals {
+        self.reuse_totals
+    }
+
     /// Returns the status of each configured upstream, sorted by name.
     #[must_use]
     pub fn statuses(&self) -> Vec<UpstreamStatus> {
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -41,7 +41,12 @@
         let elapsed_us = elapsed_us as f64;
         let mut expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
         if let Some(uncertainty) = pending.and_then(|pending| pending.uncertainty) {
-            cohort.observe_kept_parts(uncertainty.surplus(elapsed_us));
+            let kept_share = uncertainty.kept_share(elapsed_us);
+            let expected_share = uncertainty.expected_share();
+            cohort.observe_kept_parts(kept_share - expected_share);
+            self.reuse_totals.judged += 1;
+            self.reuse_totals.expected_hits += expected_share;
+            self.reuse_totals.misses += u64::from(kept_share < 0.5);
             expected_us = uncertainty.explained_us(elapsed_us);
         } else {
             cohort
--- a/crates/route/src/pool/sources.rs
+++ b/crates/route/src/pool/sources.rs
@@ -145,6 +145,8 @@
     /// Records the transfer of a fetch at both engines.
     pub(super) fn start_fetch(&mut self, now_us: u64, index: usize, supply: &Supply) {
         let Some(source) = supply.source else { return };
+        self.reuse_totals.fetches += 1;
+        self.reuse_totals.fetched_tokens += supply.fetched_tokens;
         let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         for index in [source, index] {
             let engine = &mut self.members[index].engine;
--- a/crates/route/src/uncertainty.rs
+++ b/crates/route/src/uncertainty.rs
@@ -24,11 +24,14 @@
         })
     }
 
-    /// Returns by how much more of the shared parts the engine had than expected, as a share of
-    /// them, judged by the time to first token.
-    pub fn surplus(&self, elapsed_us: f64) -> f64 {
-        let elapsed_us = elapsed_us.clamp(self.kept_us, self.read_us);
-        (self.expected_us - elapsed_us) / (self.read_us - self.kept_us)
+    /// Returns the share of the parts that the engine was expected not to read.
+    pub const fn expected_share(&self) -> f64 {
+        self.kept_share(self.expected_us)
+    }
+
+    /// Returns the share of the parts that the engine didn't read, judged by the time to first token.
+    pub const fn kept_share(&self, elapsed_us: f64) -> f64 {
+        (self.read_us - self.explained_us(elapsed_us)) / (self.read_us - self.kept_us)
     }
 
     /// Returns the part of a time to first token that the shared parts can explain.
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -7,7 +7,8 @@
 use quarantine::Quarantine;
 use queue::{OutputLengths, Queue, TIERS};
 use route::{
-    AttemptOutcome, LoadAnnouncement, LoadReport, Locality, PeerLoads, Pool, UpstreamStatus,
+    AttemptOutcome, LoadAnnouncement, LoadReport, Locality, PeerLoads, Pool, ReuseTotals,
+    UpstreamStatus,
 };
 use settings::Config;
 
@@ -373,6 +374,12 @@
         self.jobs.len()
     }
 
+    /// Returns sums about the reuse of shared prompt parts.
+    #[must_use]
+    pub const fn reuse_totals(&self) -> ReuseTotals {
+        self.pool.reuse_totals()
+    }
+
     /// Returns what this daemon tells others about its work on engines.
     #[must_use]
     pub fn load_announcement(&self, now_us: u64) -> LoadAnnouncement {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -66,5 +66,5 @@
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
     EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality, PAUSE_MAX_US,
-    PeerLoads, PromptPart, Target, UpstreamStatus,
+    PeerLoads, PromptPart, ReuseTotals, Target, UpstreamStatus,
 };
