--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use log::info;
-use metric::Gauges;
+use metric::{Gauges, ReuseFigures};
 use ntex::web::{
     HttpResponse,
     types::{Path, State},
@@ -97,7 +97,8 @@
             .iter()
             .filter(|part| part.state == VerdictState::Quarantined)
             .count() as u64,
-        ..reuse_gauges(&core.dispatcher.reuse_totals())
+        reuse: reuse_figures(&core.dispatcher.reuse_totals()),
+        ..Gauges::default()
     });
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.snapshot.load().config.version;
@@ -107,20 +108,19 @@
         .body(shared.metrics.encode(&gauges))
 }
 
-/// Returns gauges with only the sums about the reuse of shared prompt parts.
+/// Converts sums about the reuse of shared prompt parts for the metrics.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "sums are positive and far below 2^64"
 )]
-fn reuse_gauges(totals: &ReuseTotals) -> Gauges {
-    Gauges {
-        prompt_fetches: totals.fetches,
-        prompt_fetched_tokens: totals.fetched_tokens as u64,
-        prompt_reuse_judged: totals.judged,
-        prompt_reuse_expected: totals.expected_hits as u64,
-        prompt_reuse_missed: totals.misses,
-        ..Gauges::default()
+const fn reuse_figures(totals: &ReuseTotals) -> ReuseFigures {
+    ReuseFigures {
+        fetches: totals.fetches,
+        fetched_tokens: totals.fetched_tokens as u64,
+        judged: totals.judged,
+        expected: totals.expected_hits as u64,
+        missed: totals.misses,
     }
 }
 
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -1,5 +1,7 @@
 //! Gauge values, passed in at each scrape.
 
+use crate::ReuseFigures;
+
 /// Values of the gauges at the time of a scrape.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Gauges {
@@ -13,16 +15,8 @@
     pub stragglers: u64,
     /// Number of prompt parts whose requests are refused because they crash upstreams.
     pub quarantined_parts: u64,
-    /// Prompts sent with an engine to fetch cached parts from, since the start.
-    pub prompt_fetches: u64,
-    /// Tokens that they were expected to fetch.
-    pub prompt_fetched_tokens: u64,
-    /// Prompts for which the time to first token showed whether shared parts were read.
-    pub prompt_reuse_judged: u64,
-    /// Number of them that were expected not to read the parts.
-    pub prompt_reuse_expected: u64,
-    /// Number of them that read the parts.
-    pub prompt_reuse_missed: u64,
+    /// Sums about the reuse of shared prompt parts.
+    pub reuse: ReuseFigures,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// Number of other daemons that are live.
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -14,6 +14,7 @@
 mod gauges;
 mod labels;
 mod metrics;
+mod reuse;
 #[cfg(test)]
 mod tests;
 
@@ -22,4 +23,5 @@
     gauges::Gauges,
     labels::{ClassLabel, CodeLabel, TierLabel, WasteLabel},
     metrics::Metrics,
+    reuse::ReuseFigures,
 };
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -1,7 +1,5 @@
 //! Registry and counters of the metric families.
 
-use std::sync::atomic::Ordering;
-
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -13,7 +11,9 @@
     registry::Registry,
 };
 
-use crate::{Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel};
+use crate::{
+    Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel, reuse::ReuseCounters,
+};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "fireflylever";
@@ -36,11 +36,7 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
-    prompt_fetches: Counter,
-    prompt_fetched_tokens: Counter,
-    prompt_reuse_judged: Counter,
-    prompt_reuse_expected: Counter,
-    prompt_reuse_missed: Counter,
+    reuse: ReuseCounters,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -69,11 +65,7 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
-            prompt_fetches: Counter::default(),
-            prompt_fetched_tokens: Counter::default(),
-            prompt_reuse_judged: Counter::default(),
-            prompt_reuse_expected: Counter::default(),
-            prompt_reuse_missed: Counter::default(),
+            reuse: ReuseCounters::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -84,6 +76,7 @@
             ready: Gauge::default(),
         };
         metrics.register();
+        metrics.reuse.register(&mut metrics.registry);
         metrics
     }
 }
@@ -189,15 +182,7 @@
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
-        for (counter, total) in [
-            (&self.prompt_fetches, gauges.prompt_fetches),
-            (&self.prompt_fetched_tokens, gauges.prompt_fetched_tokens),
-            (&self.prompt_reuse_judged, gauges.prompt_reuse_judged),
-            (&self.prompt_reuse_expected, gauges.prompt_reuse_expected),
-            (&self.prompt_reuse_missed, gauges.prompt_reuse_missed),
-        ] {
-            counter.inner().store(total, Ordering::Relaxed);
-        }
+        self.reuse.set(&gauges.reuse);
         self.config_version
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
@@ -274,35 +259,6 @@
             "Answers of upstreams that asked for a pause",
             self.upstream_pauses.clone(),
         );
-        for (name, help, counter) in [
-            (
-                "prompt_fetches",
-                "Prompts sent with an engine to fetch cached parts from",
-                &self.prompt_fetches,
-            ),
-            (
-                "prompt_fetched_tokens",
-                "Tokens expected to be fetched",
-                &self.prompt_fetched_tokens,
-            ),
-            (
-                "prompt_reuse_judged",
-                "Prompts whose first token showed whether shared parts were read",
-                &self.prompt_reuse_judged,
-            ),
-            (
-                "prompt_reuse_expected",
-                "Judged prompts expected not to read shared parts",
-                &self.prompt_reuse_expected,
-            ),
-            (
-                "prompt_reuse_missed",
-                "Judged prompts that read shared parts",
-                &self.prompt_reuse_missed,
-            ),
-        ] {
-            registry.register(name, help, counter.clone());
-        }
         let help = "Time to the first token";
         registry.register(
             "first_token_seconds",
--- a/crates/route/src/engine_tests.rs
+++ b/crates/route/src/engine_tests.rs
@@ -11,10 +11,10 @@
 #[test]
 fn cache_keeps_the_newest_parts() {
     let mut cache = PrefixCache::default();
-    cache.insert(1, &[part(1, 300), part(2, 200)], 1_000);
+    cache.insert(1, 1, &[part(1, 300), part(2, 200)], 1_000);
     assert_eq!(cache.unread_tokens(&[part(1, 300), part(3, 50)]), 50);
     assert_eq!(cache.unread_tokens(&[part(3, 50), part(1, 300)]), 350);
-    cache.insert(2, &[part(4, 400)], 1_000);
+    cache.insert(2, 2, &[part(4, 400)], 1_000);
     assert_eq!(
         cache.unread_tokens(&[part(1, 300)]),
         300,
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -18,7 +18,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Pool, choice::truncate_tokens, sources::Sources};
+use super::{
+    Pool,
+    choice::truncate_tokens,
+    sources::{Sources, to_u64},
+};
 use crate::{
     AttemptOutcome, LoadAnnouncement, PeerLoads, PromptPart, RouteRequest,
     candidate_tree::CandidateTree,
@@ -406,9 +410,14 @@
             request.aims.event_gap_us,
         );
         engine.set_memory_demand(request.job, memory_demand(request));
+        let ahead_tokens = ahead.ahead_tokens(request.tier);
+        let fetch_tokens = supply.fetch_us / token_us;
+        let work_tokens = ahead_tokens + expected_tokens + fetch_tokens;
+        let expected_us = cohort.first_token.predict(work_tokens);
+        let complete_us = now_us.saturating_add(to_u64(expected_us * member.slowdown.max(1.0)));
         engine
             .cache
-            .insert(now_us, request.parts, kv_capacity_tokens);
+            .insert(now_us, complete_us, request.parts, kv_capacity_tokens);
         cohort.partition.record(PromptSample {
             prompt_tokens: request.parts.iter().map(|part| part.tokens).sum(),
             prefill_us: expected_tokens * token_us,
@@ -416,18 +425,14 @@
             event_gap_us: to_f64(request.aims.event_gap_us),
             first_event_us: to_f64(request.aims.first_event_due_us.saturating_sub(now_us)),
         });
-        let ahead_tokens = ahead.ahead_tokens(request.tier);
-        let fetch_tokens = supply.fetch_us / token_us;
         let kept_tokens = ahead_tokens + f64::from(own_tokens);
         let read_tokens = ahead_tokens + f64::from(unread_tokens);
         StartedPrompt {
-            work_tokens: ahead_tokens + expected_tokens + fetch_tokens,
+            work_tokens,
             uncertainty: Uncertainty::new(
                 cohort.first_token.predict(kept_tokens),
                 cohort.first_token.predict(read_tokens),
-                cohort
-                    .first_token
-                    .predict(ahead_tokens + expected_tokens + fetch_tokens),
+                expected_us,
             )
             .filter(|_| is_declared && !supply.is_known),
             supply,
--- a/crates/route/src/pool/sources.rs
+++ b/crates/route/src/pool/sources.rs
@@ -44,7 +44,7 @@
         for index in trees.flat_map(|tree| tree.members().iter().copied()) {
             let index = index as usize;
             let member = &self.members[index];
-            let kept_tokens = member.engine.cache.kept_tokens(shared);
+            let kept_tokens = member.engine.cache.complete_tokens(now_us, shared);
             let home_chance = if homes.first == Some(index) {
                 self.home_hit_chance(index)
             } else if homes.second == Some(index) {
@@ -204,6 +204,6 @@
     clippy::cast_sign_loss,
     reason = "a float that is too large becomes the largest integer"
 )]
-const fn to_u64(value_us: f64) -> u64 {
+pub(super) const fn to_u64(value_us: f64) -> u64 {
     value_us as u64
 }
--- a/crates/route/src/prefix_cache.rs
+++ b/crates/route/src/prefix_cache.rs
@@ -10,6 +10,8 @@
     id: u64,
     tokens: u32,
     used_us: u64,
+    /// Time from which it is expected to be complete, so that others can fetch it.
+    complete_us: u64,
 }
 
 /// Model of an engine's prompt cache, with least-recently-used eviction.
@@ -35,13 +37,31 @@
         kept.map(|part| part.tokens).sum()
     }
 
-    /// Records that a prompt was processed, and evicts parts beyond the cache's share of memory.
-    pub fn insert(&mut self, now_us: u64, parts: &[PromptPart], kv_capacity_tokens: u64) {
+    /// Returns the tokens of the leading parts that other engines can fetch.
+    pub fn complete_tokens(&self, now_us: u64, parts: &[PromptPart]) -> u32 {
+        let is_complete = |part: &&PromptPart| {
+            let found = self.find(part.id);
+            found.is_ok_and(|index| self.entries[index].complete_us <= now_us)
+        };
+        let complete = parts.iter().take_while(is_complete);
+        complete.map(|part| part.tokens).sum()
+    }
+
+    /// Records that a prompt is processed until `complete_us`, and evicts parts beyond the cache's
+    /// share of memory.
+    pub fn insert(
+        &mut self,
+        now_us: u64,
+        complete_us: u64,
+        parts: &[PromptPart],
+        kv_capacity_tokens: u64,
+    ) {
         for part in parts {
             let entry = CachedPart {
                 id: part.id,
                 tokens: part.tokens,
                 used_us: now_us,
+                complete_us,
             };
             match self.find(part.id) {
                 Ok(index) => self.entries[index].used_us = now_us,
--- a/crates/route/src/reuse_tests.rs
+++ b/crates/route/src/reuse_tests.rs
@@ -2,6 +2,9 @@
 
 const SHARED_TOKENS: f64 = 13_000.0;
 
+/// Name, candidate, other engines with the round trip to each, and the expected source.
+type Case = (&'static str, Holding, Vec<(Source, f64)>, Option<usize>);
+
 /// Returns an engine that keeps nothing, reads 50 tokens in a ms and fetches 625.
 fn holding() -> Holding {
     Holding {
@@ -27,7 +30,7 @@
 /// sooner.
 #[test]
 fn parts_come_the_fastest_way() {
-    let cases: [(&str, Holding, Vec<(Source, f64)>, Option<usize>); 9] = [
+    let cases: [Case; 9] = [
         ("nobody keeps them", holding(), vec![], None),
         ("kept elsewhere", holding(), vec![(source(1), 0.0)], Some(1)),
         (
--- a/crates/route/src/uncertainty.rs
+++ b/crates/route/src/uncertainty.rs
@@ -7,6 +7,7 @@
 /// Bounds of the time to first token of a prompt, if it isn't known whether its engine reads the
 /// shared parts.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub struct Uncertainty {
     kept_us: f64,
     read_us: f64,
