feat(route): weigh a kept part, a fetch and reading anew against wait and memory

Cause: placement knew two cases, kept or read, and priced every copy of a part as if it were read; what requests take of an engine's memory didn't count. Change: the cost of an engine uses the fastest way in which it gets the shared parts (own, fetched from a known keeper or a home, read). A fetched copy costs its transfer and what it displaces, a read one what it did before. What requests hold is announced and set against the declared memory.

--- a/crates/route/src/engine_state.rs
+++ b/crates/route/src/engine_state.rs
@@ -34,6 +34,13 @@
     pub own_tokens: u32,
 }
 
+impl MemoryDemand {
+    /// Returns the tokens of a request that shares no part with another.
+    pub fn tokens(&self) -> f64 {
+        f64::from(self.shared_tokens) + f64::from(self.own_tokens)
+    }
+}
+
 /// This daemon's view of the work and the cache of a model engine.
 #[derive(Debug, Clone, Default)]
 pub struct EngineState {
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -215,6 +215,17 @@
         self.outstanding < slow_limit.max(1).min(limit)
     }
 
+    /// Returns the declared memory of an engine in tokens; infinite if it isn't declared.
+    #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^52 tokens")]
+    pub fn memory_tokens(&self) -> f64 {
+        let declared = self.settings.engine.map_or(0, |engine| engine.cache_tokens);
+        if declared == 0 {
+            f64::INFINITY
+        } else {
+            declared as f64
+        }
+    }
+
     /// Returns whether recent failures keep work away from it.
     pub const fn is_failing(&self, now_us: u64) -> bool {
         now_us < self.failing_until_us
--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -304,7 +304,7 @@
     clippy::cast_sign_loss,
     reason = "a float that is too large becomes the largest integer"
 )]
-pub(super) const fn truncate_tokens(tokens: f64) -> u32 {
+const fn truncate_tokens(tokens: f64) -> u32 {
     tokens as u32
 }
 
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -39,7 +39,10 @@
         let sent_us = now_us.saturating_sub(elapsed_us);
         let pending = member.take_pending(sent_us);
         let elapsed_us = elapsed_us as f64;
-        let mut expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
+        let expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
+        cohort
+            .first_token
+            .observe(f64::from(prompt_tokens), elapsed_us);
         if let Some(uncertainty) = pending.and_then(|pending| pending.uncertainty) {
             let kept_share = uncertainty.kept_share(elapsed_us);
             let expected_share = uncertainty.expected_share();
@@ -47,11 +50,6 @@
             self.reuse_totals.judged += 1;
             self.reuse_totals.expected_hits += expected_share;
             self.reuse_totals.misses += u64::from(kept_share < 0.5);
-            expected_us = uncertainty.explained_us(elapsed_us);
-        } else {
-            cohort
-                .first_token
-                .observe(f64::from(prompt_tokens), elapsed_us);
         }
         cohort.has_first_token = true;
         let ratio = elapsed_us / expected_us;
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -20,7 +20,6 @@
 
 use super::{
     Pool,
-    choice::truncate_tokens,
     sources::{Sources, to_u64},
 };
 use crate::{
@@ -224,24 +223,18 @@
             work.all_running() + f64::from(member.outstanding),
             f64::from(member.settings.slots),
         );
-        // A fetched copy takes memory, which costs what others lose by it, and the links.
-        let displaced = supply.fetched_tokens * (1.0 - cohort.home_hit_chance);
-        let memory_full = match member.settings.engine {
-            Some(engine) if engine.cache_tokens > 0 => {
-                let demand = memory_demand(request);
-                let needed_tokens = f64::from(demand.own_tokens) + f64::from(demand.shared_tokens);
-                late_chance(
-                    work.held_tokens + needed_tokens,
-                    to_f64(engine.cache_tokens),
-                )
-            }
-            _ => 0.0,
-        };
-        let copy_us = (COPY_FACTOR * supply.read_tokens + displaced) * token_us;
-        let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         let own_us = f64::from(own_tokens) * token_us;
         let mean_prefill_us = cohort.partition.mean_prefill_us().unwrap_or(own_us);
         let mean_prefill_us = mean_prefill_us.max(MEAN_PREFILL_MIN_US);
+        let needed_tokens = memory_demand(request).tokens();
+        let occupancy = (work.held_tokens + needed_tokens) / member.memory_tokens();
+        // A request that doesn't fit preempts another, which is late and read again.
+        let memory_full = late_chance(occupancy, 1.0)
+            * (1.0 + needed_tokens * token_us * slowdown / mean_prefill_us);
+        // A fetched copy displaces other parts, the more the less memory requests leave for them.
+        let displaced = supply.fetched_tokens * occupancy.min(1.0);
+        let copy_us = (COPY_FACTOR * supply.read_tokens + displaced) * token_us;
+        let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         let answer_us = answer_us(request, cohort, &work, slowdown);
         late_answer(now_us, request, first_event_us, answer_us)
             + late_gap(request, cohort, &work, slowdown)
@@ -396,23 +389,16 @@
             .parts
             .last()
             .map_or(0, |part| part.tokens.min(unread_tokens));
-        // Without a link, the parts that it isn't known to keep count as unread.
-        let expected_tokens = if is_declared {
-            f64::from(own_tokens) + supply.read_tokens
-        } else {
-            f64::from(unread_tokens)
-        };
         engine.start(
             now_us,
             request.job,
             request.tier,
-            truncate_tokens(expected_tokens),
+            unread_tokens,
             request.aims.event_gap_us,
         );
         engine.set_memory_demand(request.job, memory_demand(request));
         let ahead_tokens = ahead.ahead_tokens(request.tier);
-        let fetch_tokens = supply.fetch_us / token_us;
-        let work_tokens = ahead_tokens + expected_tokens + fetch_tokens;
+        let work_tokens = ahead_tokens + f64::from(unread_tokens);
         let expected_us = cohort.first_token.predict(work_tokens);
         let complete_us = now_us.saturating_add(to_u64(expected_us * member.slowdown.max(1.0)));
         engine
@@ -420,21 +406,21 @@
             .insert(now_us, complete_us, request.parts, kv_capacity_tokens);
         cohort.partition.record(PromptSample {
             prompt_tokens: request.parts.iter().map(|part| part.tokens).sum(),
-            prefill_us: expected_tokens * token_us,
+            prefill_us: f64::from(unread_tokens) * token_us,
             events: cohort.expected_events(request.output_tokens_max),
             event_gap_us: to_f64(request.aims.event_gap_us),
             first_event_us: to_f64(request.aims.first_event_due_us.saturating_sub(now_us)),
         });
         let kept_tokens = ahead_tokens + f64::from(own_tokens);
-        let read_tokens = ahead_tokens + f64::from(unread_tokens);
+        let first_token = &cohort.first_token;
+        let uncertainty = Uncertainty::new(
+            first_token.predict(kept_tokens),
+            expected_us,
+            first_token.predict(kept_tokens + supply.read_tokens) + supply.fetch_us,
+        );
         StartedPrompt {
             work_tokens,
-            uncertainty: Uncertainty::new(
-                cohort.first_token.predict(kept_tokens),
-                cohort.first_token.predict(read_tokens),
-                expected_us,
-            )
-            .filter(|_| is_declared && !supply.is_known),
+            uncertainty: uncertainty.filter(|_| is_declared && !supply.is_known),
             supply,
         }
     }
--- a/crates/route/src/pool/sources.rs
+++ b/crates/route/src/pool/sources.rs
@@ -12,7 +12,7 @@
 };
 
 /// Chance that an engine still keeps the parts of a prompt that this daemon has sent to it.
-const SENT_KEPT_CHANCE: f64 = 0.9;
+const SENT_KEPT_CHANCE: f64 = 0.98;
 
 /// Chance that the second home of a part keeps it, as a share of the chance of the first.
 const SECOND_HOME_SHARE: f64 = 0.5;
--- a/crates/route/src/uncertainty.rs
+++ b/crates/route/src/uncertainty.rs
@@ -32,11 +32,7 @@
 
     /// Returns the share of the parts that the engine didn't read, judged by the time to first token.
     pub const fn kept_share(&self, elapsed_us: f64) -> f64 {
-        (self.read_us - self.explained_us(elapsed_us)) / (self.read_us - self.kept_us)
-    }
-
-    /// Returns the part of a time to first token that the shared parts can explain.
-    pub const fn explained_us(&self, elapsed_us: f64) -> f64 {
-        elapsed_us.clamp(self.kept_us, self.read_us)
+        let elapsed_us = elapsed_us.clamp(self.kept_us, self.read_us);
+        (self.read_us - elapsed_us) / (self.read_us - self.kept_us)
     }
 }
