--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -38,6 +38,10 @@
 pub(crate) const ATTEMPTS_MAX: Range = 1..=16;
 /// The largest engines hold a few hundred million tokens.
 pub(crate) const CACHE_TOKENS: Range = 1..=1_000_000_000;
+/// The cache of the largest models takes some MB for each token.
+pub(crate) const CACHE_TOKEN_BYTES: Range = 0..=100_000_000;
+/// Up to 100 Tbit/s.
+pub(crate) const LINK_MBPS: Range = 0..=100_000_000;
 pub(crate) const SLOTS: Range = 1..=65_536;
 pub(crate) const ANSWER_MAX_MS: Range = 1..=3_600_000;
 
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -55,10 +55,14 @@
     Field::optional("started_ms", Schema::Number(limits::SAFE_INTEGER)),
 ]);
 
-const ENGINE: Schema = Schema::Object(&[Field::required(
-    "cache_tokens",
-    Schema::Number(limits::CACHE_TOKENS),
-)]);
+const ENGINE: Schema = Schema::Object(&[
+    Field::required("cache_tokens", Schema::Number(limits::CACHE_TOKENS)),
+    Field::optional(
+        "cache_token_bytes",
+        Schema::Number(limits::CACHE_TOKEN_BYTES),
+    ),
+    Field::optional("link_mbps", Schema::Number(limits::LINK_MBPS)),
+]);
 
 const REQUEST_MATCHER: Schema = Schema::Object(&[
     Field::required(
