--- a/crates/route/src/cohort.rs
+++ b/crates/route/src/cohort.rs
@@ -20,15 +20,6 @@
 /// Smoothing factor for the events of each token.
 const EVENTS_GAIN: f64 = 0.05;
 
-/// Chance that a home keeps a part, before the first observation.
-const HOME_HIT_CHANCE: f64 = 0.6;
-
-/// Bounds of that chance, so that it can change again.
-const HOME_HIT_RANGE: (f64, f64) = (0.05, 0.95);
-
-/// Smoothing factor for that chance.
-const HOME_HIT_GAIN: f64 = 0.05;
-
 /// Upstreams that serve the same models or plain service and are compared with each other.
 #[derive(Debug, Clone)]
 pub struct Cohort {
@@ -46,8 +37,6 @@
     pub partition: Partition,
     /// Time at which the division is weighed again.
     pub partition_due_us: u64,
-    /// Chance that the home of a shared part keeps it although this daemon didn't send it there.
-    pub home_hit_chance: f64,
     /// Estimates of all daemons; `None` until they are known.
     pub fleet_estimate: Option<KindEstimate>,
     /// Share of the engines by which those for short prompts were selected last.
@@ -80,7 +69,6 @@
             events_per_token: EVENTS_PER_TOKEN,
             partition: Partition::new(),
             partition_due_us: 0,
-            home_hit_chance: HOME_HIT_CHANCE,
             fleet_estimate: None,
             applied_share: 0.0,
             backgrounds: [Background::ZERO; 2],
@@ -139,13 +127,6 @@
         )
     }
 
-    /// Records by how much more of the uncertain parts an engine had than expected, as a share of
-    /// them; negative if it had less.
-    pub fn observe_kept_parts(&mut self, surplus: f64) {
-        let (least, most) = HOME_HIT_RANGE;
-        self.home_hit_chance = (self.home_hit_chance + HOME_HIT_GAIN * surplus).clamp(least, most);
-    }
-
     /// Records the number of events of a complete answer.
     pub fn observe_events(&mut self, events: u32, output_tokens_max: u32) {
         if output_tokens_max > 0 {
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -45,10 +45,8 @@
             .observe(f64::from(prompt_tokens), elapsed_us);
         if let Some(uncertainty) = pending.and_then(|pending| pending.uncertainty) {
             let kept_share = uncertainty.kept_share(elapsed_us);
-            let expected_share = uncertainty.expected_share();
-            cohort.observe_kept_parts(kept_share - expected_share);
             self.reuse_totals.judged += 1;
-            self.reuse_totals.expected_hits += expected_share;
+            self.reuse_totals.expected_hits += uncertainty.expected_share();
             self.reuse_totals.misses += u64::from(kept_share < 0.5);
         }
         cohort.has_first_token = true;
--- a/crates/route/src/pool/sources.rs
+++ b/crates/route/src/pool/sources.rs
@@ -46,9 +46,9 @@
             let member = &self.members[index];
             let kept_tokens = member.engine.cache.complete_tokens(now_us, shared);
             let home_chance = if homes.first == Some(index) {
-                self.home_hit_chance(index)
+                HOME_HIT_CHANCE
             } else if homes.second == Some(index) {
-                self.home_hit_chance(index) * SECOND_HOME_SHARE
+                HOME_HIT_CHANCE * SECOND_HOME_SHARE
             } else {
                 0.0
             };
@@ -91,7 +91,7 @@
             // What was sent to it may be lost, and a fetch of what it keeps takes nothing.
             (0, SENT_KEPT_CHANCE)
         } else if homes.first == Some(index) {
-            (kept_tokens, self.home_hit_chance(index))
+            (kept_tokens, HOME_HIT_CHANCE)
         } else {
             (kept_tokens, 0.0)
         };
@@ -134,14 +134,6 @@
         self.members[index].settings.engine?.fetch_token_us()
     }
 
-    /// Returns the chance that an engine keeps the parts whose home it is.
-    fn home_hit_chance(&self, index: usize) -> f64 {
-        if self.fetch_token_us(index).is_none() {
-            return HOME_HIT_CHANCE;
-        }
-        self.cohorts[self.members[index].cohort as usize].home_hit_chance
-    }
-
     /// Records the transfer of a fetch at both engines.
     pub(super) fn start_fetch(&mut self, now_us: u64, index: usize, supply: &Supply) {
         let Some(source) = supply.source else { return };
