--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -1,6 +1,6 @@
 //! Serves routed requests whose response is read completely before it is forwarded.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use code::Run;
@@ -79,12 +79,14 @@
                 upstream,
                 attempt,
                 work_tokens,
+                fetch_from,
                 ..
             } => {
-                record_start(shared, call, &upstream, attempt, work_tokens);
+                record_start(shared, call, &upstream, attempt, work_tokens, fetch_from);
                 progress.record_start();
                 let sent_at = Instant::now();
-                let tried = try_upstream(shared, pool, call, upstream.clone(), attempt).await;
+                let tried =
+                    try_upstream(shared, pool, call, upstream.clone(), attempt, fetch_from).await;
                 if !is_counted && !matches!(tried, Err(outcome) if !may_have_run(outcome)) {
                     is_counted = true;
                     attempt::count_sent(shared, call, &upstream, sent_at);
@@ -137,8 +139,9 @@
     call: &Call,
     upstream: Arc<str>,
     attempt: u32,
+    fetch_from: Option<SocketAddr>,
 ) -> Result<BufferedResponse, Outcome> {
-    let mut response = attempt::send(shared, pool, call, &upstream, None).await?;
+    let mut response = attempt::send(shared, pool, call, &upstream, fetch_from, None).await?;
     let body = response
         .read_body(RESPONSE_MAX_BYTES)
         .await
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -1,5 +1,7 @@
 //! Gauge values, passed in at each scrape.
 
+use crate::ReuseFigures;
+
 /// Values of the gauges at the time of a scrape.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Gauges {
@@ -13,6 +15,8 @@
     pub stragglers: u64,
     /// Number of prompt parts whose requests are refused because they crash upstreams.
     pub quarantined_parts: u64,
+    /// Sums about the reuse of shared prompt parts.
+    pub reuse: ReuseFigures,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// Number of other daemons that are live.
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -14,6 +14,7 @@
 mod gauges;
 mod labels;
 mod metrics;
+mod reuse;
 #[cfg(test)]
 mod tests;
 
@@ -25,4 +26,5 @@
         WasteLabel, WindowLabel,
     },
     metrics::Metrics,
+    reuse::ReuseFigures,
 };
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     Attainment, ClassLabel, CodeLabel, DutyCallLabel, Gauges, TierLabel, UpstreamCountLabel,
-    UpstreamOrderLabel, WasteLabel, WindowLabel,
+    UpstreamOrderLabel, WasteLabel, WindowLabel, reuse::ReuseCounters,
 };
 
 /// Prefix of all metric names.
@@ -43,6 +43,7 @@
     duty_calls: Family<DutyCallLabel, Counter>,
     usage_windows: Family<WindowLabel, Counter>,
     duties_held: Gauge,
+    reuse: ReuseCounters,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -77,6 +78,7 @@
             duty_calls: Family::default(),
             usage_windows: Family::default(),
             duties_held: Gauge::default(),
+            reuse: ReuseCounters::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -89,6 +91,7 @@
         metrics.register();
         metrics.register_orders();
         metrics.register_duties();
+        metrics.reuse.register(&mut metrics.registry);
         metrics
     }
 }
@@ -244,6 +247,7 @@
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
+        self.reuse.set(&gauges.reuse);
         self.config_version
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Locality, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
+    Locality, ReuseTotals, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
     departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
     prefix_table::PrefixTable,
 };
@@ -15,6 +15,7 @@
 mod notices;
 mod outlier_detection;
 mod placement;
+mod sources;
 
 pub use self::notices::PAUSE_MAX_US;
 
@@ -53,6 +54,7 @@
     heard_share: f64,
     link_budget: LinkBudget,
     prefixes: PrefixTable,
+    reuse_totals: ReuseTotals,
 }
 
 impl Pool {
@@ -163,6 +165,12 @@
         members.any(|member| member.is_usable() && member.has_reduced_capacity())
     }
 
+    /// Returns sums about the reuse of shared prompt parts.
+    #[must_use]
+    pub const fn reuse_totals(&self) -> ReuseTotals {
+        self.reuse_totals
+    }
+
     /// Returns the status of each configured upstream, sorted by name.
     #[must_use]
     pub fn statuses(&self) -> Vec<UpstreamStatus> {
--- a/crates/route/src/pool/choice.rs
+++ b/crates/route/src/pool/choice.rs
@@ -2,12 +2,13 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Pool, outlier_detection::PROBE_INTERVAL_US};
+use super::{Pool, outlier_detection::PROBE_INTERVAL_US, placement::StartedPrompt};
 use crate::{
     Pick, RouteRequest,
     group::{DISTANCES, Group},
     link_budget::LinkBudget,
     pending::Pending,
+    reuse::Supply,
 };
 
 /// Additional round trip by distance: none inside the availability zone, 1.5 ms one way between
@@ -254,17 +255,25 @@
     /// Takes a slot on a member and records the attempt.
     fn assign(&mut self, now_us: u64, index: usize, request: &RouteRequest<'_>) -> Pick {
         self.picks += 1;
-        let work_tokens = if request.parts.is_empty() {
-            f64::from(request.prompt_tokens)
+        let started = if request.parts.is_empty() {
+            StartedPrompt {
+                work_tokens: f64::from(request.prompt_tokens),
+                uncertainty: None,
+                supply: Supply::default(),
+            }
         } else {
             self.start_prompt(now_us, index, request)
         };
+        let work_tokens = started.work_tokens;
+        let source = started.supply.source.map(|index| &self.members[index]);
+        let fetch_from = source.map(|source| source.settings.address);
         let member = &mut self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
         member.outstanding += 1;
         member.pending.push(Pending {
             sent_us: now_us,
             expected_us: cohort.first_token.predict(work_tokens),
+            uncertainty: started.uncertainty,
         });
         let bits = xxh3_64_with_seed(&self.picks.to_le_bytes(), self.seed ^ member.id);
         member.jitter = 0.5 + 0.5 * unit_interval(bits);
@@ -276,6 +285,7 @@
             upstream: member.name.clone(),
             honours_priority: member.settings.honours.priority,
             work_tokens: truncate_tokens(work_tokens),
+            fetch_from,
         };
         self.update_key(now_us, index);
         pick
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -37,12 +37,18 @@
         let member = &mut self.members[index];
         let cohort = &mut self.cohorts[member.cohort as usize];
         let sent_us = now_us.saturating_sub(elapsed_us);
-        member.take_pending(sent_us);
+        let pending = member.take_pending(sent_us);
         let elapsed_us = elapsed_us as f64;
         let expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
         cohort
             .first_token
             .observe(f64::from(prompt_tokens), elapsed_us);
+        if let Some(uncertainty) = pending.and_then(|pending| pending.uncertainty) {
+            let kept_share = uncertainty.kept_share(elapsed_us);
+            self.reuse_totals.judged += 1;
+            self.reuse_totals.expected_hits += uncertainty.expected_share();
+            self.reuse_totals.misses += u64::from(kept_share < 0.5);
+        }
         cohort.has_first_token = true;
         let ratio = elapsed_us / expected_us;
         member
--- a/crates/route/src/pool/placement.rs
+++ b/crates/route/src/pool/placement.rs
@@ -18,27 +18,32 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Pool;
+use super::{
+    Pool,
+    sources::{Sources, to_u64},
+};
 use crate::{
     AttemptOutcome, LoadAnnouncement, PeerLoads, PromptPart, RouteRequest,
     candidate_tree::CandidateTree,
     cohort::Cohort,
-    engine_state::{Background, Work},
+    engine_state::{Background, MemoryDemand, Work},
     gap_class::GAP_CLASS_TARGETS_US,
     group::DISTANCES,
     lateness::late_chance,
     member::Member,
     partition::{MeanLoad, PromptSample},
+    reuse::Supply,
+    uncertainty::Uncertainty,
 };
 
 /// Round trip to an engine by distance.
-const ROUND_TRIP_US: [f64; DISTANCES] = [0.0, 3_000.0, 60_000.0];
+pub(super) const ROUND_TRIP_US: [f64; DISTANCES] = [0.0, 3_000.0, 60_000.0];
 
 /// Cost of distance: traffic between zones and regions takes bandwidth from other requests.
 const DISTANCE_COST: [f64; DISTANCES] = [0.0, 0.008, 0.1];
 
 /// Probability that the home of a shared part has it cached although this daemon didn't send it.
-const HOME_HIT_CHANCE: f64 = 0.6;
+pub(super) const HOME_HIT_CHANCE: f64 = 0.6;
 
 /// Cost of a copied shared part, as a multiple of its prefill time: the copy also takes memory from
 /// other parts, which are then read again.
@@ -89,9 +94,21 @@
 /// Engines that should cache the shared part of a prompt, ranked first and second by rendezvous
 /// hashing.
 #[derive(Debug, Clone, Copy, Default)]
-struct Homes {
-    first: Option<usize>,
-    second: Option<usize>,
+pub(super) struct Homes {
+    pub(super) first: Option<usize>,
+    pub(super) second: Option<usize>,
+}
+
+/// Prompt that was placed on an engine.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StartedPrompt {
+    /// Tokens that are processed before its first token, its own and those ahead of it.
+    pub(super) work_tokens: f64,
+    /// Bounds of its first event, if it isn't known whether the engine gets the shared parts
+    /// without reading them.
+    pub(super) uncertainty: Option<Uncertainty>,
+    /// How the engine gets the shared parts.
+    pub(super) supply: Supply,
 }
 
 impl Pool {
@@ -139,6 +156,7 @@
         healthy_only: bool,
     ) -> Option<usize> {
         let homes = self.homes(group, request.parts);
+        let sources = self.sources(now_us, group, request.parts, homes);
         let members = self.groups[group].trees.iter().enumerate();
         // Each distance has two trees.
         let members = members.flat_map(|(tree, entry)| {
@@ -155,7 +173,7 @@
             if !eligible || healthy_only && (member.ejected || member.is_failing(now_us)) {
                 continue;
             }
-            let cost = self.placement_cost(now_us, request, index, distance, homes);
+            let cost = self.placement_cost(now_us, request, index, distance, homes, &sources);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
@@ -171,42 +189,60 @@
         index: usize,
         distance: usize,
         homes: Homes,
+        sources: &Sources,
     ) -> f64 {
         let member = &self.members[index];
         let cohort = &self.cohorts[member.cohort as usize];
         let token_us = cohort.token_us();
         let work = member.engine.work(now_us, token_us);
-        let unread_tokens = member.engine.cache.unread_tokens(request.parts);
         let own_tokens = request.parts.last().map_or(0, |part| part.tokens);
-        let mut shared = f64::from(unread_tokens.saturating_sub(own_tokens));
-        let mut copy_share = 1.0;
-        if homes.first == Some(index) {
-            shared *= 1.0 - HOME_HIT_CHANCE;
-            copy_share = 0.0;
-        } else if homes.second == Some(index) {
-            copy_share = SECOND_HOME_COPY_SHARE;
+        let unread_tokens = member.engine.cache.unread_tokens(request.parts);
+        let mut supply = self.supply(index, request.parts, homes, sources);
+        if member.engine.reserved_for_short {
+            // A fetch doesn't make long prompts welcome there.
+            supply = Supply {
+                read_tokens: supply.read_tokens + supply.fetched_tokens,
+                ..Supply::default()
+            };
         }
-        let unread = f64::from(unread_tokens.min(own_tokens)) + shared;
+        let copy_share = if supply.is_known || homes.first == Some(index) {
+            0.0
+        } else if homes.second == Some(index) {
+            SECOND_HOME_COPY_SHARE
+        } else {
+            1.0
+        };
+        let unread = f64::from(unread_tokens.min(own_tokens)) + supply.read_tokens;
         let slowdown = member.slowdown.max(1.0);
         let ahead_tokens = work.ahead_tokens(request.tier) + unread;
-        let first_event_us =
-            cohort.first_event_us(ahead_tokens) * slowdown + ROUND_TRIP_US[distance];
+        let first_event_us = cohort.first_event_us(ahead_tokens) * slowdown
+            + ROUND_TRIP_US[distance]
+            + supply.fetch_us;
         let prefill_us = unread * token_us * slowdown;
         let crowded = late_chance(
             work.all_running() + f64::from(member.outstanding),
             f64::from(member.settings.slots),
         );
-        let copy_us = COPY_FACTOR * shared * token_us;
         let own_us = f64::from(own_tokens) * token_us;
         let mean_prefill_us = cohort.partition.mean_prefill_us().unwrap_or(own_us);
         let mean_prefill_us = mean_prefill_us.max(MEAN_PREFILL_MIN_US);
+        let needed_tokens = memory_demand(request).tokens();
+        let occupancy = (work.held_tokens + needed_tokens) / member.memory_tokens();
+        // A request that doesn't fit preempts another, which is late and read again.
+        let memory_full = late_chance(occupancy, 1.0)
+            * (1.0 + needed_tokens * token_us * slowdown / mean_prefill_us);
+        // A fetched copy displaces other parts, the more the less memory requests leave for them.
+        let displaced = supply.fetched_tokens * occupancy.min(1.0);
+        let copy_us = (COPY_FACTOR * supply.read_tokens + displaced) * token_us;
+        let transfer_us = supply.fetched_tokens * self.fetch_token_us(index).unwrap_or(0.0);
         let answer_us = answer_us(request, cohort, &work, slowdown);
         late_answer(now_us, request, first_event_us, answer_us)
             + late_gap(request, cohort, &work, slowdown)
             + delayed_streams(cohort, &work, prefill_us, slowdown)
             + prefill_us / mean_prefill_us
-            + copy_share * copy_us / mean_prefill_us
+            + (copy_share * copy_us + transfer_us) / mean_prefill_us
             + crowded
+            + memory_full
             + DISTANCE_COST[distance]
             + member.jitter * JITTER_COST
     }
@@ -215,7 +251,7 @@
     ///
     /// They are the same in every daemon and may be in another region, because processing a part
     /// again takes longer than the round trip.
-    fn homes(&self, group: usize, parts: &[PromptPart]) -> Homes {
+    pub(super) fn homes(&self, group: usize, parts: &[PromptPart]) -> Homes {
         let mut homes = Homes::default();
         let Some(shared) = parts.len().checked_sub(2).map(|index| parts[index]) else {
             return homes;
@@ -330,14 +366,15 @@
     }
 
     /// Records the work and the cached parts that a prompt adds to an engine.
-    ///
-    /// Returns the tokens that are processed before its first token: its own and those ahead of it.
     pub(super) fn start_prompt(
         &mut self,
         now_us: u64,
         index: usize,
         request: &RouteRequest<'_>,
-    ) -> f64 {
+    ) -> StartedPrompt {
+        let supply = self.supply_at(now_us, index, request);
+        self.start_fetch(now_us, index, &supply);
+        let is_declared = self.fetch_token_us(index).is_some();
         let member = &mut self.members[index];
         let cohort = &mut self.cohorts[member.cohort as usize];
         let token_us = cohort.token_us();
@@ -348,6 +385,10 @@
         let engine = &mut member.engine;
         let ahead = engine.work(now_us, token_us);
         let unread_tokens = engine.cache.unread_tokens(request.parts);
+        let own_tokens = request
+            .parts
+            .last()
+            .map_or(0, |part| part.tokens.min(unread_tokens));
         engine.start(
             now_us,
             request.job,
@@ -355,9 +396,14 @@
             unread_tokens,
             request.aims.event_gap_us,
         );
+        engine.set_memory_demand(request.job, memory_demand(request));
+        let ahead_tokens = ahead.ahead_tokens(request.tier);
+        let work_tokens = ahead_tokens + f64::from(unread_tokens);
+        let expected_us = cohort.first_token.predict(work_tokens);
+        let complete_us = now_us.saturating_add(to_u64(expected_us * member.slowdown.max(1.0)));
         engine
             .cache
-            .insert(now_us, request.parts, kv_capacity_tokens);
+            .insert(now_us, complete_us, request.parts, kv_capacity_tokens);
         cohort.partition.record(PromptSample {
             prompt_tokens: request.parts.iter().map(|part| part.tokens).sum(),
             prefill_us: f64::from(unread_tokens) * token_us,
@@ -365,7 +411,18 @@
             event_gap_us: to_f64(request.aims.event_gap_us),
             first_event_us: to_f64(request.aims.first_event_due_us.saturating_sub(now_us)),
         });
-        ahead.ahead_tokens(request.tier) + f64::from(unread_tokens)
+        let kept_tokens = ahead_tokens + f64::from(own_tokens);
+        let first_token = &cohort.first_token;
+        let uncertainty = Uncertainty::new(
+            first_token.predict(kept_tokens),
+            expected_us,
+            first_token.predict(kept_tokens + supply.read_tokens) + supply.fetch_us,
+        );
+        StartedPrompt {
+            work_tokens,
+            uncertainty: uncertainty.filter(|_| is_declared && !supply.is_known),
+            supply,
+        }
     }
 
     /// Records that an engine has processed the prompt of a job.
@@ -454,6 +511,19 @@
         }
 }
 
+/// Returns what a request takes of an engine's memory.
+fn memory_demand(request: &RouteRequest<'_>) -> MemoryDemand {
+    let (own, shared) = request
+        .parts
+        .split_last()
+        .map_or((0, &[][..]), |(own, shared)| (own.tokens, shared));
+    MemoryDemand {
+        shared_id: shared.last().map_or(0, |part| part.id),
+        shared_tokens: shared.iter().map(|part| part.tokens).sum(),
+        own_tokens: own.saturating_add(request.output_tokens_max),
+    }
+}
+
 /// Returns the expected time from the first to the last event of a new stream.
 fn answer_us(request: &RouteRequest<'_>, cohort: &Cohort, work: &Work, slowdown: f64) -> f64 {
     let running = work.all_running() + 1.0;
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use queue::{OutputLengths, Queue, TIERS};
 use route::{
     AttemptOutcome, EngineDemand, LoadAnnouncement, LoadReport, Locality, PeerLoads, Pool,
-    UpstreamStatus,
+    ReuseTotals, UpstreamStatus,
 };
 use settings::Config;
 
@@ -379,6 +379,12 @@
         self.jobs.len()
     }
 
+    /// Returns sums about the reuse of shared prompt parts.
+    #[must_use]
+    pub const fn reuse_totals(&self) -> ReuseTotals {
+        self.pool.reuse_totals()
+    }
+
     /// Returns what this daemon tells others about its work on engines.
     #[must_use]
     pub fn load_announcement(&self, now_us: u64) -> LoadAnnouncement {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -66,5 +66,5 @@
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
     EngineDemand, EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality,
-    PAUSE_MAX_US, PeerLoads, PromptPart, Target, UpstreamStatus,
+    PAUSE_MAX_US, PeerLoads, PromptPart, ReuseTotals, Target, UpstreamStatus,
 };
