feat(route): give an unreachable upstream no work while others can be reached

A failed connection, or several requests lost at the same moment, takes an upstream out of service for 0.5 to 2 s, unless none of its cohort would be left. Before, a dead engine kept a sixteenth of its weight where the bound on ejections allows none to be ejected (two engines), and got every attempt at once while the others were full for the moment.

The fuzz oracle allows passing over an upstream for this reason only within that time after a failure, and only while another one is in service. It found that a pause of the last one in service had to bring the unreachable ones back; recount does that now.

engine_killed_under_streams_gets_nothing_while_others_are_full and restarted_engine_is_in_service_at_once fail with the change switched off.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -39,6 +39,9 @@
 mod prefix_table;
 mod prompt_part;
 mod ratio;
+#[cfg(test)]
+mod reachability_tests;
+mod recent_losses;
 mod route_request;
 mod step_time;
 mod target;
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -65,6 +65,9 @@
 /// Longest ejection time after a failure.
 const FAILURE_EJECTION_MAX_US: u64 = 30_000_000;
 
+/// Longest time for which an upstream counts as unreachable after a failure.
+const UNREACHABLE_MAX_US: u64 = 2_000_000;
+
 /// Consecutive error answers that count as a failure; a single one may be the request's fault.
 const CONSECUTIVE_ERRORS_MAX: u32 = 3;
 
@@ -103,6 +106,10 @@
     pub reinstated_us: Option<u64>,
     /// End of the ejection that failures caused, or of the reduced weight in its place.
     pub failing_until_us: u64,
+    /// Time until which this daemon's own failures say that it can't be reached.
+    pub unreachable_until_us: u64,
+    /// Time since which it gets no work because it can't be reached, while others of its cohort can.
+    pub down_since_us: Option<u64>,
     /// End of the pause that it asked for; `None` once the pool has noticed that it is over.
     pub paused_until_us: Option<u64>,
     /// Random fraction of a slot that orders equal upstreams differently in each daemon.
@@ -147,6 +154,8 @@
             probe_due_us: 0,
             reinstated_us: None,
             failing_until_us: 0,
+            unreachable_until_us: 0,
+            down_since_us: None,
             paused_until_us: None,
             jitter: 0.0,
             slowdown: 1.0,
@@ -194,6 +203,11 @@
 
     /// Returns whether requests may be sent to it now.
     pub fn accepts_requests(&self) -> bool {
+        self.may_accept_requests() && self.down_since_us.is_none()
+    }
+
+    /// Returns whether requests may be sent to it now if it can be reached.
+    pub fn may_accept_requests(&self) -> bool {
         self.is_live() && self.paused_until_us.is_none()
     }
 
@@ -375,6 +389,12 @@
         self.reinstated_us = Some(self.failing_until_us);
     }
 
+    /// Records that the last failure says that it can't be reached at all.
+    pub fn record_unreachable(&mut self, now_us: u64) {
+        let longest_us = now_us.saturating_add(UNREACHABLE_MAX_US);
+        self.unreachable_until_us = self.failing_until_us.min(longest_us);
+    }
+
     /// Records an error answer.
     pub fn record_error(&mut self, now_us: u64) {
         self.errors += 1;
@@ -428,6 +448,7 @@
         self.failures = 0;
         self.errors = 0;
         self.failing_until_us = self.failing_until_us.min(now_us);
+        self.unreachable_until_us = self.unreachable_until_us.min(now_us);
         self.reinstated_us = self.reinstated_us.map(|since_us| since_us.min(now_us));
     }
 
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -6,7 +6,7 @@
 use crate::{
     Locality, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
     departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
-    prefix_table::PrefixTable,
+    prefix_table::PrefixTable, recent_losses::RecentLosses,
 };
 
 mod choice;
@@ -14,6 +14,7 @@
 mod notices;
 mod outlier_detection;
 mod placement;
+mod reachability;
 
 pub use self::notices::PAUSE_MAX_US;
 
@@ -46,6 +47,7 @@
     ejected: Vec<u32>,
     departures: Departures,
     pauses: Pauses,
+    losses: RecentLosses,
     /// Number of live daemons, this one included.
     live_daemons: u32,
     /// Share of the other daemons that announced their load lately.
@@ -172,6 +174,7 @@
             weight: member.weight(now_us),
             slowdown: member.slowdown,
             ejected: member.ejected,
+            is_down: member.down_since_us.is_some(),
             outstanding: member.outstanding,
         };
         configured.map(status).collect()
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -158,7 +158,10 @@
         match outcome {
             AttemptOutcome::Complete => member.record_complete(now_us),
             AttemptOutcome::Cancelled => {}
-            AttemptOutcome::ConnectFailed | AttemptOutcome::Lost => member.record_failure(now_us),
+            AttemptOutcome::ConnectFailed | AttemptOutcome::Lost => {
+                member.record_failure(now_us);
+                self.record_unreachable(now_us, index, outcome);
+            }
             AttemptOutcome::Rejected => member.record_rejection(now_us, running),
             AttemptOutcome::Failed => member.record_error(now_us),
         }
@@ -202,6 +205,7 @@
         self.update_medians(now_us);
         self.update_partitions(now_us);
         self.end_pauses(now_us);
+        self.update_down(now_us);
         for index in 0..self.members.len() {
             self.members[index].recover_capacity(now_us);
             self.members[index].age_jitter();
@@ -210,9 +214,10 @@
         }
     }
 
-    /// Counts usable and ejected members, and reinstates the least severe ones beyond the bound on
+    /// Takes unreachable members out of service, counts usable and ejected ones, and reinstates the least severe ones beyond the bound on
     /// ejections.
     pub(super) fn recount(&mut self, now_us: u64) {
+        let down_changes = self.mark_down(now_us);
         for cohort in &mut self.cohorts {
             (cohort.usable, cohort.ejected) = (0, 0);
         }
@@ -241,6 +246,9 @@
                 self.update_key(now_us, index);
             }
         }
+        for index in down_changes {
+            self.update_key(now_us, index);
+        }
     }
 
     /// Ejects or reinstates a member according to its failures and slow-down.
--- a/crates/route/src/pool_fuzz_tests.rs
+++ b/crates/route/src/pool_fuzz_tests.rs
@@ -12,6 +12,12 @@
 const COUNT: usize = 7;
 const SLOTS: u32 = 3;
 
+/// Longest time for which failures keep work away from an upstream while others are in service.
+const UNREACHABLE_MAX_US: u64 = 2_000_000;
+
+/// Longest time after which the pool notices that such a time is over.
+const REFRESH_US: u64 = 200_000;
+
 /// Event that is passed to the pool and to the model.
 #[derive(Debug, Clone)]
 enum Event {
@@ -91,6 +97,8 @@
     paused_until_us: [u64; COUNT],
     /// Whether a rejection or a pause may have lowered the assumed capacity.
     rejected: [bool; COUNT],
+    /// Time until which the last failed connection or lost request may keep work away.
+    unreachable_until_us: [u64; COUNT],
     /// Upstream and start time of each running attempt.
     attempts: Vec<(usize, u64)>,
 }
@@ -126,6 +134,7 @@
             if listed && restarted & bit != 0 {
                 self.restarts[index] += 1;
                 self.paused_until_us[index] = 0;
+                self.unreachable_until_us[index] = 0;
                 if std::mem::take(&mut self.self_reported[index]) {
                     *leaving_version = None;
                 }
@@ -227,9 +236,9 @@
 }
 
 impl Subject {
-    /// Asserts that no upstream was free. Ejection, earlier rejections and the link budget are the
-    /// only valid reasons to pass over an upstream with a free slot. The link budget concerns every
-    /// third upstream, since those are in the other region.
+    /// Asserts that no upstream was free. Ejection, earlier rejections, recent failures to reach it
+    /// and the link budget are the only valid reasons to pass over an upstream with a free slot. The
+    /// link budget concerns every third upstream, since those are in the other region.
     fn assert_none_free(&self, request: &RouteRequest<'_>, except: Option<usize>) {
         let statuses = self.pool.statuses();
         for index in (0..COUNT).filter(|&index| Some(index) != except) {
@@ -240,11 +249,33 @@
                 && !self.oracle.rejected[index]
                 && (!request.resume || index.is_multiple_of(2))
                 && index % 3 != 2
+                && !self.is_down(index)
                 && !statuses.iter().any(ejected);
             assert!(!usable, "{} could have served", name(index));
         }
     }
 
+    /// Returns whether an upstream is out of service because it can't be reached. That needs a
+    /// failure within the last seconds, and another upstream that is in service.
+    fn is_down(&self, index: usize) -> bool {
+        let statuses = self.pool.statuses();
+        let is_down = |index: usize| {
+            let mut statuses = statuses.iter();
+            statuses.any(|status| *status.upstream == *name(index) && status.is_down)
+        };
+        if !is_down(index) {
+            return false;
+        }
+        let oracle = &self.oracle;
+        let until_us = oracle.unreachable_until_us[index] + REFRESH_US;
+        assert!(oracle.now_us < until_us, "{} stays down", name(index));
+        let in_service = |other: usize| {
+            oracle.is_live(other) && oracle.share[other] != Some(0) && !is_down(other)
+        };
+        assert!((0..COUNT).any(in_service), "none is left");
+        true
+    }
+
     fn choose(&mut self, request: &RouteRequest<'_>, avoid: Option<usize>) {
         let oracle = &self.oracle;
         let model = model();
@@ -299,6 +330,12 @@
         let (index, sent_us) = oracle.attempts.remove(attempt.index(oracle.attempts.len()));
         oracle.outstanding[index] -= 1;
         oracle.rejected[index] |= outcome == AttemptOutcome::Rejected;
+        if matches!(
+            outcome,
+            AttemptOutcome::ConnectFailed | AttemptOutcome::Lost
+        ) {
+            oracle.unreachable_until_us[index] = oracle.now_us + UNREACHABLE_MAX_US;
+        }
         let elapsed_us = oracle.now_us - sent_us;
         let upstream = name(index);
         if waiting {
--- a/crates/route/src/upstream_status.rs
+++ b/crates/route/src/upstream_status.rs
@@ -11,6 +11,8 @@
     pub slowdown: f64,
     /// Whether it is ejected, so that it gets only probes.
     pub ejected: bool,
+    /// Whether it gets no work because it can't be reached, while others of its kind can.
+    pub is_down: bool,
     /// Jobs that this daemon runs on it.
     pub outstanding: u32,
 }
