feat(sched): let streams lost with their engine wait for the retry budget

Cause of the known red test: the six streams of a killed engine used up the budget of a daemon (3 and a tenth of its starts), and the rest were broken off with 4004 although another engine was free. Jobs lost with their engine now have a second tenth of the starts (at least 3), which stays within the fifth that a service may get in repeats; beyond it they wait, higher tiers and earlier arrivals first, up to their callers' deadlines.

Ruled out: waiting on the old budget alone. The last two streams of the test then went on after more than 10 s (failed in 3 of 3 runs by the time limit of the test's client).

--- a/crates/limit/src/tests.rs
+++ b/crates/limit/src/tests.rs
@@ -110,3 +110,17 @@
         assert_eq!(retries, expected, "{name}");
     }
 }
+
+/// Guards against one lost engine whose streams use up the retries of all other jobs, and against
+/// losses that are retried without bound. Load: all streams of an engine are lost at once.
+#[test]
+fn lost_streams_have_a_bounded_budget_of_their_own() {
+    for (starts, retries) in [(12, 4 + 3), (200, 23 + 20)] {
+        let mut budget = RetryBudget::default();
+        (0..starts).for_each(|_| budget.start(0));
+        let allowed = (0..starts).filter(|_| budget.try_retry_after_loss(1));
+        assert_eq!(allowed.count(), retries, "{starts} starts");
+        assert!(!budget.try_retry(1), "{starts} starts");
+        assert!(budget.try_retry_after_loss(30_000_000), "{starts} starts");
+    }
+}
--- a/crates/sched/src/dispatcher.rs
+++ b/crates/sched/src/dispatcher.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     Action, Job, JobId, Outcome, Reason, admission::candidate_of, answer_times::AnswerTimes,
-    entry::Entry, preempt::URGENT_MARGIN_US, retry::attempt_outcome, running::Running, stop::Stop,
-    topology::Topology,
+    entry::Entry, held_retries::HeldRetry, preempt::URGENT_MARGIN_US, retry::attempt_outcome,
+    running::Running, stop::Stop, topology::Topology,
 };
 
 /// Default bound on waiting jobs that have not run, whose request bodies are held in memory.
@@ -40,6 +40,8 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) topology: Topology,
     pub(crate) stop: Option<Stop>,
+    /// Retries that wait for the budget.
+    pub(crate) held_retries: Vec<HeldRetry>,
     /// Number of jobs that have arrived, from which each gets its place in the order of arrival.
     arrivals: u64,
     /// Time of the next recheck of all lanes.
@@ -280,9 +282,9 @@
             self.remove_job(id);
         } else if let Some(running) = ended {
             if let Some(entry) = self.jobs.get_mut(&id) {
-                entry.avoid = Some(running.upstream);
+                entry.avoid = Some(running.upstream.clone());
             }
-            self.retry_or_refuse(now_us, id, outcome, actions);
+            self.retry_or_refuse(now_us, id, &running.upstream, outcome, actions);
         }
         self.dispatch(now_us, self.topology.lanes[lane].group, actions);
         if self.is_queued(id) {
@@ -320,6 +322,7 @@
             self.next_recheck_us = now_us + RECHECK_INTERVAL_US;
             self.topology.clear_all_full();
         }
+        self.release_held_retries(now_us, actions);
         self.dispatch_all(now_us, actions);
         self.refuse_queued_at_stop(now_us, actions);
         let due = self.queue.due(now_us.saturating_add(URGENT_MARGIN_US));
@@ -343,10 +346,11 @@
         }
     }
 
-    /// Returns the number of waiting jobs of a tier.
+    /// Returns the number of waiting jobs of a tier, for an upstream or for the retry budget.
     #[must_use]
     pub fn queued(&self, tier: u8) -> usize {
-        self.queue.len(usize::from(tier).min(TIERS - 1))
+        let tier = usize::from(tier).min(TIERS - 1);
+        self.queue.len(tier) + self.held_retries(tier)
     }
 
     /// Returns the age of the oldest waiting job of each tier; iterates over all jobs.
@@ -361,10 +365,10 @@
         oldest_us
     }
 
-    /// Returns whether any job waits.
+    /// Returns whether any job waits, for an upstream or for the retry budget.
     #[must_use]
     pub fn has_queued(&self) -> bool {
-        (0..TIERS).any(|tier| self.queue.len(tier) > 0)
+        (0..TIERS).any(|tier| self.queue.len(tier) > 0) || self.has_held_retries()
     }
 
     /// Returns the number of queued and running jobs.
@@ -437,6 +441,14 @@
 
     /// Queues a job again, with its original place in the order of arrival.
     pub(crate) fn requeue(&mut self, now_us: u64, id: JobId) {
+        self.prepare_retry(now_us, id);
+        if let Some(entry) = self.jobs.get(&id) {
+            self.queue.push(&entry.item);
+        }
+    }
+
+    /// Updates the queue's item of a job that will be queued again.
+    pub(crate) fn prepare_retry(&mut self, now_us: u64, id: JobId) {
         let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -446,7 +458,6 @@
             let deadline_us = now_us.saturating_add(entry.max_wait_us);
             entry.item.deadline_us = entry.item.deadline_us.max(deadline_us);
         }
-        self.queue.push(&entry.item);
     }
 
     /// Refuses a queued job and removes it.
@@ -505,6 +516,7 @@
             quarantine: Quarantine::default(),
             topology: Topology::default(),
             stop: None,
+            held_retries: Vec::new(),
             arrivals: 0,
             next_recheck_us: 0,
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -24,6 +24,9 @@
 #[cfg(test)]
 mod fixtures;
 mod group;
+mod held_retries;
+#[cfg(test)]
+mod held_retries_tests;
 #[cfg(test)]
 mod holds_complete_tests;
 #[cfg(test)]
--- a/crates/sched/src/retry.rs
+++ b/crates/sched/src/retry.rs
@@ -1,16 +1,18 @@
 //! Retry or refusal after a failed attempt.
 
 use code::{Code, Run};
-use route::AttemptOutcome;
+use route::{AttemptOutcome, Pool};
 
 use crate::{Action, Dispatcher, JobId, Outcome, Reason, admission::RETRY_AFTER_MS};
 
 impl Dispatcher {
-    /// Queues a job again after a failed attempt, or refuses it.
+    /// Queues a job again after a failed attempt at an upstream, holds it until the retry budget has
+    /// room, or refuses it.
     pub(crate) fn retry_or_refuse(
         &mut self,
         now_us: u64,
         id: JobId,
+        upstream: &str,
         outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
@@ -30,6 +32,7 @@
         let (job, policy) = (&entry.job, entry.job.policy);
         let lane = &mut self.topology.lanes[entry.item.lane];
         let resumable = lane.resumable;
+        let is_lost_with_engine = is_lost_with_engine(&self.pool, now_us, upstream, outcome);
         let retryable = match outcome {
             Outcome::NotSent | Outcome::Withheld | Outcome::Rejected => true,
             Outcome::LostBeforeAnswer => job.idempotent,
@@ -48,14 +51,18 @@
             Reason::NotRetryable
         } else if exhausted {
             Reason::AttemptsExhausted
+        } else if is_lost_with_engine {
+            if lane.budget.try_retry_after_loss(now_us) {
+                self.queue_retry(now_us, id, actions);
+            } else {
+                self.hold_retry(now_us, id, outcome);
+            }
+            return;
         } else if !is_unsent && !lane.budget.try_retry(now_us) {
             // Attempts of which nothing was sent put no load on upstreams and need no budget.
             Reason::RetryBudgetExhausted
         } else {
-            self.requeue(now_us, id);
-            if !self.refuse_at_stop(now_us, id, actions) {
-                self.refuse_while_paused(now_us, id, actions);
-            }
+            self.queue_retry(now_us, id, actions);
             return;
         };
         let item = self.jobs.get(&id).map(|entry| &entry.item);
@@ -72,8 +79,30 @@
     }
 }
 
+impl Dispatcher {
+    /// Queues a job again, unless it would be refused there.
+    pub(crate) fn queue_retry(&mut self, now_us: u64, id: JobId, actions: &mut Vec<Action>) {
+        self.requeue(now_us, id);
+        if !self.refuse_at_stop(now_us, id, actions) {
+            self.refuse_while_paused(now_us, id, actions);
+        }
+    }
+}
+
+/// Returns whether an attempt was lost because its upstream was, not for a reason of its own.
+///
+/// A stream that has begun counts as such too: its caller can't repeat the request without losing
+/// what it has received.
+fn is_lost_with_engine(pool: &Pool, now_us: u64, upstream: &str, outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::LostBeforeAnswer => pool.is_unreachable(now_us, upstream),
+        Outcome::LostMidStream { .. } => true,
+        _ => false,
+    }
+}
+
 /// Returns the result code for a job that is not retried after `outcome`.
-const fn code_of(outcome: Outcome) -> Code {
+pub(crate) const fn code_of(outcome: Outcome) -> Code {
     match outcome {
         Outcome::NotSent => Code::ConnectFailed,
         Outcome::Withheld | Outcome::Rejected => Code::NoUpstream,
--- a/crates/sched/src/tests.rs
+++ b/crates/sched/src/tests.rs
@@ -200,18 +200,30 @@
 }
 
 /// Guards against unbounded retries when every attempt fails. Attempts of which nothing was sent
-/// put no load on upstreams and are bounded for each job only.
+/// put no load on upstreams and are bounded for each job only. Jobs lost with their upstream wait for
+/// the budget, up to their deadline.
 #[test]
 fn retries_end() {
     for (outcome, expected, reason) in [
         (
-            Outcome::LostBeforeAnswer,
+            Outcome::Failed,
             18,
             "a tenth of 150 starts plus the minimum of 3",
         ),
+        (
+            Outcome::LostBeforeAnswer,
+            33,
+            "another tenth, as all are lost with their upstreams",
+        ),
         (Outcome::NotSent, 2_250, "15 retries for each of 150 jobs"),
     ] {
-        let mut dispatcher = dispatcher_with_jobs(&config(100), &[0; 150]);
+        let mut dispatcher = Dispatcher::default();
+        dispatcher.configure(0, &config(100), &mut Vec::new());
+        for id in 1..=150 {
+            let mut job = job(id, 0);
+            job.policy.retries_errors = true;
+            dispatcher.submit(0, job, &mut Vec::new());
+        }
         let mut retries = 0;
         for id in 1..=150 {
             let mut actions = Vec::new();
@@ -224,6 +236,10 @@
             retries += starts.count();
         }
         assert_eq!(retries, expected, "{outcome:?}: {reason}");
+        let after_deadline_us = job(1, 0).deadline_us + 1;
+        let actions = actions_of(&mut dispatcher, |d, a| d.tick(after_deadline_us, a));
+        let is_refusal = |action: &Action| matches!(action, Action::Refuse { .. });
+        assert!(actions.iter().all(is_refusal), "{outcome:?}: {actions:?}");
         assert_eq!(dispatcher.in_flight(), 0, "{outcome:?}");
     }
 }
