feat(health): evidence of other daemons about upstreams that can't be reached

A crate of plain types without I/O: what a daemon tells (Outbox), and how it weighs what it hears (Board). One refused connection or two silent ones of distinct reporters take an upstream out of service for 3 s at most; whoever complains about over a quarter of its upstreams doesn't count; own answers after the silence began, a new start, and the time refute it; whoever was wrong isn't believed for a minute; after 10 s of doubt an own attempt has to confirm it. The pool follows it for at most a third of a cohort, and never for the last one.

--- a/crates/route/src/attempt_outcome.rs
+++ b/crates/route/src/attempt_outcome.rs
@@ -14,3 +14,11 @@
     /// The upstream answered with an error.
     Failed,
 }
+
+impl AttemptOutcome {
+    /// Returns whether the upstream answered.
+    #[must_use]
+    pub const fn is_answer(self) -> bool {
+        matches!(self, Self::Complete | Self::Rejected | Self::Failed)
+    }
+}
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use health::Sighting;
 use settings::{Upstream, UpstreamLifecycle};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -108,6 +109,12 @@
     pub failing_until_us: u64,
     /// Time until which this daemon's own failures say that it can't be reached.
     pub unreachable_until_us: u64,
+    /// Time until which other daemons' evidence says that it can't be reached.
+    pub doubted_until_us: u64,
+    /// Time at which it last answered something.
+    pub alive_us: u64,
+    /// Time at which an attempt last ended.
+    pub tried_us: u64,
     /// Time since which it gets no work because it can't be reached, while others of its cohort can.
     pub down_since_us: Option<u64>,
     /// End of the pause that it asked for; `None` once the pool has noticed that it is over.
@@ -155,6 +162,9 @@
             reinstated_us: None,
             failing_until_us: 0,
             unreachable_until_us: 0,
+            doubted_until_us: 0,
+            alive_us: 0,
+            tried_us: 0,
             down_since_us: None,
             paused_until_us: None,
             jitter: 0.0,
@@ -234,6 +244,15 @@
         now_us < self.failing_until_us
     }
 
+    /// Returns what this daemon itself knows about its reachability.
+    pub const fn sighting(&self) -> Sighting {
+        Sighting {
+            started_ms: self.settings.started_ms,
+            alive_us: self.alive_us,
+            tried_us: self.tried_us,
+        }
+    }
+
     /// Returns the share of normal work that it gets, 0 to 1.
     pub fn weight(&self, now_us: u64) -> f64 {
         let weight = if self.ejected || !self.accepts_requests() {
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use health::{Board, Outbox};
 use settings::{Config, UpstreamLifecycle};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -10,6 +11,7 @@
 };
 
 mod choice;
+mod evidence;
 mod layout;
 mod notices;
 mod outlier_detection;
@@ -48,6 +50,10 @@
     departures: Departures,
     pauses: Pauses,
     losses: RecentLosses,
+    /// What other daemons say about the reachability of upstreams.
+    board: Board,
+    /// What this daemon has to tell about it.
+    outbox: Outbox,
     /// Number of live daemons, this one included.
     live_daemons: u32,
     /// Share of the other daemons that announced their load lately.
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -49,6 +49,7 @@
             .first_token
             .observe(now_us, ratio, FIRST_TOKEN_WEIGHT);
         member.record_first_token(now_us, sent_us);
+        self.record_alive(now_us, index);
         self.update_ejection(now_us, index);
     }
 
@@ -69,6 +70,7 @@
         member
             .gap
             .observe(now_us, gap_us / expected_us, f64::from(count));
+        self.record_alive(now_us, index);
         self.update_ejection(now_us, index);
     }
 
@@ -92,6 +94,7 @@
         cohort
             .steps
             .observe(work.all_running(), prefill_us, elapsed_us as f64);
+        self.record_alive(now_us, index);
     }
 
     /// Records the number of events of a complete answer.
@@ -152,6 +155,7 @@
         };
         let member = &mut self.members[index];
         member.free_slot();
+        member.tried_us = now_us;
         let running = member.outstanding;
         let surplus = member.pending.len().saturating_sub(running as usize);
         member.pending.drain(..surplus);
@@ -165,6 +169,9 @@
             AttemptOutcome::Rejected => member.record_rejection(now_us, running),
             AttemptOutcome::Failed => member.record_error(now_us),
         }
+        if outcome.is_answer() {
+            self.record_alive(now_us, index);
+        }
         self.update_ejection(now_us, index);
         self.update_key(now_us, index);
     }
--- a/crates/route/src/pool/reachability.rs
+++ b/crates/route/src/pool/reachability.rs
@@ -1,11 +1,17 @@
 //! Upstreams that can't be reached: they get no work while others of their cohort can be.
 //!
 //! A failed connection says so at once. A single lost request doesn't, as its own prompt or
-//! connection may be the cause; several that are lost at the same moment do.
+//! connection may be the cause; several that are lost at the same moment do. What other daemons
+//! report counts too, for a bounded part of each cohort.
+
+use health::Symptom;
 
 use super::Pool;
 use crate::{AttemptOutcome, member::Member};
 
+/// Other daemons' evidence may take at most one member in this many out of service.
+const DOUBTED_DIVISOR: usize = 3;
+
 impl Pool {
     /// Returns whether this daemon's own failures say that an upstream can't be reached.
     #[must_use]
@@ -24,6 +30,11 @@
         let member = &mut self.members[index];
         let lost_together =
             outcome == AttemptOutcome::Lost && self.losses.record(now_us, &member.name);
+        if lost_together {
+            let started_ms = member.settings.started_ms;
+            self.outbox
+                .record(now_us, member.id, started_ms, Symptom::Cut, 0);
+        }
         if lost_together || outcome == AttemptOutcome::ConnectFailed {
             member.record_unreachable(now_us);
             self.update_down(now_us);
@@ -50,19 +61,67 @@
 
     /// Returns the indexes of the members that have to go out of service or come back.
     fn down_changes(&self, now_us: u64) -> Vec<usize> {
-        let is_unreachable = |member: &Member| now_us < member.unreachable_until_us;
-        let mut in_service = vec![false; self.cohorts.len()];
+        let mut cohorts = vec![Reachability::default(); self.cohorts.len()];
         for member in self.members.iter().filter(|member| could_serve(member)) {
-            in_service[member.cohort as usize] |= !is_unreachable(member);
+            let cohort = &mut cohorts[member.cohort as usize];
+            cohort.all += 1;
+            if now_us >= member.unreachable_until_us {
+                cohort.reachable += 1;
+                if now_us < member.doubted_until_us {
+                    cohort.doubts.push(doubt_of(member));
+                }
+            }
+        }
+        for cohort in &mut cohorts {
+            cohort.bound_doubts();
         }
         let changed = self.members.iter().enumerate().filter(|(_, member)| {
-            member.down_since_us.is_some()
-                != (is_unreachable(member) && in_service[member.cohort as usize])
+            let cohort = &cohorts[member.cohort as usize];
+            let is_down = if now_us < member.unreachable_until_us {
+                cohort.reachable > 0
+            } else {
+                now_us < member.doubted_until_us && cohort.follows_doubt(doubt_of(member))
+            };
+            member.down_since_us.is_some() != is_down
         });
         changed.map(|(index, _)| index).collect()
     }
 }
 
+/// End of the doubt about a member, and its identifier.
+type Doubt = (u64, u64);
+
+/// Reachability of the members of one cohort.
+#[derive(Debug, Clone, Default)]
+struct Reachability {
+    /// Members that would get work if they can be reached.
+    all: usize,
+    /// Those of them that this daemon itself has not failed to reach.
+    reachable: usize,
+    /// Doubts about reachable members, the latest first once they are bounded.
+    doubts: Vec<Doubt>,
+}
+
+impl Reachability {
+    /// Keeps the latest doubts, about a part of the members that leaves others in service.
+    fn bound_doubts(&mut self) {
+        let doubted_max = (self.all / DOUBTED_DIVISOR).max(1);
+        self.doubts
+            .sort_unstable_by_key(|&doubt| std::cmp::Reverse(doubt));
+        let others = self.reachable.saturating_sub(1);
+        self.doubts.truncate(doubted_max.min(others));
+    }
+
+    /// Returns whether a doubt is among those that were kept.
+    fn follows_doubt(&self, doubt: Doubt) -> bool {
+        self.doubts.last().is_some_and(|&last| doubt >= last)
+    }
+}
+
+fn doubt_of(member: &Member) -> Doubt {
+    (member.doubted_until_us, member.id)
+}
+
 /// Returns whether a member would get work if it can be reached.
 fn could_serve(member: &Member) -> bool {
     member.may_accept_requests() && member.share != Some(0)
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,6 +21,7 @@
 mod dispatch;
 mod dispatcher;
 mod entry;
+mod evidence;
 #[cfg(test)]
 mod fixtures;
 mod group;
@@ -66,6 +67,7 @@
     policy::JobPolicy,
     reason::Reason,
 };
+pub use health::Symptom;
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
     EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality, PAUSE_MAX_US,
