--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -5,7 +5,7 @@
 use grant::Peer;
 use log::debug;
 
-use crate::{prompt_evidence, shared::Shared, sharing::Message};
+use crate::{prompt_evidence, shared::Shared, sharing::Message, upstream_evidence};
 
 /// Interval between checks whether a report is due; reports are due every 200 to 900 ms.
 const TICK: Duration = Duration::from_millis(50);
@@ -47,9 +47,10 @@
             return;
         }
     };
-    if let Message::Quarantine(message) = &message {
-        prompt_evidence::receive(shared, from, message);
-        return;
+    match &message {
+        Message::Quarantine(message) => return prompt_evidence::receive(shared, from, message),
+        Message::Health(message) => return upstream_evidence::receive(shared, from, message),
+        Message::Demand(_) | Message::Grants(_) | Message::Loads(_) => {}
     }
     let reply = shared.with_core(|now_us, core| {
         let reply = core.sharing.receive(now_us, from, &message);
--- a/crates/daemon/src/handle.rs
+++ b/crates/daemon/src/handle.rs
@@ -84,7 +84,7 @@
             Outcome::LostBeforeAnswer | Outcome::LostMidStream { .. }
         );
         self.ended |= complete;
-        let has_queued = self.shared.with_core(|now_us, core| {
+        let (has_queued, has_complaints) = self.shared.with_core(|now_us, core| {
             core.sharing.ended(id);
             core.dispatch(now_us, |dispatcher, actions| {
                 dispatcher.finish(now_us, id, outcome, actions);
@@ -92,11 +92,15 @@
             if complete {
                 core.remove_waiter(id);
             }
-            core.dispatcher.has_queued()
+            let dispatcher = &core.dispatcher;
+            (dispatcher.has_queued(), dispatcher.has_complaints())
         });
         if has_queued {
             self.shared.queued.notify_one();
         }
+        if has_complaints {
+            self.shared.upstream_evidence.notify_one();
+        }
         if lost {
             self.shared.evidence.notify_one();
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,6 +38,7 @@
 mod sharing;
 mod sse_body;
 mod start;
+mod upstream_evidence;
 
 pub use self::{
     logs::init_logging,
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -4,7 +4,8 @@
 
 use link::{ConnectionPool, RequestError, Response};
 use log::info;
-use sched::Outcome;
+use sched::{Outcome, Symptom};
+use settings::Upstream;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -52,6 +53,7 @@
         Ok(response) => response,
         Err(error) => {
             let outcome = outcome_of(&error);
+            record_symptom(shared, upstream_settings, sent_at, &error);
             if outcome == Outcome::NotSent {
                 pool.close_idle(upstream_settings.address);
             }
@@ -105,12 +107,40 @@
 /// Maps a request error to the attempt's outcome.
 pub(super) const fn outcome_of(error: &RequestError) -> Outcome {
     match error {
-        RequestError::NotSent(_) => Outcome::NotSent,
+        RequestError::NotSent(_) | RequestError::Refused(_) | RequestError::Unreachable(_) => {
+            Outcome::NotSent
+        }
         RequestError::Withheld => Outcome::Withheld,
-        RequestError::Lost(_) => Outcome::LostBeforeAnswer,
+        RequestError::Lost(_) | RequestError::Unacknowledged(_) => Outcome::LostBeforeAnswer,
     }
 }
 
+/// Records what the failure of an attempt says about the reachability of its upstream. Nothing came
+/// from the upstream since `silent_since`.
+pub(super) fn record_symptom(
+    shared: &Shared,
+    upstream: &Upstream,
+    silent_since: Instant,
+    error: &RequestError,
+) {
+    let symptom = match error {
+        RequestError::Refused(_) => Symptom::Refused,
+        RequestError::Unreachable(_) | RequestError::Unacknowledged(_) => Symptom::Silent,
+        RequestError::NotSent(_) | RequestError::Withheld | RequestError::Lost(_) => return,
+    };
+    let silent_us = match symptom {
+        Symptom::Refused => 0,
+        Symptom::Silent | Symptom::Cut => {
+            u64::try_from(silent_since.elapsed().as_micros()).unwrap_or(u64::MAX)
+        }
+    };
+    let started_ms = upstream.started_ms;
+    shared.with_core(|now_us, core| {
+        core.dispatcher
+            .record_symptom(now_us, &upstream.name, started_ms, symptom, silent_us);
+    });
+}
+
 /// Logs the start of an attempt and counts it in the metrics.
 pub(super) fn record_start(
     shared: &Shared,
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use code::{Code, Run};
 use futures::{Stream, StreamExt as _};
-use link::{ConnectionPool, Response};
+use link::{ConnectionPool, RequestError, Response};
 use log::info;
 use ntex::{io::IoRef, web::HttpResponse};
 use sched::Outcome;
@@ -42,6 +42,8 @@
     response: Option<Response>,
     /// Time of the first event of the current attempt.
     begun_at: Option<Instant>,
+    /// Time at which something of the current attempt was last received, or it was sent.
+    heard_at: Instant,
     events: EventBuffer,
 }
 
@@ -65,6 +67,7 @@
         upstream: "".into(),
         response: None,
         begun_at: None,
+        heard_at: Instant::now(),
         events: EventBuffer::default(),
     };
     let mut progress = Progress::default();
@@ -254,6 +257,7 @@
     /// Sends one attempt and returns the first part of its response.
     async fn first(&mut self) -> Result<FirstPart, Outcome> {
         self.begun_at = None;
+        self.heard_at = Instant::now();
         let resume_after = self.events.last_id();
         let sending = attempt::send(
             &self.shared,
@@ -332,6 +336,7 @@
         loop {
             match response.next_chunk().await {
                 Ok(Some(chunk)) => {
+                    self.heard_at = Instant::now();
                     let events = match self.events.push(chunk) {
                         Ok(events) => events,
                         Err(error) => {
@@ -355,6 +360,7 @@
                 }
                 Err(error) => {
                     self.log_loss(&error.to_string());
+                    self.record_symptom(&error);
                     self.events.take_partial();
                     return Err(());
                 }
@@ -362,6 +368,14 @@
         }
     }
 
+    /// Records what the loss of the current attempt says about the reachability of its upstream.
+    fn record_symptom(&self, error: &RequestError) {
+        let snapshot = self.shared.snapshot.load();
+        if let Some(upstream) = snapshot.config.upstream(&self.upstream) {
+            attempt::record_symptom(&self.shared, upstream, self.heard_at, error);
+        }
+    }
+
     /// Logs that the current attempt was lost.
     fn log_loss(&self, detail: &str) {
         log_loss(&self.call, &self.upstream, self.begun_at, detail);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -46,6 +46,8 @@
     start_nonce: u64,
     /// Wakes the task that exchanges evidence about prompts.
     pub(crate) evidence: Notify,
+    /// Wakes the task that tells others about upstreams that can't be reached.
+    pub(crate) upstream_evidence: Notify,
     /// Wakes the dispatcher's tick task when a job has to wait.
     pub(crate) queued: Notify,
     core: Mutex<Core>,
@@ -71,6 +73,7 @@
             pending_work: PendingWork::default(),
             start_nonce: rand::random(),
             evidence: Notify::new(),
+            upstream_evidence: Notify::new(),
             queued: Notify::new(),
             core: Mutex::new(core),
         }
--- a/crates/daemon/src/sharing.rs
+++ b/crates/daemon/src/sharing.rs
@@ -20,6 +20,8 @@
     Loads(LoadAnnouncement),
     /// Evidence and verdicts about parts of prompts.
     Quarantine(quarantine::Message),
+    /// Evidence about upstreams that can't be reached.
+    Health(health::Message),
 }
 
 /// This daemon's roles in sharing upstream slots: holder of grants, and home of some upstreams.
@@ -125,8 +127,8 @@
                 self.peer_loads.update(now_us, from, loads);
                 None
             }
-            // Concerns no slots; `receive_payload` handles it.
-            Message::Quarantine(_) => None,
+            // They concern no slots; `receive_payload` handles them.
+            Message::Quarantine(_) | Message::Health(_) => None,
         }
     }
 
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -38,6 +38,7 @@
     running::RunningDaemon,
     services::{self, ServiceClients},
     shared::Shared,
+    upstream_evidence::exchange_upstream_evidence,
 };
 
 /// Time limit of one request to the table service.
@@ -167,6 +168,7 @@
             running.spawn(share_slots(shared.clone()));
         }
         running.spawn(exchange_prompt_evidence(shared.clone()));
+        running.spawn(exchange_upstream_evidence(shared.clone()));
         running.spawn(exchange_datagrams(shared.clone(), socket, announce));
         running.spawn(serve_config(shared.clone(), peer_listener));
         running.spawn(fetch_configs(shared.clone(), announcements));
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -3,7 +3,9 @@
 use std::{
     cell::Cell,
     collections::VecDeque,
+    error::Error,
     future::poll_fn,
+    io,
     net::SocketAddr,
     pin::{Pin, pin},
     rc::Rc,
@@ -65,7 +67,7 @@
 /// Reason why a request failed; a request that was not sent is returned to the caller.
 pub(crate) enum SendError {
     NotSent(Box<Request<Full<Bytes>>>),
-    Lost(String),
+    Lost(RequestError),
 }
 
 impl Connection {
@@ -77,8 +79,8 @@
         let not_sent = |detail: String| RequestError::NotSent(detail);
         let stream = timeout(options.connect_timeout, TcpStream::connect(address)).await;
         let stream = stream
-            .map_err(|_| not_sent("connect timed out".to_owned()))?
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(|_| RequestError::Unreachable("connect timed out".to_owned()))?
+            .map_err(|error| connect_error(&error))?;
         let socket = SockRef::from(&stream);
         let keepalive = TcpKeepalive::new()
             .with_time(KEEPALIVE_INTERVAL)
@@ -124,11 +126,11 @@
         .await;
         self.overhead_bytes.set(0);
         let Some(result) = result else {
-            return Err(SendError::Lost(WITHOUT_END.to_owned()));
+            return Err(SendError::Lost(RequestError::Lost(WITHOUT_END.to_owned())));
         };
         result.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
-            None => SendError::Lost(error.error().to_string()),
+            None => SendError::Lost(lost(error.error())),
         })
     }
 
@@ -150,11 +152,11 @@
         self.refused.contains(&tag)
     }
 
-    /// Reads the next frame of a response body; fails with a description.
+    /// Reads the next frame of a response body.
     pub(crate) async fn next(
         &mut self,
         body: &mut Incoming,
-    ) -> Option<Result<Frame<Bytes>, String>> {
+    ) -> Option<Result<Frame<Bytes>, RequestError>> {
         let (driver, closed) = (&mut self.driver, &mut self.closed);
         let frame = poll_fn(|context| {
             drive(driver, closed, context);
@@ -164,8 +166,8 @@
         .await;
         self.overhead_bytes.set(0);
         match frame {
-            Some(frame) => frame.map(|frame| frame.map_err(|error| error.to_string())),
-            None => Some(Err(WITHOUT_END.to_owned())),
+            Some(frame) => frame.map(|frame| frame.map_err(|error| lost(&error))),
+            None => Some(Err(RequestError::Lost(WITHOUT_END.to_owned()))),
         }
     }
 
@@ -182,6 +184,32 @@
     }
 }
 
+/// Maps an error of the system while a connection is opened.
+fn connect_error(error: &io::Error) -> RequestError {
+    let detail = error.to_string();
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => RequestError::Refused(detail),
+        io::ErrorKind::TimedOut
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable => RequestError::Unreachable(detail),
+        _ => RequestError::NotSent(detail),
+    }
+}
+
+/// Maps an error of a connection on which a request was sent.
+fn lost(error: &hyper::Error) -> RequestError {
+    let detail = error.to_string();
+    let mut source: Option<&dyn Error> = error.source();
+    while let Some(cause) = source {
+        let io_error = cause.downcast_ref::<io::Error>();
+        if io_error.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+            return RequestError::Unacknowledged(detail);
+        }
+        source = cause.source();
+    }
+    RequestError::Lost(detail)
+}
+
 /// Ends a wait, with `None`, for which too many bytes were read already.
 fn give_up_without_end<T>(overhead_bytes: &Cell<usize>, polled: Poll<T>) -> Poll<Option<T>> {
     if polled.is_pending() && overhead_bytes.get() > OVERHEAD_MAX_BYTES {
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -46,8 +46,10 @@
     ///
     /// # Errors
     ///
-    /// [`RequestError::NotSent`] if no byte was sent, [`RequestError::Withheld`] if `may_send` did
-    /// not allow it, [`RequestError::Lost`] if the request may have been executed.
+    /// [`RequestError::NotSent`], [`RequestError::Refused`] or [`RequestError::Unreachable`] if no
+    /// byte was sent, [`RequestError::Withheld`] if `may_send` did not allow it,
+    /// [`RequestError::Lost`] or [`RequestError::Unacknowledged`] if the request may have been
+    /// executed.
     pub async fn send<F>(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -79,7 +81,7 @@
                 Err(SendError::NotSent(_)) => {
                     return Err(RequestError::NotSent("connection closed".to_owned()));
                 }
-                Err(SendError::Lost(detail)) => return Err(RequestError::Lost(detail)),
+                Err(SendError::Lost(error)) => return Err(error),
             }
         }
     }
--- a/crates/link/src/response.rs
+++ b/crates/link/src/response.rs
@@ -80,7 +80,7 @@
     ///
     /// # Errors
     ///
-    /// [`RequestError::Lost`] if the connection fails before the end of the body.
+    /// [`RequestError::Lost`] or [`RequestError::Unacknowledged`] if the connection fails before the end of the body.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, RequestError> {
         loop {
             let Some(connection) = self.connection.as_mut() else {
@@ -94,7 +94,7 @@
                 }
                 Some(Err(error)) => {
                     self.connection = None;
-                    return Err(RequestError::Lost(error));
+                    return Err(error);
                 }
                 None => {
                     self.return_to_pool().await;
@@ -108,7 +108,7 @@
     ///
     /// # Errors
     ///
-    /// [`RequestError::Lost`] if the connection fails before the end of the body or the body is
+    /// [`RequestError::Lost`] or [`RequestError::Unacknowledged`] if the connection fails before the end of the body or the body is
     /// larger than `max_bytes`.
     pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, RequestError> {
         let Some(first) = self.next_chunk().await? else {
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -33,3 +33,10 @@
     /// Why the response is incomplete: `caller_left` or `broken`.
     pub cause: &'static str,
 }
+
+/// Label of complaints about upstreams that can't be reached.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ComplaintLabel {
+    /// What happened: `told`, `heard`, `followed` or `lapsed`.
+    pub event: &'static str,
+}
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -11,7 +11,7 @@
     registry::Registry,
 };
 
-use crate::{Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel};
+use crate::{Attainment, ClassLabel, CodeLabel, ComplaintLabel, Gauges, TierLabel, WasteLabel};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "fireflylever";
@@ -34,6 +34,7 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
+    upstream_complaints: Family<ComplaintLabel, Counter>,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -62,6 +63,7 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
+            upstream_complaints: Family::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -72,6 +74,7 @@
             ready: Gauge::default(),
         };
         metrics.register();
+        metrics.register_upstream_news();
         metrics
     }
 }
@@ -160,6 +163,32 @@
         self.upstream_pauses.inc();
     }
 
+    /// Counts complaints about upstreams that this daemon told others.
+    pub fn record_complaints_told(&self, count: usize) {
+        self.count_complaints("told", count);
+    }
+
+    /// Counts complaints about upstreams that this daemon heard from others.
+    pub fn record_complaints_heard(&self, count: usize) {
+        self.count_complaints("heard", count);
+    }
+
+    /// Counts upstreams that went out of service because of complaints of others.
+    pub fn record_complaints_followed(&self, count: usize) {
+        self.count_complaints("followed", count);
+    }
+
+    /// Counts complaints of others that have lapsed.
+    pub fn record_complaints_lapsed(&self, count: usize) {
+        self.count_complaints("lapsed", count);
+    }
+
+    fn count_complaints(&self, event: &'static str, count: usize) {
+        self.upstream_complaints
+            .get_or_create(&ComplaintLabel { event })
+            .inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+
     /// Sets the gauges and writes all families in the Prometheus text format.
     #[must_use]
     pub fn encode(&self, gauges: &Gauges) -> String {
@@ -197,6 +226,26 @@
         }
     }
 
+    /// Registers the families about what upstreams say, and what is said of them.
+    fn register_upstream_news(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "upstream_departures",
+            "Upstreams that said in an answer that they are leaving",
+            self.upstream_departures.clone(),
+        );
+        registry.register(
+            "upstream_pauses",
+            "Answers of upstreams that asked for a pause",
+            self.upstream_pauses.clone(),
+        );
+        registry.register(
+            "upstream_complaints",
+            "Complaints about upstreams that can't be reached, told to or heard from other hosts",
+            self.upstream_complaints.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         register(
@@ -243,16 +292,6 @@
             self.preemptions.clone(),
         );
         registry.register("hedges", "Hedged attempts", self.hedges.clone());
-        registry.register(
-            "upstream_departures",
-            "Upstreams that said in an answer that they are leaving",
-            self.upstream_departures.clone(),
-        );
-        registry.register(
-            "upstream_pauses",
-            "Answers of upstreams that asked for a pause",
-            self.upstream_pauses.clone(),
-        );
         let help = "Time to the first token";
         registry.register(
             "first_token_seconds",
