fix(health): let evidence of refused connections and lost streams lapse after a second

Silence still counts for 3 s, as a try costs the time limit for connecting. Weighing stops once the evidence suffices.

/admin/upstreams shows is_down.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -72,6 +72,7 @@
             "weight": status.weight,
             "slowdown": status.slowdown,
             "ejected": status.ejected,
+            "is_down": status.is_down,
             "outstanding": status.outstanding,
         })
     };
--- a/crates/health/src/board.rs
+++ b/crates/health/src/board.rs
@@ -1,10 +1,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{
-    Message, Sighting, Symptom,
-    report::{LIFETIME_US, Report},
-    reporter::Reporter,
-};
+use crate::{Message, Sighting, Symptom, report::Report, reporter::Reporter};
 
 /// Longest time for which an upstream stays doubted without an attempt of this daemon at it.
 const UNTRIED_MAX_US: u64 = 10_000_000;
@@ -94,6 +90,9 @@
         for report in counted {
             weight += report.symptom.weight();
             until_us = until_us.min(report.lapses_us);
+            if weight >= Symptom::WEIGHT_MIN {
+                break;
+            }
         }
         let found = self
             .doubts
@@ -162,9 +161,8 @@
             !reporter.is_forgettable(now_us)
                 || reports.iter().any(|report| report.reporter == reporter.id)
         });
-        let untried_us = UNTRIED_MAX_US + LIFETIME_US;
         self.doubts
-            .retain(|doubt| now_us < doubt.since_us.saturating_add(2 * untried_us));
+            .retain(|doubt| now_us < doubt.since_us.saturating_add(2 * UNTRIED_MAX_US));
         before - self.reports.len()
     }
 
--- a/crates/health/src/outbox.rs
+++ b/crates/health/src/outbox.rs
@@ -1,4 +1,4 @@
-use crate::{Complaint, Message, Symptom, report::LIFETIME_US, reporter::is_cut_off};
+use crate::{Complaint, Message, Symptom, reporter::is_cut_off};
 
 /// This daemon's observation of an upstream.
 #[derive(Debug, Clone, Copy)]
@@ -72,8 +72,12 @@
     /// `contacts` is the number of upstreams that this daemon has lately tried or heard from. If it
     /// fails to reach many of them, it is likely cut off itself, and tells nothing.
     pub fn take_message(&mut self, now_us: u64, contacts: u16) -> Option<Message> {
-        self.observations
-            .retain(|known| now_us < known.observed_us.saturating_add(LIFETIME_US));
+        self.observations.retain(|known| {
+            now_us
+                < known
+                    .observed_us
+                    .saturating_add(known.symptom.lifetime_us())
+        });
         if is_cut_off(self.observations.len(), contacts) {
             self.observations
                 .iter_mut()
--- a/crates/health/src/report.rs
+++ b/crates/health/src/report.rs
@@ -1,8 +1,5 @@
 use crate::{Complaint, Sighting, Symptom};
 
-/// Time after an observation at which it no longer counts.
-pub const LIFETIME_US: u64 = 3_000_000;
-
 /// Time after the beginning of a silence in which something may still arrive that was sent before: on
 /// the way between regions, or waiting to be read by a busy daemon.
 const IN_TRANSIT_US: u64 = 200_000;
@@ -26,7 +23,8 @@
     pub fn new(now_us: u64, reporter: u64, complaint: &Complaint) -> Option<Self> {
         let age_us = u64::from(complaint.age_ms) * 1_000;
         let silent_us = u64::from(complaint.silent_ms) * 1_000;
-        let left_us = LIFETIME_US.checked_sub(age_us).filter(|&left| left > 0)?;
+        let lifetime_us = complaint.symptom.lifetime_us();
+        let left_us = lifetime_us.checked_sub(age_us).filter(|&left| left > 0)?;
         Some(Self {
             upstream: complaint.upstream,
             reporter,
--- a/crates/health/src/symptom.rs
+++ b/crates/health/src/symptom.rs
@@ -15,6 +15,17 @@
     /// Evidence that has to come together before an upstream is doubted.
     pub(crate) const WEIGHT_MIN: u32 = 2;
 
+    /// Returns the time after an observation at which it no longer counts, in microseconds.
+    ///
+    /// An upstream may be back at any time. Trying one that refuses connections costs a round trip;
+    /// trying one that is silent costs the time limit for connecting.
+    pub(crate) const fn lifetime_us(self) -> u64 {
+        match self {
+            Self::Refused | Self::Cut => 1_000_000,
+            Self::Silent => 3_000_000,
+        }
+    }
+
     /// Returns how much this observation of one daemon counts.
     ///
     /// A refusal can only come from the upstream's host. The others may be the fault of the
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -66,8 +66,9 @@
 /// Longest ejection time after a failure.
 const FAILURE_EJECTION_MAX_US: u64 = 30_000_000;
 
-/// Longest time for which an upstream counts as unreachable after a failure.
-const UNREACHABLE_MAX_US: u64 = 2_000_000;
+/// Longest time for which an upstream counts as unreachable after a failure. It may be back at any
+/// time, and a refused connection costs little.
+const UNREACHABLE_MAX_US: u64 = 1_000_000;
 
 /// Consecutive error answers that count as a failure; a single one may be the request's fault.
 const CONSECUTIVE_ERRORS_MAX: u32 = 3;
--- a/crates/route/src/pool/evidence.rs
+++ b/crates/route/src/pool/evidence.rs
@@ -37,8 +37,6 @@
     }
 
     /// Returns what this daemon tells the others, if there is anything.
-    ///
-    /// It says nothing about upstreams that are out of service here because of what others told.
     pub fn take_complaints(&mut self, now_us: u64) -> Option<Message> {
         let now_us = self.advance(now_us);
         let is_contact = |time_us: u64| time_us > 0 && now_us - time_us < CONTACT_US;
--- a/crates/route/src/pool_fuzz_tests.rs
+++ b/crates/route/src/pool_fuzz_tests.rs
@@ -13,7 +13,7 @@
 const SLOTS: u32 = 3;
 
 /// Longest time for which failures keep work away from an upstream while others are in service.
-const UNREACHABLE_MAX_US: u64 = 2_000_000;
+const UNREACHABLE_MAX_US: u64 = 1_000_000;
 
 /// Longest time after which the pool notices that such a time is over.
 const REFRESH_US: u64 = 200_000;
