--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -71,3 +71,10 @@
     /// Outcome: `reported` or `missed`.
     pub outcome: &'static str,
 }
+
+/// Label of complaints about upstreams that can't be reached.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ComplaintLabel {
+    /// What happened: `told`, `heard`, `followed` or `lapsed`.
+    pub event: &'static str,
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -40,6 +40,9 @@
 mod prefix_table;
 mod prompt_part;
 mod ratio;
+#[cfg(test)]
+mod reachability_tests;
+mod recent_losses;
 mod reuse;
 #[cfg(test)]
 mod reuse_load_tests;
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,20 +1,23 @@
 use std::sync::Arc;
 
+use health::{Board, Outbox};
 use settings::{Config, UpstreamLifecycle};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     Locality, ReuseTotals, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
     departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
-    prefix_table::PrefixTable,
+    prefix_table::PrefixTable, recent_losses::RecentLosses,
 };
 
 mod choice;
 mod demand;
+mod evidence;
 mod layout;
 mod notices;
 mod outlier_detection;
 mod placement;
+mod reachability;
 mod sources;
 
 pub use self::notices::PAUSE_MAX_US;
@@ -48,6 +51,11 @@
     ejected: Vec<u32>,
     departures: Departures,
     pauses: Pauses,
+    losses: RecentLosses,
+    /// What other daemons say about the reachability of upstreams.
+    board: Board,
+    /// What this daemon has to tell about it.
+    outbox: Outbox,
     /// Number of live daemons, this one included.
     live_daemons: u32,
     /// Share of the other daemons that announced their load lately.
@@ -181,6 +189,7 @@
             weight: member.weight(now_us),
             slowdown: member.slowdown,
             ejected: member.ejected,
+            is_down: member.down_since_us.is_some(),
             outstanding: member.outstanding,
         };
         configured.map(status).collect()
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,9 +21,13 @@
 mod dispatch;
 mod dispatcher;
 mod entry;
+mod evidence;
 #[cfg(test)]
 mod fixtures;
 mod group;
+mod held_retries;
+#[cfg(test)]
+mod held_retries_tests;
 #[cfg(test)]
 mod holds_complete_tests;
 #[cfg(test)]
@@ -63,6 +67,7 @@
     policy::JobPolicy,
     reason::Reason,
 };
+pub use health::Symptom;
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
     EngineDemand, EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality,
