--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -77,6 +77,18 @@
     /// Longest time that a caller may take to send a request.
     #[serde(default = "default_receive_ms")]
     pub receive_max_ms: u64,
+    /// Memory of the process, in MiB; the platform ends a process that exceeds it. If set, it limits
+    /// what is held for callers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_max_mb: Option<u64>,
+    /// Largest number of open descriptors of the process. If set, it limits the connections of
+    /// callers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub descriptors_max: Option<u64>,
+    /// Descriptors that are never used for callers or their requests: files, listeners and the
+    /// connections to operators, the store and other hosts.
+    #[serde(default = "default_descriptors_reserved")]
+    pub descriptors_reserved: u64,
     /// Interval between two reads of the release version from the table service.
     #[serde(default = "default_poll_ms")]
     pub store_poll_ms: u64,
@@ -168,6 +180,10 @@
     10_000
 }
 
+const fn default_descriptors_reserved() -> u64 {
+    64
+}
+
 /// At 2 s, 330 daemons make 165 reads a second, of the about 2,000 that the table service handles.
 const fn default_poll_ms() -> u64 {
     2_000
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -44,6 +44,9 @@
 pub(crate) const WORKERS: Range = 1..=256;
 pub(crate) const BODY_MAX_BYTES: Range = 1_024..=268_435_456;
 pub(crate) const RECEIVE_MAX_MS: Range = 1..=600_000;
+/// A process without callers needs some 20 MiB; up to 1 TiB.
+pub(crate) const MEMORY_MAX_MB: Range = 48..=1_048_576;
+pub(crate) const DESCRIPTORS: Range = 16..=1_048_576;
 /// With 5 s, a change is in force on every host within 11 s even if one read is lost.
 pub(crate) const STORE_POLL_MS: Range = 1..=5_000;
 pub(crate) const DRAIN_MAX_MS: Range = 0..=3_600_000;
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -149,6 +149,9 @@
     Field::optional("workers", Schema::Number(limits::WORKERS)),
     Field::optional("body_max_bytes", Schema::Number(limits::BODY_MAX_BYTES)),
     Field::optional("receive_max_ms", Schema::Number(limits::RECEIVE_MAX_MS)),
+    Field::optional("memory_max_mb", Schema::Number(limits::MEMORY_MAX_MB)),
+    Field::optional("descriptors_max", Schema::Number(limits::DESCRIPTORS)),
+    Field::optional("descriptors_reserved", Schema::Number(limits::DESCRIPTORS)),
     Field::optional("store_poll_ms", Schema::Number(limits::STORE_POLL_MS)),
     Field::optional("drain_max_ms", Schema::Number(limits::DRAIN_MAX_MS)),
     Field::optional(
