--- a/crates/code/src/result_code.rs
+++ b/crates/code/src/result_code.rs
@@ -49,6 +49,8 @@
     StaleView,
     /// A part of the prompt crashed several upstreams and is quarantined.
     PromptQuarantined,
+    /// This host has no memory left for the request.
+    HostFull,
     /// No upstream accepts work at present.
     NoUpstream,
     /// The connection to the upstream failed before a byte was sent.
--- a/crates/code/src/table.rs
+++ b/crates/code/src/table.rs
@@ -1,7 +1,7 @@
 use crate::{Code, Entry, Retry, Run};
 
 /// All result codes, sorted by number and in the order of the variants of [`Code`].
-pub const TABLE: [Entry; 47] = [
+pub const TABLE: [Entry; 48] = [
     Entry {
         code: Code::BadRequest,
         number: 1001,
@@ -173,6 +173,15 @@
         retry: Retry::Later,
         message: "A part of the prompt crashed several upstreams.",
     },
+    Entry {
+        code: Code::HostFull,
+        number: 3008,
+        name: "host_full",
+        http_status: 503,
+        run: Run::No,
+        retry: Retry::Later,
+        message: "This host has no memory left for the request.",
+    },
     Entry {
         code: Code::NoUpstream,
         number: 4001,
--- /dev/null
+++ b/crates/intake/src/connection_table.rs
@@ -0,0 +1,181 @@
+use std::{collections::HashMap, hash::Hash};
+
+/// Time since its last request after which a connection is idle: its answer has been flushed.
+const IDLE_US: u64 = 500_000;
+
+/// Limits of a [`ConnectionTable`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionOptions {
+    /// Largest number of open connections.
+    pub connections_max: usize,
+    /// Largest number of bytes that were received on all connections and not processed yet.
+    pub unread_bytes_max: usize,
+    /// Largest number of connections whose callers don't read.
+    pub stalled_max: usize,
+    /// Longest time for which a caller may not read.
+    pub stalled_us: u64,
+}
+
+impl ConnectionOptions {
+    /// Returns the limits of one of several threads that share them.
+    #[must_use]
+    pub fn divided_by(self, threads: usize) -> Self {
+        let part = |limit: usize| (limit / threads.max(1)).max(1);
+        Self {
+            connections_max: part(self.connections_max),
+            unread_bytes_max: part(self.unread_bytes_max),
+            stalled_max: part(self.stalled_max),
+            stalled_us: self.stalled_us,
+        }
+    }
+}
+
+/// State of a connection that its socket shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionState {
+    /// Whether it is closed.
+    pub closed: bool,
+    /// Bytes that were received and not processed yet.
+    pub unread_bytes: usize,
+    /// Whether bytes wait to be sent because the caller doesn't read.
+    pub stalled: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    last_us: u64,
+    requests: u32,
+    stalled_since_us: Option<u64>,
+    unread_since_us: Option<u64>,
+}
+
+/// Open connections of callers.
+#[derive(Debug)]
+pub struct ConnectionTable<K> {
+    options: ConnectionOptions,
+    /// The key of a connection has no order.
+    entries: HashMap<K, Entry>,
+}
+
+impl<K> ConnectionTable<K>
+where
+    K: Clone + Eq + Hash,
+{
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(options: ConnectionOptions) -> Self {
+        Self {
+            options,
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Returns the number of connections.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are no connections.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns whether another connection exceeds the limit.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.entries.len() >= self.options.connections_max
+    }
+
+    /// Adds a connection.
+    pub fn insert(&mut self, now_us: u64, key: K) {
+        let entry = Entry {
+            last_us: now_us,
+            requests: 0,
+            stalled_since_us: None,
+            unread_since_us: None,
+        };
+        self.entries.insert(key, entry);
+    }
+
+    /// Removes a connection.
+    pub fn remove(&mut self, key: &K) {
+        self.entries.remove(key);
+    }
+
+    /// Returns the connection that has been idle for longest, to be closed for a new one; `None` if
+    /// all are in use.
+    #[must_use]
+    pub fn longest_idle(&self, now_us: u64) -> Option<K> {
+        let idle = self.entries.iter().filter(|(_, entry)| {
+            entry.requests == 0 && now_us.saturating_sub(entry.last_us) >= IDLE_US
+        });
+        let longest = idle.min_by_key(|(_, entry)| entry.last_us);
+        longest.map(|(key, _)| key.clone())
+    }
+
+    /// Records that a request begins on a connection.
+    pub fn begin_request(&mut self, now_us: u64, key: &K) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.requests += 1;
+            entry.last_us = now_us;
+        }
+    }
+
+    /// Records that a request has ended on a connection.
+    pub fn end_request(&mut self, now_us: u64, key: &K) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.requests = entry.requests.saturating_sub(1);
+            entry.last_us = now_us;
+        }
+    }
+
+    /// Looks at all connections; forgets the closed ones and returns those to close: callers that
+    /// haven't read for too long, and the first of those that make others wait for memory.
+    pub fn sweep<F>(&mut self, now_us: u64, state_of: F) -> Vec<K>
+    where
+        F: Fn(&K) -> ConnectionState,
+    {
+        let mut unread_bytes = 0;
+        let mut unread = Vec::new();
+        let mut stalled = Vec::new();
+        self.entries.retain(|key, entry| {
+            let state = state_of(key);
+            if state.closed {
+                return false;
+            }
+            if state.unread_bytes > 0 && entry.requests == 0 {
+                let since_us = *entry.unread_since_us.get_or_insert(now_us);
+                unread_bytes += state.unread_bytes;
+                unread.push((since_us, state.unread_bytes, key.clone()));
+            } else {
+                entry.unread_since_us = None;
+            }
+            if state.stalled {
+                let since_us = *entry.stalled_since_us.get_or_insert(now_us);
+                stalled.push((since_us, key.clone()));
+            } else {
+                entry.stalled_since_us = None;
+            }
+            true
+        });
+        let mut closed = Vec::new();
+        unread.sort_by_key(|&(since_us, bytes, _)| (since_us, std::cmp::Reverse(bytes)));
+        for (_, bytes, key) in unread {
+            if unread_bytes <= self.options.unread_bytes_max {
+                break;
+            }
+            unread_bytes -= bytes;
+            closed.push(key);
+        }
+        stalled.sort_by_key(|&(since_us, _)| since_us);
+        let surplus = stalled.len().saturating_sub(self.options.stalled_max);
+        for (index, (since_us, key)) in stalled.into_iter().enumerate() {
+            if index < surplus || now_us.saturating_sub(since_us) >= self.options.stalled_us {
+                closed.push(key);
+            }
+        }
+        closed
+    }
+}
--- /dev/null
+++ b/crates/intake/src/connection_table_tests.rs
@@ -0,0 +1,99 @@
+use crate::{ConnectionOptions, ConnectionState, ConnectionTable};
+
+const SECOND_US: u64 = 1_000_000;
+
+const OPEN: ConnectionState = ConnectionState {
+    closed: false,
+    unread_bytes: 0,
+    stalled: false,
+};
+
+fn table(connections: u32) -> ConnectionTable<u32> {
+    let mut table = ConnectionTable::new(ConnectionOptions {
+        connections_max: 4,
+        unread_bytes_max: 100,
+        stalled_max: 2,
+        stalled_us: 10 * SECOND_US,
+    });
+    for number in 0..connections {
+        table.insert(u64::from(number), number);
+    }
+    table
+}
+
+/// Guards against new callers that are turned away while others keep silent connections, and
+/// against closing one whose request runs.
+#[test]
+fn longest_idle_connection_makes_room() {
+    let mut table = table(4);
+    assert!(table.is_full());
+    assert_eq!(
+        table.longest_idle(3),
+        None,
+        "none has been idle for long enough"
+    );
+    table.begin_request(SECOND_US, &0);
+    table.begin_request(SECOND_US, &1);
+    table.end_request(2 * SECOND_US, &1);
+    let now_us = 60 * SECOND_US;
+    let mut closed = Vec::new();
+    while let Some(number) = table.longest_idle(now_us) {
+        table.remove(&number);
+        closed.push(number);
+    }
+    assert_eq!(closed, [2, 3, 1]);
+    assert_eq!(table.len(), 1);
+    // Ends after its connection has been closed.
+    table.end_request(now_us, &1);
+    assert_eq!(table.len(), 1);
+}
+
+/// Guards against connections that closed and still count.
+#[test]
+fn closed_connections_are_forgotten() {
+    let mut table = table(4);
+    let closed = table.sweep(0, |&number| ConnectionState {
+        closed: number < 3,
+        ..OPEN
+    });
+    assert!(closed.is_empty());
+    assert_eq!(table.len(), 1);
+}
+
+/// Guards against heads without end, which together take the memory of the host, and against
+/// closing a caller whose request runs.
+#[test]
+fn oldest_unfinished_heads_are_closed() {
+    let mut table = table(4);
+    table.begin_request(0, &0);
+    let with_unread = |bytes: usize| {
+        move |_: &u32| ConnectionState {
+            unread_bytes: bytes,
+            ..OPEN
+        }
+    };
+    assert!(table.sweep(0, with_unread(33)).is_empty());
+    let closed = table.sweep(SECOND_US, with_unread(60));
+    assert_eq!(closed.len(), 2);
+    assert!(!closed.contains(&0));
+}
+
+/// Guards against callers that never read, or too many that don't read at the same time, and
+/// against closing one that reads in between.
+#[test]
+fn callers_that_do_not_read_are_closed() {
+    let stalled = |numbers: &'static [u32]| {
+        move |number: &u32| ConnectionState {
+            stalled: numbers.contains(number),
+            ..OPEN
+        }
+    };
+    let mut table = table(4);
+    assert!(table.sweep(0, stalled(&[1])).is_empty());
+    assert!(table.sweep(SECOND_US, stalled(&[1, 2])).is_empty());
+    assert_eq!(table.sweep(2 * SECOND_US, stalled(&[1, 2, 3])), [1]);
+    table.remove(&1);
+    assert!(table.sweep(9 * SECOND_US, stalled(&[3])).is_empty());
+    assert!(table.sweep(11 * SECOND_US, stalled(&[2, 3])).is_empty());
+    assert_eq!(table.sweep(12 * SECOND_US, stalled(&[2, 3])), [3]);
+}
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -13,6 +13,12 @@
     pub stragglers: u64,
     /// Number of prompt parts whose requests are refused because they crash upstreams.
     pub quarantined_parts: u64,
+    /// Bytes that are held for callers, by kind.
+    pub held_bytes: Vec<(&'static str, u64)>,
+    /// Number of requests that wait for memory.
+    pub memory_waits: u64,
+    /// Number of open connections of callers.
+    pub caller_connections: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// Number of other daemons that are live.
--- a/crates/metric/src/labels.rs
+++ b/crates/metric/src/labels.rs
@@ -25,6 +25,29 @@
     pub name: &'static str,
 }
 
+/// Label with what is held for callers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// Name of the kind.
+    pub kind: &'static str,
+}
+
+/// Labels of memory that was not granted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ShortageLabel {
+    /// Name of the kind.
+    pub kind: &'static str,
+    /// Why: `full`, `share` or `too_large`.
+    pub reason: &'static str,
+}
+
+/// Label with the reason why a connection was closed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// Name of the reason.
+    pub reason: &'static str,
+}
+
 /// Labels of tokens whose response was not completed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct WasteLabel {
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -20,6 +20,6 @@
 pub use self::{
     attainment::Attainment,
     gauges::Gauges,
-    labels::{ClassLabel, CodeLabel, TierLabel, WasteLabel},
+    labels::{ClassLabel, CodeLabel, KindLabel, ReasonLabel, ShortageLabel, TierLabel, WasteLabel},
     metrics::Metrics,
 };
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -11,7 +11,10 @@
     registry::Registry,
 };
 
-use crate::{Attainment, ClassLabel, CodeLabel, Gauges, TierLabel, WasteLabel};
+use crate::{
+    Attainment, ClassLabel, CodeLabel, Gauges, KindLabel, ReasonLabel, ShortageLabel, TierLabel,
+    WasteLabel,
+};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "fireflylever";
@@ -34,6 +37,11 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
+    shortages: Family<ShortageLabel, Counter>,
+    closed_callers: Family<ReasonLabel, Counter>,
+    held_bytes: Family<KindLabel, Gauge>,
+    memory_waits: Gauge,
+    caller_connections: Gauge,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -62,6 +70,11 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
+            shortages: Family::default(),
+            closed_callers: Family::default(),
+            held_bytes: Family::default(),
+            memory_waits: Gauge::default(),
+            caller_connections: Gauge::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -72,6 +85,7 @@
             ready: Gauge::default(),
         };
         metrics.register();
+        metrics.register_holds();
         metrics
     }
 }
@@ -160,6 +174,19 @@
         self.upstream_pauses.inc();
     }
 
+    /// Counts memory that was not granted, by what it was for and why.
+    pub fn record_shortage(&self, kind: &'static str, reason: &'static str) {
+        let label = ShortageLabel { kind, reason };
+        self.shortages.get_or_create(&label).inc();
+    }
+
+    /// Counts a connection of a caller that was closed, by reason.
+    pub fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Sets the gauges and writes all families in the Prometheus text format.
     #[must_use]
     pub fn encode(&self, gauges: &Gauges) -> String {
@@ -177,6 +204,14 @@
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
+        for &(kind, bytes) in &gauges.held_bytes {
+            self.held_bytes
+                .get_or_create(&KindLabel { kind })
+                .set(saturating_i64(bytes));
+        }
+        self.memory_waits.set(saturating_i64(gauges.memory_waits));
+        self.caller_connections
+            .set(saturating_i64(gauges.caller_connections));
         self.config_version
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
@@ -197,6 +232,38 @@
         }
     }
 
+    /// Registers what is held for callers, and what they don't get.
+    fn register_holds(&mut self) {
+        let registry = &mut self.registry;
+        register(
+            registry,
+            "memory_shortages",
+            "Memory for callers that was not granted",
+            &self.shortages,
+        );
+        register(
+            registry,
+            "closed_callers",
+            "Connections of callers that were closed to save memory or descriptors",
+            &self.closed_callers,
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "memory_waits",
+            "Requests that wait for memory",
+            self.memory_waits.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         register(
--- a/crates/metric/src/tests.rs
+++ b/crates/metric/src/tests.rs
@@ -16,9 +16,14 @@
     metrics.record_attempt(2);
     metrics.record_preemption();
     metrics.record_hedge();
+    metrics.record_shortage("receiving", "full");
+    metrics.record_closed_caller("idle");
     let gauges = Gauges {
         queued: [1, 2, 3],
         config_version: 4,
+        held_bytes: vec![("kept", 5)],
+        memory_waits: 6,
+        caller_connections: 7,
         ..Gauges::default()
     };
     let text = metrics.encode(&gauges);
@@ -33,6 +38,11 @@
         "fireflylever_retries_total 1",
         "fireflylever_preemptions_total 1",
         "fireflylever_hedges_total 1",
+        "fireflylever_memory_shortages_total{kind=\"receiving\",reason=\"full\"} 1",
+        "fireflylever_closed_callers_total{reason=\"idle\"} 1",
+        "fireflylever_held_bytes{kind=\"kept\"} 5",
+        "fireflylever_memory_waits 6",
+        "fireflylever_caller_connections 7",
         "fireflylever_queued_requests{tier=\"2\"} 3",
         "fireflylever_config_version 4",
         "fireflylever_first_token_seconds_count{class=\"urgent\"} 1",
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -89,6 +89,12 @@
     /// connections to operators, the store and other hosts.
     #[serde(default = "default_descriptors_reserved")]
     pub descriptors_reserved: u64,
+    /// Least speed at which callers send or read what is held for them, in bytes per second.
+    #[serde(default = "default_caller_bytes_per_s")]
+    pub caller_min_bytes_per_s: u64,
+    /// Time over which the speed of a caller is measured.
+    #[serde(default = "default_caller_window_ms")]
+    pub caller_window_ms: u64,
     /// Interval between two reads of the release version from the table service.
     #[serde(default = "default_poll_ms")]
     pub store_poll_ms: u64,
@@ -184,6 +190,15 @@
     64
 }
 
+/// A hundredth of what a caller gets of a link of 10 Mbit/s that a hundred share.
+const fn default_caller_bytes_per_s() -> u64 {
+    1_024
+}
+
+const fn default_caller_window_ms() -> u64 {
+    10_000
+}
+
 /// At 2 s, 330 daemons make 165 reads a second, of the about 2,000 that the table service handles.
 const fn default_poll_ms() -> u64 {
     2_000
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -47,6 +47,10 @@
 /// A process without callers needs some 20 MiB; up to 1 TiB.
 pub(crate) const MEMORY_MAX_MB: Range = 48..=1_048_576;
 pub(crate) const DESCRIPTORS: Range = 16..=1_048_576;
+/// At most half of what a caller gets of a link of 10 Mbit/s that a hundred share.
+pub(crate) const CALLER_BYTES_PER_S: Range = 1..=6_250;
+/// A sound caller may be cut off from its host for a few seconds.
+pub(crate) const CALLER_WINDOW_MS: Range = 5_000..=600_000;
 /// With 5 s, a change is in force on every host within 11 s even if one read is lost.
 pub(crate) const STORE_POLL_MS: Range = 1..=5_000;
 pub(crate) const DRAIN_MAX_MS: Range = 0..=3_600_000;
--- a/crates/settings/src/rules.rs
+++ b/crates/settings/src/rules.rs
@@ -34,6 +34,8 @@
 /// Appends the errors between different fields of host settings.
 pub(crate) fn check_host(host: &Value, problems: &mut Vec<Problem>) {
     check_unique(host, "peer_keys", "id", problems);
+    check_memory(host, problems);
+    check_descriptors(host, problems);
     let mut seen = BTreeMap::new();
     for field in ["listen", "admin_listen", "peer_listen", "store"] {
         let address = text(host, field);
@@ -48,6 +50,35 @@
     }
 }
 
+/// Memory of a process without callers, and the part of the rest that one body may take.
+const PROCESS_MB: u64 = 24;
+const BODY_PART: u64 = 2;
+
+/// A host has to hold one body of the largest size.
+fn check_memory(host: &Value, problems: &mut Vec<Problem>) {
+    let memory_mb = host["memory_max_mb"].as_u64();
+    let body_bytes = host["body_max_bytes"].as_u64();
+    if let (Some(memory_mb), Some(body_bytes)) = (memory_mb, body_bytes) {
+        let max_bytes = memory_mb.saturating_sub(PROCESS_MB) * 1_000_000 / BODY_PART;
+        if body_bytes > max_bytes {
+            let message =
+                format!("memory_max_mb {memory_mb} has room for bodies of up to {max_bytes} bytes");
+            problems.push(Problem::new(0, "body_max_bytes", &message));
+        }
+    }
+}
+
+fn check_descriptors(host: &Value, problems: &mut Vec<Problem>) {
+    let descriptors = host["descriptors_max"].as_u64();
+    let reserved = host["descriptors_reserved"].as_u64();
+    if let (Some(max), Some(reserved)) = (descriptors, reserved)
+        && reserved >= max
+    {
+        let message = format!("leaves none of descriptors_max {max} for callers");
+        problems.push(Problem::new(0, "descriptors_reserved", &message));
+    }
+}
+
 fn check_classes(config: &Value, problems: &mut Vec<Problem>) {
     let reserved = items(config, "classes").map(|(_, class)| &class["reserved_percent"]);
     let sum: u64 = reserved.filter_map(Value::as_u64).sum();
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -152,6 +152,11 @@
     Field::optional("memory_max_mb", Schema::Number(limits::MEMORY_MAX_MB)),
     Field::optional("descriptors_max", Schema::Number(limits::DESCRIPTORS)),
     Field::optional("descriptors_reserved", Schema::Number(limits::DESCRIPTORS)),
+    Field::optional(
+        "caller_min_bytes_per_s",
+        Schema::Number(limits::CALLER_BYTES_PER_S),
+    ),
+    Field::optional("caller_window_ms", Schema::Number(limits::CALLER_WINDOW_MS)),
     Field::optional("store_poll_ms", Schema::Number(limits::STORE_POLL_MS)),
     Field::optional("drain_max_ms", Schema::Number(limits::DRAIN_MAX_MS)),
     Field::optional(
--- a/crates/settings/src/tests.rs
+++ b/crates/settings/src/tests.rs
@@ -9,6 +9,7 @@
         "name": "entry-1", "region": "costa", "zone": "costa-norte",
         "listen": "127.0.0.1:8080", "admin_listen": "127.0.0.1:8081",
         "peer_listen": "127.0.0.1:8082", "store": "127.0.0.1:9000",
+        "body_max_bytes": 30_000_000, "descriptors_reserved": 64,
         "peer_keys": [{"id": 1, "secret_hex": "00112233445566778899aabbccddeeff"}],
     })
 }
@@ -64,6 +65,12 @@
 half byte | /peer_keys/0/secret_hex | "000000000000000000000000000000000" | peer_keys[0].secret_hex | hexadecimal
 no hex | /peer_keys/0/secret_hex | "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" | peer_keys[0].secret_hex | hexadecimal
 id | /peer_keys/0/id | 256 | peer_keys[0].id | from 0 to 255
+memory | /memory_max_mb | 47 | memory_max_mb | from 48
+descriptors | /descriptors_max | 15 | descriptors_max | from 16
+slow | /caller_min_bytes_per_s | 6251 | caller_min_bytes_per_s | from 1 to 6250
+short window | /caller_window_ms | 4999 | caller_window_ms | from 5000
+large body | /memory_max_mb | 64 | body_max_bytes | room for bodies of up to 20000000 bytes
+no descriptors | /descriptors_max | 64 | descriptors_reserved | none of descriptors_max 64
 repeated id | /peer_keys | [{"id": 1, "secret_hex": "00000000000000000000000000000000"}, {"id": 1, "secret_hex": "11111111111111111111111111111111"}] | peer_keys[1].id | already the id of peer_keys[0]
 "#;
 
--- a/crates/standin/src/samples.rs
+++ b/crates/standin/src/samples.rs
@@ -89,6 +89,8 @@
         memory_max_mb: None,
         descriptors_max: None,
         descriptors_reserved: 64,
+        caller_min_bytes_per_s: 1_024,
+        caller_window_ms: 10_000,
         store_poll_ms: 50,
         drain_max_ms: 60_000,
         cross_region_bytes_per_s: 312_500,
