feat(daemon): hold bodies and answers only within the memory of the host

Cause: each body was kept whole from its first byte to the end of its answer, before its sender was even known, and each answer until its caller had read it; connections had no bound.

Change: a body reserves its length at its head (in chunks: as it grows). Without room the host stops reading, waits for at most 500 ms or a quarter of the caller's time, and then refuses with 3008. Unknown keys and routes are refused at the head. A body is given back once its request can't be repeated. An answer without room is passed on as its caller reads it. Callers below the floor of progress lose their body (1007) or their connection. Connections stop at two thirds of the descriptors, and at what a quarter of the memory bears; idle ones make room.

--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,7 +1,8 @@
 //! HTTP handlers of the admin address: health, readiness, status, metrics and drain.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
+use intake::Kind;
 use log::info;
 use metric::Gauges;
 use ntex::web::{
@@ -99,6 +100,11 @@
             .count() as u64,
         ..Gauges::default()
     });
+    let held = shared.holds.held();
+    let kinds = Kind::ALL.map(Kind::as_str).into_iter();
+    gauges.held_bytes = kinds.zip(held.by_kind).collect();
+    gauges.memory_waits = held.waiting;
+    gauges.caller_connections = shared.caller_connections.load(Ordering::Relaxed);
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.snapshot.load().config.version;
     gauges.ready = shared.is_ready();
--- /dev/null
+++ b/crates/daemon/src/caller_connections.rs
@@ -0,0 +1,170 @@
+//! Connections of callers to one thread, within the descriptors and the memory of the host.
+
+use std::{
+    cell::RefCell,
+    error::Error,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use intake::{ConnectionOptions, ConnectionState, ConnectionTable};
+use ntex::{
+    http::body::{Body, BodySize, MessageBody, ResponseBody},
+    io::IoRef,
+    util::Bytes,
+    web::HttpResponse,
+};
+use tokio::time::sleep;
+
+use crate::shared::Shared;
+
+/// Interval at which all connections are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of connections below which they need no look: they can't hold much.
+const FEW_CONNECTIONS: usize = 16;
+
+/// Connections of callers to one thread.
+pub(crate) struct CallerConnections {
+    shared: Arc<Shared>,
+    table: Option<RefCell<ConnectionTable<IoRef>>>,
+}
+
+impl CallerConnections {
+    /// Creates a table; without options, nothing is limited.
+    pub(crate) fn new(shared: &Arc<Shared>, options: Option<ConnectionOptions>) -> Rc<Self> {
+        Rc::new(Self {
+            shared: shared.clone(),
+            table: options.map(|options| RefCell::new(ConnectionTable::new(options))),
+        })
+    }
+
+    /// Adds a new connection, for which the longest idle one is closed if there are too many; the
+    /// new one is closed if all are in use.
+    pub(crate) fn accept(&self, connection: IoRef) {
+        let Some(table) = &self.table else { return };
+        let mut table = table.borrow_mut();
+        let now_us = self.shared.clock.now_us();
+        if table.is_full() {
+            self.close_all(&mut table, now_us);
+        }
+        if table.is_full() {
+            let Some(idle) = table.longest_idle(now_us) else {
+                self.shared.metrics.record_closed_caller("no_descriptor");
+                connection.terminate();
+                return;
+            };
+            self.shared.metrics.record_closed_caller("idle");
+            table.remove(&idle);
+            idle.terminate();
+        }
+        table.insert(now_us, connection);
+        self.count(&table);
+    }
+
+    /// Records that a request begins on a connection.
+    pub(crate) fn begin_request(self: &Rc<Self>, connection: Option<&IoRef>) -> Option<InUse> {
+        let connection = connection?.clone();
+        let now_us = self.shared.clock.now_us();
+        let mut table = self.table.as_ref()?.borrow_mut();
+        table.begin_request(now_us, &connection);
+        Some(InUse {
+            connections: self.clone(),
+            connection,
+        })
+    }
+
+    /// Closes connections that keep much without progress, as long as the thread serves.
+    pub(crate) async fn watch(self: Rc<Self>) {
+        let Some(table) = &self.table else { return };
+        while Rc::strong_count(&self) > 1 {
+            sleep(SWEEP_INTERVAL).await;
+            let mut table = table.borrow_mut();
+            if table.len() >= FEW_CONNECTIONS {
+                self.close_all(&mut table, self.shared.clock.now_us());
+            }
+        }
+    }
+
+    fn close_all(&self, table: &mut ConnectionTable<IoRef>, now_us: u64) {
+        for connection in table.sweep(now_us, state_of) {
+            self.shared.metrics.record_closed_caller("no_progress");
+            table.remove(&connection);
+            connection.terminate();
+        }
+        self.count(table);
+    }
+
+    fn count(&self, table: &ConnectionTable<IoRef>) {
+        let count = table.len() as u64;
+        self.shared
+            .caller_connections
+            .store(count, Ordering::Relaxed);
+    }
+}
+
+/// Returns what the socket of a connection shows.
+fn state_of(connection: &IoRef) -> ConnectionState {
+    let closed = connection.is_closed();
+    ConnectionState {
+        closed,
+        unread_bytes: if closed {
+            0
+        } else {
+            connection.with_read_buf(|buffer| buffer.len())
+        },
+        stalled: connection.is_wr_backpressure(),
+    }
+}
+
+/// Keeps a connection in use until it is dropped.
+pub(crate) struct InUse {
+    connections: Rc<CallerConnections>,
+    connection: IoRef,
+}
+
+impl InUse {
+    /// Keeps the connection in use until the whole response has been passed on.
+    pub(crate) fn until_sent(in_use: Option<Self>, response: HttpResponse) -> HttpResponse {
+        let is_long = matches!(response.body(), ResponseBody::Body(Body::Message(_)));
+        let Some(in_use) = in_use.filter(|_| is_long) else {
+            return response;
+        };
+        response.map_body(|_, body| {
+            ResponseBody::Body(Body::from_message(InUseBody {
+                body,
+                _in_use: in_use,
+            }))
+        })
+    }
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        if let Some(table) = &self.connections.table {
+            let now_us = self.connections.shared.clock.now_us();
+            table.borrow_mut().end_request(now_us, &self.connection);
+        }
+    }
+}
+
+/// Body of a response during which its connection is in use.
+struct InUseBody {
+    body: ResponseBody<Body>,
+    _in_use: InUse,
+}
+
+impl MessageBody for InUseBody {
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Rc<dyn Error>>>> {
+        self.body.poll_next_chunk(context)
+    }
+}
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -1,6 +1,6 @@
 //! Handlers of the OpenAI-compatible completion endpoints.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
 use code::Code;
 use ntex::{
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    caller_connections::{CallerConnections, InUse},
     input::{
         authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
     },
@@ -32,8 +33,11 @@
     payload: Payload,
     shared: State<Arc<Shared>>,
     client: State<Client>,
+    connections: State<Rc<CallerConnections>>,
 ) -> HttpResponse {
-    serve(Form::Chat, request, payload, &shared, &client).await
+    let in_use = connections.begin_request(request.io());
+    let response = serve(Form::Chat, request, payload, &shared, &client).await;
+    InUse::until_sent(in_use, response)
 }
 
 /// Serves `/v1/completions`.
@@ -42,8 +46,11 @@
     payload: Payload,
     shared: State<Arc<Shared>>,
     client: State<Client>,
+    connections: State<Rc<CallerConnections>>,
 ) -> HttpResponse {
-    serve(Form::Text, request, payload, &shared, &client).await
+    let in_use = connections.begin_request(request.io());
+    let response = serve(Form::Text, request, payload, &shared, &client).await;
+    InUse::until_sent(in_use, response)
 }
 
 async fn serve(
@@ -59,7 +66,7 @@
     match try_serve(form, &request, &mut payload, shared, client, id).await {
         Ok(response) => response,
         Err(refusal) => {
-            discard_body(shared, &mut payload).await;
+            discard_body(shared, &mut payload, refusal.code).await;
             record_refusal(shared, &request_id, &refusal);
             refusal.response(&request_id)
         }
@@ -79,7 +86,7 @@
     check_ready(shared, &snapshot)?;
     check_headers(request)?;
     let account = authenticate(&snapshot, request)?;
-    let body = read_body(shared, request, payload).await?;
+    let body = read_body(shared, request, payload, &account.name).await?;
     let parsed = Request::parse(form, &body)
         .map_err(|error| Refusal::new(Code::BadRequest).with_detail(&error.detail))?;
     let class = class_of(&snapshot, account, request, parsed.class())?;
--- a/crates/daemon/src/refusal.rs
+++ b/crates/daemon/src/refusal.rs
@@ -51,7 +51,7 @@
     pub(crate) const fn closes_connection(&self) -> bool {
         matches!(
             self.code,
-            Code::BodyTooLarge | Code::Draining | Code::SlowSender
+            Code::BodyTooLarge | Code::Draining | Code::HostFull | Code::SlowSender
         )
     }
 
--- /dev/null
+++ b/crates/daemon/src/routed/answer.rs
@@ -0,0 +1,124 @@
+//! Reads the body of a response for a caller, within the memory of this host.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use intake::{Claim, Kind};
+use link::{RequestError, Response, header};
+
+use super::call::Call;
+use crate::{
+    holds::{Hold, Holds},
+    response_body::PIECE_BYTES,
+    shared::Shared,
+};
+
+/// Body of a response.
+pub(super) enum Answer {
+    /// All of it.
+    Whole(Bytes, Option<Hold>),
+    /// Its beginning, of a body that must be passed on as it arrives: there is no memory for it.
+    Begun(Bytes),
+}
+
+/// Reads a body of at most `max_bytes`. Memory is reserved by its length before it is read, or as it
+/// grows.
+///
+/// # Errors
+///
+/// [`RequestError::Lost`] if the connection fails before the end of the body or the body is larger
+/// than `max_bytes`.
+pub(super) async fn read(
+    shared: &Shared,
+    call: &Call,
+    response: &mut Response,
+    max_bytes: usize,
+) -> Result<Answer, RequestError> {
+    let length = content_length(response);
+    if length.is_some_and(|length| length > max_bytes) {
+        // Read no further: its connection is closed.
+        return response.read_body(max_bytes).await.map(whole);
+    }
+    let account = call.account.clone().unwrap_or_else(|| "".into());
+    let mut held = Held {
+        holds: &shared.holds,
+        account,
+        hold: None,
+    };
+    if !held.has_room(length.unwrap_or(0)) {
+        shared
+            .metrics
+            .record_shortage(Kind::Answer.as_str(), "passed_on");
+        return Ok(Answer::Begun(Bytes::new()));
+    }
+    let Some(first) = response.next_chunk().await? else {
+        return Ok(whole(Bytes::new()));
+    };
+    let mut body = BytesMut::new();
+    let mut next = Some(first);
+    while let Some(chunk) = next {
+        let bytes = body.len() + chunk.len();
+        if bytes > max_bytes {
+            return Err(RequestError::Lost(format!("more than {max_bytes} bytes")));
+        }
+        let has_room = held.has_room(bytes);
+        if body.is_empty() && length == Some(chunk.len()) {
+            body = chunk.into();
+        } else {
+            if body.is_empty() {
+                body.reserve(length.unwrap_or(0));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        if !has_room {
+            shared
+                .metrics
+                .record_shortage(Kind::Answer.as_str(), "passed_on");
+            return Ok(Answer::Begun(body.freeze()));
+        }
+        next = response.next_chunk().await?;
+    }
+    Ok(Answer::Whole(body.freeze(), held.hold))
+}
+
+/// Returns the declared size of a body.
+pub(super) fn content_length(response: &Response) -> Option<usize> {
+    let length = response.headers().get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
+
+const fn whole(body: Bytes) -> Answer {
+    Answer::Whole(body, None)
+}
+
+/// Memory that is held for a body while it is read.
+struct Held<'a> {
+    holds: &'a Arc<Holds>,
+    account: Arc<str>,
+    hold: Option<Hold>,
+}
+
+impl Held<'_> {
+    /// Makes sure that this many bytes are held; short answers need none, as the buffers of their
+    /// connections hold them.
+    fn has_room(&mut self, bytes: usize) -> bool {
+        if bytes <= PIECE_BYTES || !self.holds.is_limited() {
+            return true;
+        }
+        let bytes = bytes as u64;
+        if let Some(hold) = &mut self.hold {
+            let held_bytes = hold.bytes();
+            // A buffer that grows doubles.
+            return bytes <= held_bytes
+                || hold.grow(bytes.max(2 * held_bytes) - held_bytes).is_ok();
+        }
+        let claim = Claim::new(Kind::Answer, self.account.clone(), bytes);
+        match self.holds.try_reserve(&claim) {
+            Ok(hold) => {
+                self.hold = hold;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+}
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -4,20 +4,22 @@
 
 use bytes::Bytes;
 use code::Run;
-use link::{ConnectionPool, HeaderMap, StatusCode};
+use link::{ConnectionPool, HeaderMap, Response, StatusCode};
 use log::info;
-use ntex::web::HttpResponse;
+use ntex::{io::IoRef, web::HttpResponse};
 use sched::Outcome;
 
 use super::{
+    answer::{self, Answer},
     attempt::{self, log_loss, record_start},
     call::Call,
     limits::within_limits,
+    passed_on::PassedOn,
     progress::Progress,
     reply,
 };
 use crate::{
-    core::Decision, handle::JobHandle, refusal::Refusal, response_body::response_body,
+    core::Decision, handle::JobHandle, holds::Hold, refusal::Refusal, response_body::response_body,
     shared::Shared,
 };
 
@@ -31,6 +33,14 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    hold: Option<Hold>,
+}
+
+/// Response of an upstream.
+enum Exchanged {
+    Buffered(BufferedResponse),
+    /// Its body has begun and is passed on as it arrives.
+    Begun(Response, Bytes),
 }
 
 /// Serves a call whose response is buffered, so that a truncated one never reaches the caller.
@@ -39,12 +49,26 @@
     pool: &Rc<ConnectionPool>,
     call: &Call,
     mut handle: JobHandle,
+    caller: Option<IoRef>,
 ) -> Result<HttpResponse, Refusal> {
     let mut progress = Progress::default();
     let id = handle.id();
     let exchange = exchange(shared, pool, call, &mut handle, &mut progress);
     let buffered = match within_limits(shared, id, call.deadline, exchange).await {
-        Ok(result) => result?,
+        Ok(result) => match result? {
+            Exchanged::Buffered(buffered) => buffered,
+            Exchanged::Begun(response, begun) => {
+                let passed_on = PassedOn {
+                    response,
+                    begun,
+                    handle,
+                    request_id: call.request_id.clone(),
+                    deadline: call.deadline,
+                    caller,
+                };
+                return Ok(passed_on.reply(shared));
+            }
+        },
         Err(unanswered) => match progress.error_response {
             Some(buffered) => buffered,
             None => return Err(unanswered.refusal(progress.maybe_executed)),
@@ -60,7 +84,7 @@
         call.received_at.elapsed().as_millis()
     );
     let mut reply = reply::start(shared, buffered.status, &buffered.headers);
-    Ok(reply.message_body(response_body(shared, buffered.body)))
+    Ok(reply.message_body(response_body(shared, buffered.body, buffered.hold, caller)))
 }
 
 /// Makes attempts until one has a complete response or the dispatcher refuses the job.
@@ -70,7 +94,7 @@
     call: &Call,
     handle: &mut JobHandle,
     progress: &mut Progress<BufferedResponse>,
-) -> Result<BufferedResponse, Refusal> {
+) -> Result<Exchanged, Refusal> {
     loop {
         match handle.decision().await {
             Decision::Start {
@@ -82,15 +106,17 @@
                 record_start(shared, call, &upstream, attempt, work_tokens);
                 progress.record_start();
                 match try_upstream(shared, pool, call, upstream, attempt).await {
-                    Ok(buffered)
+                    Ok(Exchanged::Buffered(buffered))
                         if buffered.status.is_server_error() && call.kind.is_repeatable() =>
                     {
                         progress.error_response = Some(buffered);
                         handle.finish(Outcome::Failed);
                     }
-                    Ok(buffered) => {
-                        handle.finish(Outcome::Complete);
-                        return Ok(buffered);
+                    Ok(exchanged) => {
+                        if let Exchanged::Buffered(_) = &exchanged {
+                            handle.finish(Outcome::Complete);
+                        }
+                        return Ok(exchanged);
                     }
                     Err(outcome) => {
                         progress.record_failure(outcome);
@@ -104,7 +130,7 @@
             } => {
                 let refusal = Refusal::new(code);
                 return match progress.error_response.take() {
-                    Some(buffered) => Ok(buffered),
+                    Some(buffered) => Ok(Exchanged::Buffered(buffered)),
                     None if code.run() == Run::No => {
                         Err(refusal.with_retry_after_ms(retry_after_ms))
                     }
@@ -124,20 +150,25 @@
     call: &Call,
     upstream: Arc<str>,
     attempt: u32,
-) -> Result<BufferedResponse, Outcome> {
+) -> Result<Exchanged, Outcome> {
     let mut response = attempt::send(shared, pool, call, &upstream, None).await?;
-    let body = response
-        .read_body(RESPONSE_MAX_BYTES)
-        .await
-        .map_err(|error| {
-            log_loss(call, &upstream, None, &error.to_string());
-            Outcome::LostBeforeAnswer
-        })?;
-    Ok(BufferedResponse {
-        upstream,
-        attempt,
-        status: response.status(),
-        headers: response.headers().clone(),
-        body,
+    if !call.kind.is_repeatable() {
+        call.release_body();
+    }
+    let answer = answer::read(shared, call, &mut response, RESPONSE_MAX_BYTES).await;
+    let answer = answer.map_err(|error| {
+        log_loss(call, &upstream, None, &error.to_string());
+        Outcome::LostBeforeAnswer
+    })?;
+    Ok(match answer {
+        Answer::Whole(body, hold) => Exchanged::Buffered(BufferedResponse {
+            upstream,
+            attempt,
+            status: response.status(),
+            headers: response.headers().clone(),
+            body,
+            hold,
+        }),
+        Answer::Begun(begun) => Exchanged::Begun(response, begun),
     })
 }
--- a/crates/daemon/src/routed/call.rs
+++ b/crates/daemon/src/routed/call.rs
@@ -1,6 +1,6 @@
 //! Routed request in the form in which it is sent to upstreams.
 
-use std::sync::Arc;
+use std::{cell::RefCell, sync::Arc};
 
 use bytes::Bytes;
 use link::{Full, HeaderMap, Method, Request, header};
@@ -33,7 +33,8 @@
     /// Path and query, unchanged from the caller's request.
     pub(super) path_and_query: String,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    /// `None` once the request can't be sent any more.
+    pub(super) body: RefCell<Option<Bytes>>,
     pub(super) account: Option<Arc<str>>,
     /// Priority rank in the engines' own queues; 0 is the highest.
     pub(super) rank: u8,
@@ -46,13 +47,19 @@
 }
 
 impl Call {
-    /// Builds the HTTP request of one attempt.
+    /// Gives back the memory of the body: the request won't be sent again.
+    pub(super) fn release_body(&self) {
+        self.body.take();
+    }
+
+    /// Builds the HTTP request of one attempt; `None` if it is invalid or its body was given back.
     pub(super) fn request(
         &self,
         adapter: &dyn HeaderAdapter,
         upstream: &Upstream,
         resume_after: Option<&str>,
     ) -> Option<Request<Full<Bytes>>> {
+        let body = self.body.borrow().clone()?;
         let attempt = AttemptInfo {
             upstream: &upstream.name,
             remaining: self.deadline.saturating_duration_since(Instant::now()),
@@ -65,7 +72,7 @@
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(&self.path_and_query)
-            .body(Full::new(self.body.clone()))
+            .body(Full::new(body))
             .ok()?;
         *request.headers_mut() = headers;
         Some(request)
--- a/crates/daemon/src/routed/mod.rs
+++ b/crates/daemon/src/routed/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! Method, path and body are forwarded unchanged. The route decides whether a request may be
 //! retried. A [`call::Call`] holds what is needed to send a request; [`buffered`] serves calls
-//! whose response is read completely before it is forwarded, [`stream`] those whose events are
+//! whose response is read completely before it is forwarded (or, without memory for it, is
+//! [`passed_on`]), [`stream`] those whose events are
 //! forwarded as they arrive.
 
+mod answer;
 mod attempt;
 mod buffered;
 mod call;
 mod events;
 mod limits;
+mod passed_on;
 mod progress;
 mod reply;
 mod serve;
--- a/crates/daemon/src/routed/serve.rs
+++ b/crates/daemon/src/routed/serve.rs
@@ -1,6 +1,6 @@
 //! Entry point of routed requests: checks a request, submits its job and serves the call.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use code::Code;
@@ -22,8 +22,10 @@
 };
 use crate::{
     adapter::RequestMetadata,
+    caller_connections::{CallerConnections, InUse},
     config_snapshot::ConfigSnapshot,
-    input::{discard_body, read_body_within},
+    holds,
+    input::{BodyOwner, discard_body, read_body_within},
     refusal::Refusal,
     shared::Shared,
 };
@@ -39,15 +41,31 @@
 /// Number of route tiers that are distinguished within the rank of one client account.
 const ROUTE_TIERS: u8 = 3;
 
+/// Part of the caller's time for which its body may wait for memory: one in so many.
+const WAIT_PART: u32 = 4;
+
 /// Rejections by upstreams after which a request is refused; each one costs a round trip.
 const REJECTIONS_MAX: u32 = 3;
 
 /// Serves a routed request.
 pub(crate) async fn serve(
     request: HttpRequest,
-    mut payload: Payload,
+    payload: Payload,
     shared: State<Arc<Shared>>,
     pool: State<Rc<ConnectionPool>>,
+    connections: State<Rc<CallerConnections>>,
+) -> HttpResponse {
+    let in_use = connections.begin_request(request.io());
+    let response = respond(request, payload, &shared, &pool).await;
+    InUse::until_sent(in_use, response)
+}
+
+/// Returns the response to a routed request.
+async fn respond(
+    request: HttpRequest,
+    mut payload: Payload,
+    shared: &Arc<Shared>,
+    pool: &Rc<ConnectionPool>,
 ) -> HttpResponse {
     let received_at = Instant::now();
     let _pending = shared.pending_work.begin();
@@ -62,8 +80,8 @@
                 headers,
                 metadata,
                 &mut payload,
-                &shared,
-                &pool,
+                shared,
+                pool,
                 received_at,
             )
             .await;
@@ -77,7 +95,7 @@
     match result {
         Ok(response) => response,
         Err((refusal, request_id)) => {
-            discard_body(&shared, &mut payload).await;
+            discard_body(shared, &mut payload, refusal.code).await;
             info!(
                 "caller: refused request={request_id} code={} retry_after_ms={} waited_ms={} detail={:?}",
                 refusal.code,
@@ -88,7 +106,7 @@
             shared
                 .metrics
                 .record_refusal(refusal.code.number(), refusal.code.name());
-            reply::refuse(&shared, &refusal, &request_id)
+            reply::refuse(shared, &refusal, &request_id)
         }
     }
 }
@@ -112,7 +130,6 @@
     }
     let limits = snapshot.config.caller_limits.unwrap_or_default();
     check_headers(&headers, &limits)?;
-    let body: Bytes = read_body_within(shared, request, payload, limits.body_max_bytes).await?;
     let host = headers.get("host").and_then(|host| host.to_str().ok());
     let host = host.unwrap_or_default();
     let route = snapshot.config.route(host, request.path()).ok_or_else(|| {
@@ -121,9 +138,18 @@
         Refusal::new(Code::UnknownPath).with_detail(&detail)
     })?;
     let account = account_of(&snapshot, route, &metadata)?;
+    let rank = rank_of(&snapshot, route, account.as_ref());
+    let wait = metadata.deadline.map_or(holds::WAIT_MAX, |deadline| {
+        holds::WAIT_MAX.min(deadline / WAIT_PART)
+    });
+    let owner = BodyOwner {
+        account: account.clone().unwrap_or_else(|| "".into()),
+        rank,
+        wait,
+    };
+    let body = read_body_within(shared, request, payload, limits.body_max_bytes, owner).await?;
     let id = shared.next_id();
     let job = build_job(route, account.as_ref(), &metadata, id, body.len())?;
-    let rank = rank_of(&snapshot, route, account.as_ref());
     let call = build_call(
         request,
         headers,
@@ -166,7 +192,7 @@
     if call.kind.is_stream() {
         stream::serve(shared, pool, call, handle, request.io().cloned()).await
     } else {
-        buffered::serve(shared, pool, &call, handle).await
+        buffered::serve(shared, pool, &call, handle, request.io().cloned()).await
     }
 }
 
@@ -288,7 +314,7 @@
         path_and_query: path_and_query
             .map_or_else(|| request.path().to_owned(), ToString::to_string),
         headers,
-        body,
+        body: RefCell::new(Some(body)),
         account,
         rank,
         prompt: job.prompt.clone(),
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -193,7 +193,7 @@
             self.upstream,
             response.status().as_u16()
         );
-        let body = response_body(&self.shared, body.clone());
+        let body = response_body(&self.shared, body.clone(), None, None);
         reply::start_from(&self.shared, response).message_body(body)
     }
 
@@ -276,6 +276,9 @@
         match self.read().await {
             Ok(Some(events)) => {
                 self.begun_at = Some(Instant::now());
+                if self.call.kind != RequestKind::ResumableStream {
+                    self.call.release_body();
+                }
                 self.handle.first_token();
                 Ok(FirstPart::Events(events))
             }
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use claim::{Answer, CallResult, Fingerprint, Record, Reply, parse_key, row_key};
 use code::Code;
 use ntex::{
     client::Client,
     http::{Method, StatusCode},
-    util::Bytes,
     web::{
         HttpRequest, HttpResponse,
         types::{Payload, State},
@@ -20,6 +20,7 @@
 
 use crate::{
     attempt::{notice_of, outcome_of},
+    caller_connections::{CallerConnections, InUse},
     claimed::run_claimed,
     core::Decision,
     handle::JobHandle,
@@ -28,7 +29,7 @@
     },
     notices,
     refusal::{Refusal, record_refusal},
-    response_body::response_body,
+    response_body::{response_body, whole_body},
     shared::Shared,
 };
 
@@ -68,18 +69,31 @@
 /// Serves `/services/NAME/...`.
 pub(crate) async fn service(
     request: HttpRequest,
-    mut payload: Payload,
+    payload: Payload,
     shared: State<Arc<Shared>>,
     clients: State<ServiceClients>,
+    connections: State<Rc<CallerConnections>>,
+) -> HttpResponse {
+    let in_use = connections.begin_request(request.io());
+    let response = respond(request, payload, &shared, &clients).await;
+    InUse::until_sent(in_use, response)
+}
+
+/// Returns the response to a call.
+async fn respond(
+    request: HttpRequest,
+    mut payload: Payload,
+    shared: &Arc<Shared>,
+    clients: &ServiceClients,
 ) -> HttpResponse {
     let id = shared.next_id();
-    let request_id = request_id(&shared, id);
+    let request_id = request_id(shared, id);
     let _pending = shared.pending_work.begin();
-    match try_serve(&request, &mut payload, &shared, &clients, id).await {
+    match try_serve(&request, &mut payload, shared, clients, id).await {
         Ok(response) => response,
         Err(refusal) => {
-            discard_body(&shared, &mut payload).await;
-            record_refusal(&shared, &request_id, &refusal);
+            discard_body(shared, &mut payload, refusal.code).await;
+            record_refusal(shared, &request_id, &refusal);
             refusal.response(&request_id)
         }
     }
@@ -109,7 +123,7 @@
         .service(name)
         .ok_or_else(|| Refusal::new(Code::UnknownService))?;
     let class = class_of(&snapshot, account, request, None)?;
-    let body = read_body(shared, request, payload).await?;
+    let body = read_body(shared, request, payload, &account.name).await?;
     let call = Call::new(request, service, path, body);
     let job = Job {
         id,
@@ -281,7 +295,7 @@
         for (name, value) in &call.headers {
             request = request.header(*name, value.as_str());
         }
-        let sent = request.send_body(call.body.clone()).await;
+        let sent = request.send_body(whole_body(&call.body)).await;
         let response = sent.map_err(|error| outcome_of(&error))?;
         let notice = notice_of(response.status(), response.header("retry-after"));
         let started_ms = upstream.started_ms;
@@ -309,7 +323,7 @@
     if !answer.content_type.is_empty() {
         response.content_type(answer.content_type.as_str());
     }
-    Ok(response.message_body(response_body(shared, answer.body.into())))
+    Ok(response.message_body(response_body(shared, answer.body.into(), None, None)))
 }
 
 impl Call {
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use audit::Step;
 use code::Code;
+use intake::{HostLimits, ProgressFloor};
 use metric::Metrics;
 use sched::{Job, JobId, Target};
 use settings::{Config, Host};
@@ -19,13 +20,33 @@
 
 use crate::{
     adapter::HeaderAdapter, clock::Clock, config_snapshot::ConfigSnapshot, core::Core,
-    directory::ClusterState, follow::ReleaseState, handle::JobHandle, peers::Peers,
+    directory::ClusterState, follow::ReleaseState, handle::JobHandle, holds::Holds, peers::Peers,
     pending_work::PendingWork,
 };
 
 /// Lowest tier of the dispatcher; engines distinguish more ranks.
 const LAST_TIER: u8 = 2;
 
+/// Bytes in a megabyte of the settings.
+const MEGABYTE_BYTES: u64 = 1_000_000;
+
+/// Returns the limits of what is held for callers.
+pub(crate) fn host_limits(host: &Host) -> HostLimits {
+    let memory_bytes = host
+        .memory_max_mb
+        .map(|memory_mb| memory_mb * MEGABYTE_BYTES);
+    let floor = ProgressFloor {
+        bytes_per_s: host.caller_min_bytes_per_s,
+        window_us: host.caller_window_ms * 1_000,
+    };
+    HostLimits::new(
+        memory_bytes,
+        host.descriptors_max,
+        host.descriptors_reserved,
+    )
+    .with_floor(floor)
+}
+
 /// State that all threads and tasks of a daemon share.
 pub(crate) struct Shared {
     pub(crate) host: Host,
@@ -42,6 +63,10 @@
     pub(crate) cluster_state: ClusterState,
     header_adapter: Option<Arc<dyn HeaderAdapter>>,
     pub(crate) pending_work: PendingWork,
+    /// What is held for callers.
+    pub(crate) holds: Arc<Holds>,
+    /// Number of open connections of callers; of one thread if several serve.
+    pub(crate) caller_connections: AtomicU64,
     /// Distinguishes this run of the daemon from all others in claims.
     start_nonce: u64,
     /// Wakes the task that exchanges evidence about prompts.
@@ -55,6 +80,7 @@
     /// Creates the state of a host without a configuration.
     pub(crate) fn new(host: Host, peers: Peers) -> Self {
         let core = Core::new(&host);
+        let holds = Holds::new(host_limits(&host).budget());
         Self {
             host,
             clock: Clock::new(),
@@ -69,6 +95,8 @@
             cluster_state: ClusterState::default(),
             header_adapter: None,
             pending_work: PendingWork::default(),
+            holds: Arc::new(holds),
+            caller_connections: AtomicU64::new(0),
             start_nonce: rand::random(),
             evidence: Notify::new(),
             queued: Notify::new(),
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -11,9 +11,12 @@
 use link::{ConnectionPool, PoolOptions};
 use log::info;
 use ntex::{
-    SharedCfg,
+    SharedCfg, chain_factory,
     client::{Client, ClientBuilder, Connector},
-    http::HttpServiceConfig,
+    fn_service,
+    http::{HttpService, HttpServiceConfig, error::DispatchError},
+    io::Io,
+    server::{Config, ServerBuilder},
     time::Seconds,
     web::{self, App, HttpServer},
 };
@@ -25,6 +28,7 @@
     adapter::{HeaderAdapter, StoreAdapter},
     admin,
     announce_loads::announce_loads,
+    caller_connections::CallerConnections,
     completions,
     directory::{follow_config, follow_daemons, follow_peer, follow_upstreams},
     follow::follow_releases,
@@ -37,7 +41,7 @@
     routed,
     running::RunningDaemon,
     services::{self, ServiceClients},
-    shared::Shared,
+    shared::{Shared, host_limits},
 };
 
 /// Time limit of one request to the table service.
@@ -73,7 +77,7 @@
 const HEADERS_TIMEOUT: Seconds = Seconds(10);
 
 /// Largest headers of a request that the HTTP server accepts.
-const HEADERS_MAX_BYTES: usize = 128 * 1024;
+const HEADERS_MAX_BYTES: usize = 64 * 1024;
 
 /// Adapter to a platform: translates request headers and the rows of the platform's store.
 pub struct PlatformAdapter {
@@ -170,6 +174,10 @@
         running.spawn(exchange_datagrams(shared.clone(), socket, announce));
         running.spawn(serve_config(shared.clone(), peer_listener));
         running.spawn(fetch_configs(shared.clone(), announcements));
+        if shared.holds.is_limited() {
+            let holder = shared.clone();
+            running.spawn(async move { holder.holds.watch(&holder.metrics).await });
+        }
         running.spawn(tick(shared));
         Ok(running)
     }
@@ -203,63 +211,91 @@
 
 /// Serves model requests and plain services.
 fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
-    let workers = shared.host.workers;
-    let shared = shared.clone();
-    let server = HttpServer::new(async move || {
-        let client = upstream_client().await;
-        let clients = ServiceClients {
-            pooled: client.clone(),
-            fresh: upstream_client().await,
-            table: Rc::new(store_client(&shared).await),
-        };
-        App::new()
-            .state(shared.clone())
-            .state(client.clone())
-            .state(clients)
-            .service(web::resource("/v1/chat/completions").route(web::post().to(completions::chat)))
-            .service(web::resource("/v1/completions").route(web::post().to(completions::text)))
-            .service(web::resource("/v1/models").route(web::get().to(models::models)))
-            .service(web::resource("/services/{path}*").route(web::to(services::service)))
-            .default_service(web::to(models::unknown_path))
-    })
-    .workers(workers)
-    .shutdown_timeout(CLOSE_TIMEOUT)
-    .disable_signals()
-    .listen(listener)?
-    .run();
-    Ok(server)
+    let factory_shared = shared.clone();
+    let server =
+        caller_server(shared).listen("callers", listener, async move |config: Config| {
+            config.config(SharedCfg::new("CALLERS"));
+            let shared = factory_shared.clone();
+            let connections = caller_connections(&shared);
+            let client = upstream_client().await;
+            let clients = ServiceClients {
+                pooled: client.clone(),
+                fresh: upstream_client().await,
+                table: Rc::new(store_client(&shared).await),
+            };
+            let app = App::new()
+                .state(shared)
+                .state(client.clone())
+                .state(clients)
+                .state(connections.clone())
+                .service(
+                    web::resource("/v1/chat/completions").route(web::post().to(completions::chat)),
+                )
+                .service(web::resource("/v1/completions").route(web::post().to(completions::text)))
+                .service(web::resource("/v1/models").route(web::get().to(models::models)))
+                .service(web::resource("/services/{path}*").route(web::to(services::service)))
+                .default_service(web::to(models::unknown_path));
+            chain_factory(fn_service(accept(connections))).and_then(HttpService::new(app))
+        })?;
+    Ok(server.run())
 }
 
 /// Serves the routed requests of a platform.
 fn serve_routed(shared: &Arc<Shared>, listener: TcpListener) -> Result<ntex::server::Server> {
-    let workers = shared.host.workers;
-    let shared = shared.clone();
-    let config = HttpServiceConfig::new()
-        .set_keepalive(KEEP_ALIVE)
-        .set_client_timeout(HEADERS_TIMEOUT)
-        .set_max_buf_size(HEADERS_MAX_BYTES);
-    let server = HttpServer::new(async move || {
-        let pool = ConnectionPool::new(PoolOptions::default());
-        let weak_pool = Rc::downgrade(&pool);
-        ntex::rt::spawn(async move {
-            while let Some(pool) = weak_pool.upgrade() {
-                pool.close_expired();
-                drop(pool);
-                tokio::time::sleep(EXPIRY_INTERVAL).await;
-            }
-        });
-        App::new()
-            .state(shared.clone())
-            .state(pool)
-            .default_service(web::to(routed::serve))
-    })
-    .config(SharedCfg::new("CALLERS").add(config))
-    .workers(workers)
-    .shutdown_timeout(CLOSE_TIMEOUT)
-    .disable_signals()
-    .listen(listener)?
-    .run();
-    Ok(server)
+    let factory_shared = shared.clone();
+    let server =
+        caller_server(shared).listen("callers", listener, async move |config: Config| {
+            let http = HttpServiceConfig::new()
+                .set_keepalive(KEEP_ALIVE)
+                .set_client_timeout(HEADERS_TIMEOUT)
+                .set_max_buf_size(HEADERS_MAX_BYTES);
+            config.config(SharedCfg::new("CALLERS").add(http));
+            let shared = factory_shared.clone();
+            let connections = caller_connections(&shared);
+            let pool = ConnectionPool::new(PoolOptions::default());
+            let weak_pool = Rc::downgrade(&pool);
+            ntex::rt::spawn(async move {
+                while let Some(pool) = weak_pool.upgrade() {
+                    pool.close_expired();
+                    drop(pool);
+                    tokio::time::sleep(EXPIRY_INTERVAL).await;
+                }
+            });
+            let app = App::new()
+                .state(shared)
+                .state(pool)
+                .state(connections.clone())
+                .default_service(web::to(routed::serve));
+            chain_factory(fn_service(accept(connections))).and_then(HttpService::new(app))
+        })?;
+    Ok(server.run())
+}
+
+/// Returns the builder of the server for callers.
+fn caller_server(shared: &Shared) -> ServerBuilder {
+    ntex::server::build()
+        .workers(shared.host.workers)
+        .shutdown_timeout(CLOSE_TIMEOUT)
+        .disable_signals()
+}
+
+/// Returns the connections of callers to the present thread.
+fn caller_connections(shared: &Arc<Shared>) -> Rc<CallerConnections> {
+    let options = host_limits(&shared.host).connections();
+    let options = options.map(|options| options.divided_by(shared.host.workers));
+    let connections = CallerConnections::new(shared, options);
+    ntex::rt::spawn(connections.clone().watch());
+    connections
+}
+
+/// Returns the function that adds a new connection to the table.
+fn accept(
+    connections: Rc<CallerConnections>,
+) -> impl (AsyncFn(Io) -> Result<Io, DispatchError>) + Clone {
+    async move |io: Io| {
+        connections.accept(io.get_ref());
+        Ok(io)
+    }
 }
 
 /// Serves the admin address for operators.
