--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs a daemon as a process: reads its settings and handles signals.
 
-use std::{fs, path::Path, pin::pin};
+use std::{env, fs, path::Path, pin::pin};
 
 use eyre::{Result, WrapErr as _, eyre};
 use log::{info, warn};
@@ -9,23 +9,59 @@
 
 use crate::Daemon;
 
-/// Reads and validates the settings file of a host.
+/// Environment variable that replaces the setting `memory_max_mb`.
+const MEMORY_MAX_MB_VAR: &str = "FIREFLYLEVER_MEMORY_MAX_MB";
+
+/// Environment variable that replaces the setting `descriptors_max`.
+const DESCRIPTORS_MAX_VAR: &str = "FIREFLYLEVER_DESCRIPTORS_MAX";
+
+/// Reads and validates the settings file of a host, with the limits of the process from its
+/// environment.
 ///
 /// # Errors
 ///
-/// Returns all problems of the file with their lines.
+/// Returns all problems of the file with their lines, or those of the environment.
 pub fn read_host(path: &Path) -> Result<Host> {
     let name = path.display().to_string();
     let text = fs::read_to_string(path).wrap_err_with(|| name.clone())?;
-    Host::parse(&text).map_err(|problems| {
+    let host = parse(&text, &name)?;
+    let memory_max_mb = env_limit(MEMORY_MAX_MB_VAR)?.or(host.memory_max_mb);
+    let descriptors_max = env_limit(DESCRIPTORS_MAX_VAR)?.or(host.descriptors_max);
+    let replaced = Host {
+        memory_max_mb,
+        descriptors_max,
+        ..host.clone()
+    };
+    if replaced == host {
+        return Ok(host);
+    }
+    // The rules hold for the limits of the environment too.
+    parse(
+        &serde_json::to_string(&replaced)?,
+        &format!("{name} with the environment"),
+    )
+}
+
+fn parse(text: &str, name: &str) -> Result<Host> {
+    Host::parse(text).map_err(|problems| {
         let lines: Vec<String> = problems
             .iter()
-            .map(|problem| problem.in_file(&name))
+            .map(|problem| problem.in_file(name))
             .collect();
         eyre!(lines.join("\n"))
     })
 }
 
+/// Reads a limit from the environment; `None` if it is not set or empty.
+fn env_limit(name: &str) -> Result<Option<u64>> {
+    let Some(text) = env::var_os(name).filter(|text| !text.is_empty()) else {
+        return Ok(None);
+    };
+    let text = text.to_string_lossy();
+    let limit = text.parse().wrap_err_with(|| format!("{name}: {text:?}"))?;
+    Ok(Some(limit))
+}
+
 /// Runs a daemon until a signal stops it.
 ///
 /// SIGTERM and SIGINT start a graceful stop, which only a SIGINT after that cuts short: a platform
