fix(daemon): bound the buffers of answers that are passed on, and the values of JSON bodies

An answer that is passed on reserves 128 KiB for its buffers before it is read, and its caller has the floor of progress. The buffer for the responses of upstreams has 32 KiB instead of 64. Error bodies of streams are in the budget.

--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use code::Code;
+use intake::{Claim, Kind};
 use ntex::{
     client::Client,
     util::Bytes,
@@ -17,6 +18,7 @@
 
 use crate::{
     caller_connections::{CallerConnections, InUse},
+    holds::{Hold, WAIT_MAX},
     input::{
         authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
     },
@@ -27,6 +29,12 @@
     sse_body::sse_body,
 };
 
+/// Longest body whose values need no memory of their own in the budget.
+const SHORT_BODY_BYTES: usize = 64 * 1024;
+
+/// Memory of one value of a body, with its key and the spare room of its list.
+const VALUE_BYTES: usize = 96;
+
 /// Serves `/v1/chat/completions`.
 pub(crate) async fn chat(
     request: HttpRequest,
@@ -87,6 +95,7 @@
     check_headers(request)?;
     let account = authenticate(&snapshot, request)?;
     let body = read_body(shared, request, payload, &account.name).await?;
+    let hold = hold_values(shared, &account.name, &body).await?;
     let parsed = Request::parse(form, &body)
         .map_err(|error| Refusal::new(Code::BadRequest).with_detail(&error.detail))?;
     let class = class_of(&snapshot, account, request, parsed.class())?;
@@ -121,7 +130,8 @@
         parsed,
         request_id,
         progress,
-    );
+    )
+    .with_hold(hold);
     if relay.request().is_stream() {
         respond_stream(relay).await
     } else {
@@ -129,6 +139,22 @@
     }
 }
 
+/// Holds the memory that the values of a long body take; they may need far more than their text.
+async fn hold_values(
+    shared: &Arc<Shared>,
+    account: &str,
+    body: &[u8],
+) -> Result<Option<Hold>, Refusal> {
+    if !shared.holds.is_limited() || body.len() <= SHORT_BODY_BYTES {
+        return Ok(None);
+    }
+    let values = body.iter().filter(|byte| b",:[{".contains(byte)).count();
+    let bytes = (body.len() + values * VALUE_BYTES) as u64;
+    let claim = Claim::new(Kind::Kept, account.into(), bytes);
+    let holds = &shared.holds;
+    holds.reserve(&shared.metrics, claim, WAIT_MAX).await
+}
+
 /// Serves the response as server-sent events.
 async fn respond_stream(mut relay: Relay) -> Result<HttpResponse, Refusal> {
     // The response headers are sent with the first chunk: until then a refusal can still set its
--- a/crates/daemon/src/holds.rs
+++ b/crates/daemon/src/holds.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use code::Code;
 use intake::{Budget, BudgetOptions, Claim, HoldId, Kind, Shortage, Ticket};
 use log::warn;
@@ -361,16 +362,16 @@
 
 /// Body with the bytes that are held for it.
 pub(crate) struct HeldBody {
-    bytes: Vec<u8>,
+    bytes: Bytes,
     _hold: Hold,
 }
 
 impl HeldBody {
     /// Returns the body as bytes that are given back with their last copy.
-    pub(crate) fn share(bytes: Vec<u8>, hold: Option<Hold>) -> bytes::Bytes {
+    pub(crate) fn share(bytes: Bytes, hold: Option<Hold>) -> Bytes {
         match hold {
-            Some(hold) => bytes::Bytes::from_owner(Self { bytes, _hold: hold }),
-            None => bytes.into(),
+            Some(hold) => Bytes::from_owner(Self { bytes, _hold: hold }),
+            None => bytes,
         }
     }
 }
--- a/crates/daemon/src/input.rs
+++ b/crates/daemon/src/input.rs
@@ -111,7 +111,7 @@
             body.shrink_to_fit();
             hold.settle(Kind::Kept, body.len() as u64);
         }
-        Ok(HeldBody::share(body, hold))
+        Ok(HeldBody::share(body.into(), hold))
     };
     let limit = Duration::from_millis(shared.host.receive_max_ms);
     tokio::select! {
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -13,7 +13,7 @@
 use wire::{Chunk, DONE, Request};
 
 use crate::{
-    attempt::Attempt, core::Decision, handle::JobHandle, notices, progress::Progress,
+    attempt::Attempt, core::Decision, handle::JobHandle, holds::Hold, notices, progress::Progress,
     refusal::Refusal, shared::Shared,
 };
 
@@ -38,6 +38,8 @@
     has_finish_reason: bool,
     /// Description of the last failure, for the refusal.
     detail: String,
+    /// Memory that is held for the request.
+    hold: Option<Hold>,
 }
 
 impl Relay {
@@ -63,9 +65,16 @@
             finished: false,
             has_finish_reason: false,
             detail: String::new(),
+            hold: None,
         }
     }
 
+    /// Keeps the memory that is held for the request as long as the relay.
+    pub(crate) fn with_hold(mut self, hold: Option<Hold>) -> Self {
+        self.hold = hold;
+        self
+    }
+
     /// Returns the caller's request.
     pub(crate) const fn request(&self) -> &Request {
         &self.request
--- a/crates/daemon/src/response_body.rs
+++ b/crates/daemon/src/response_body.rs
@@ -48,7 +48,7 @@
 }
 
 /// Closes the connection of a caller that reads too slowly for the memory that is held.
-fn close_if_slow(hold: &mut Hold, caller: Option<IoRef>) {
+pub(crate) fn close_if_slow(hold: &mut Hold, caller: Option<IoRef>) {
     let Some(caller) = caller else { return };
     let closed = hold.take_closed();
     ntex::rt::spawn(async move {
--- a/crates/daemon/src/routed/answer.rs
+++ b/crates/daemon/src/routed/answer.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use intake::{Claim, Kind};
-use link::{RequestError, Response, header};
+use link::{Method, RequestError, Response, header};
 
 use super::call::Call;
 use crate::{
@@ -34,10 +34,10 @@
     response: &mut Response,
     max_bytes: usize,
 ) -> Result<Answer, RequestError> {
-    let length = content_length(response);
+    // The answer to HEAD declares the length of a body that it doesn't have.
+    let length = content_length(response).filter(|_| call.method != Method::HEAD);
     if length.is_some_and(|length| length > max_bytes) {
-        // Read no further: its connection is closed.
-        return response.read_body(max_bytes).await.map(whole);
+        return Err(too_large(max_bytes));
     }
     let account = call.account.clone().unwrap_or_else(|| "".into());
     let mut held = Held {
@@ -59,7 +59,7 @@
     while let Some(chunk) = next {
         let bytes = body.len() + chunk.len();
         if bytes > max_bytes {
-            return Err(RequestError::Lost(format!("more than {max_bytes} bytes")));
+            return Err(too_large(max_bytes));
         }
         let has_room = held.has_room(bytes);
         if body.is_empty() && length == Some(chunk.len()) {
@@ -87,6 +87,10 @@
     length.to_str().ok()?.parse().ok()
 }
 
+fn too_large(max_bytes: usize) -> RequestError {
+    RequestError::Lost(format!("more than {max_bytes} bytes"))
+}
+
 const fn whole(body: Bytes) -> Answer {
     Answer::Whole(body, None)
 }
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -14,7 +14,7 @@
     attempt::{self, log_loss, record_start},
     call::Call,
     limits::within_limits,
-    passed_on::PassedOn,
+    passed_on::{self, PassedOn},
     progress::Progress,
     reply,
 };
@@ -58,6 +58,7 @@
         Ok(result) => match result? {
             Exchanged::Buffered(buffered) => buffered,
             Exchanged::Begun(response, begun) => {
+                let hold = passed_on::reserve_buffers(shared, call, caller.clone()).await?;
                 let passed_on = PassedOn {
                     response,
                     begun,
@@ -65,6 +66,7 @@
                     request_id: call.request_id.clone(),
                     deadline: call.deadline,
                     caller,
+                    hold,
                 };
                 return Ok(passed_on.reply(shared));
             }
--- a/crates/daemon/src/routed/passed_on.rs
+++ b/crates/daemon/src/routed/passed_on.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use code::Code;
 use futures::{Stream, TryStreamExt as _, future::Either, stream};
+use intake::{Claim, Kind};
 use link::Response;
 use log::info;
 use ntex::{
@@ -15,8 +16,11 @@
 use sched::Outcome;
 use tokio::time::{Instant, timeout_at};
 
-use super::{answer::content_length, reply};
-use crate::{handle::JobHandle, pending_work::PendingWorkGuard, shared::Shared};
+use super::{answer::content_length, call::Call, reply};
+use crate::{
+    handle::JobHandle, holds::Hold, pending_work::PendingWorkGuard, refusal::Refusal,
+    response_body::close_if_slow, shared::Shared,
+};
 
 /// Response whose body is read from its upstream as fast as the caller reads it.
 pub(super) struct PassedOn {
@@ -27,6 +31,32 @@
     pub(super) request_id: String,
     pub(super) deadline: Instant,
     pub(super) caller: Option<IoRef>,
+    /// Memory of its buffers.
+    pub(super) hold: Option<Hold>,
+}
+
+/// Memory of the buffers of one such response, on both sides.
+const BUFFERS_BYTES: u64 = 128 * 1024;
+
+/// Waits for the memory of the buffers.
+///
+/// # Errors
+///
+/// Returns a refusal that doesn't promise that the request was not run.
+pub(super) async fn reserve_buffers(
+    shared: &Shared,
+    call: &Call,
+    caller: Option<IoRef>,
+) -> Result<Option<Hold>, Refusal> {
+    let account = call.account.clone().unwrap_or_else(|| "".into());
+    let claim = Claim::new(Kind::Delivering, account, BUFFERS_BYTES).with_rank(call.rank);
+    let wait = call.deadline.saturating_duration_since(Instant::now());
+    let hold = shared.holds.reserve(&shared.metrics, claim, wait).await;
+    let mut hold = hold.map_err(|_| Refusal::new(Code::UpstreamTimeout))?;
+    if let Some(hold) = &mut hold {
+        close_if_slow(hold, caller);
+    }
+    Ok(hold)
 }
 
 type Chunk = Result<ntex::util::Bytes, io::Error>;
@@ -87,6 +117,9 @@
             };
             match next {
                 Ok(Some(chunk)) => {
+                    if let Some(hold) = &passed_on.hold {
+                        hold.record_progress(chunk.len() as u64);
+                    }
                     let chunk = ntex::util::Bytes::copy_from_slice(&chunk);
                     Some((Ok(chunk), Some(state)))
                 }
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    answer::{self, Answer},
     attempt::{self, log_failure, log_loss, record_start},
     call::Call,
     events::EventBuffer,
@@ -22,8 +23,8 @@
     reply,
 };
 use crate::{
-    core::Decision, handle::JobHandle, refusal::Refusal, response_body::response_body,
-    shared::Shared,
+    core::Decision, handle::JobHandle, holds::HeldBody, refusal::Refusal,
+    response_body::response_body, shared::Shared,
 };
 
 /// Largest body of an error response to a stream request.
@@ -264,11 +265,13 @@
         );
         let mut response = sending.await?;
         if !response.status().is_success() {
-            let body = response.read_body(ERROR_MAX_BYTES).await;
+            let answer =
+                answer::read(&self.shared, &self.call, &mut response, ERROR_MAX_BYTES).await;
             self.response = Some(response);
-            return body
-                .map(FirstPart::Error)
-                .map_err(|_| Outcome::LostBeforeAnswer);
+            return match answer {
+                Ok(Answer::Whole(body, hold)) => Ok(FirstPart::Error(HeldBody::share(body, hold))),
+                Ok(Answer::Begun(_)) | Err(_) => Err(Outcome::LostBeforeAnswer),
+            };
         }
         let is_framed = response.is_framed();
         self.response = Some(response);
--- a/crates/daemon/tests/refusals.rs
+++ b/crates/daemon/tests/refusals.rs
@@ -161,6 +161,27 @@
     platform.stop().await;
 }
 
+/// Guards against a body of legal size whose values take many times the memory of its text.
+#[ntex::test]
+async fn body_of_many_values_is_refused_on_a_small_host() {
+    let platform = Platform::start(1).await;
+    let mut host = platform.host("entry-1");
+    host.memory_max_mb = Some(64);
+    host.body_max_bytes = 4 << 20;
+    let daemon = Daemon::new(host).start().await.unwrap();
+    platform.wait_ready(&daemon).await;
+    let values = "0,".repeat(1 << 20);
+    let body = format!("{{\"model\":\"m\",\"values\":[{values}0]}}");
+    let answer = platform
+        .post(daemon.listen(), "/v1/completions", None, &body)
+        .await;
+    assert_eq!(answer.code().0, 3008);
+    let answer = platform.chat(daemon.listen(), "x len=2", false).await;
+    assert_eq!(answer.status, 200);
+    daemon.stop().await;
+    platform.stop().await;
+}
+
 /// Guards against requests for an engine in the pause that it asked for, and against callers that
 /// wait for it in vain.
 #[ntex::test]
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -32,7 +32,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Largest size of a response's status line and headers.
-const HEAD_MAX_BYTES: usize = 64 * 1024;
+const HEAD_MAX_BYTES: usize = 32 * 1024;
 
 /// Largest number of bytes that are read without a response head or a part of a body in them, for
 /// example informational responses, chunk extensions or trailers. They may go on without end.
