--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -1,8 +1,9 @@
 //! Handlers of the OpenAI-compatible completion endpoints.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
 use code::Code;
+use intake::{Claim, Kind};
 use ntex::{
     client::Client,
     util::Bytes,
@@ -16,7 +17,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    caller_connections::{CallerConnections, InUse},
     fingerprint::RequestIdentity,
+    holds::{Hold, WAIT_MAX},
     input::{
         authenticate, check_headers, check_ready, class_of, discard_body, read_body, request_id,
     },
@@ -27,14 +30,23 @@
     sse_body::sse_body,
 };
 
+/// Longest body whose values need no memory of their own in the budget.
+const SHORT_BODY_BYTES: usize = 64 * 1024;
+
+/// Memory of one value of a body, with its key and the spare room of its list.
+const VALUE_BYTES: usize = 96;
+
 /// Serves `/v1/chat/completions`.
 pub(crate) async fn chat(
     request: HttpRequest,
     payload: Payload,
     shared: State<Arc<Shared>>,
     client: State<Client>,
+    connections: State<Rc<CallerConnections>>,
 ) -> HttpResponse {
-    serve(Form::Chat, request, payload, &shared, &client).await
+    let in_use = connections.begin_request(request.io());
+    let response = serve(Form::Chat, request, payload, &shared, &client).await;
+    InUse::until_sent(in_use, response)
 }
 
 /// Serves `/v1/completions`.
@@ -43,8 +55,11 @@
     payload: Payload,
     shared: State<Arc<Shared>>,
     client: State<Client>,
+    connections: State<Rc<CallerConnections>>,
 ) -> HttpResponse {
-    serve(Form::Text, request, payload, &shared, &client).await
+    let in_use = connections.begin_request(request.io());
+    let response = serve(Form::Text, request, payload, &shared, &client).await;
+    InUse::until_sent(in_use, response)
 }
 
 async fn serve(
@@ -60,7 +75,7 @@
     match try_serve(form, &request, &mut payload, shared, client, id).await {
         Ok(response) => response,
         Err(refusal) => {
-            discard_body(shared, &mut payload).await;
+            discard_body(shared, &mut payload, refusal.code).await;
             record_refusal(shared, &request_id, &refusal);
             refusal.response(&request_id)
         }
@@ -80,7 +95,8 @@
     check_ready(shared, &snapshot)?;
     check_headers(request)?;
     let account = authenticate(&snapshot, request)?;
-    let body = read_body(shared, request, payload).await?;
+    let body = read_body(shared, request, payload, &account.name).await?;
+    let hold = hold_values(shared, &account.name, &body).await?;
     let parsed = Request::parse(form, &body)
         .map_err(|error| Refusal::new(Code::BadRequest).with_detail(&error.detail))?;
     let class = class_of(&snapshot, account, request, parsed.class())?;
@@ -123,7 +139,8 @@
         parsed,
         request_id,
         progress,
-    );
+    )
+    .with_hold(hold);
     if relay.request().is_stream() {
         respond_stream(relay).await
     } else {
@@ -131,6 +148,22 @@
     }
 }
 
+/// Holds the memory that the values of a long body take; they may need far more than their text.
+async fn hold_values(
+    shared: &Arc<Shared>,
+    account: &str,
+    body: &[u8],
+) -> Result<Option<Hold>, Refusal> {
+    if !shared.holds.is_limited() || body.len() <= SHORT_BODY_BYTES {
+        return Ok(None);
+    }
+    let values = body.iter().filter(|byte| b",:[{".contains(byte)).count();
+    let bytes = (body.len() + values * VALUE_BYTES) as u64;
+    let claim = Claim::new(Kind::Kept, account.into(), bytes);
+    let holds = &shared.holds;
+    holds.reserve(&shared.metrics, claim, WAIT_MAX).await
+}
+
 /// Serves the response as server-sent events.
 async fn respond_stream(mut relay: Relay) -> Result<HttpResponse, Refusal> {
     // The response headers are sent with the first chunk: until then a refusal can still set its
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -17,6 +17,12 @@
     pub quarantined_parts: u64,
     /// Sums about the reuse of shared prompt parts.
     pub reuse: ReuseFigures,
+    /// Bytes that are held for callers, by kind.
+    pub held_bytes: Vec<(&'static str, u64)>,
+    /// Number of requests that wait for memory.
+    pub memory_waits: u64,
+    /// Number of open connections of callers.
+    pub caller_connections: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// Number of other daemons that are live.
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -22,8 +22,8 @@
     attainment::Attainment,
     gauges::Gauges,
     labels::{
-        ClassLabel, CodeLabel, ComplaintLabel, DutyCallLabel, TierLabel, UpstreamCountLabel,
-        UpstreamOrderLabel, WasteLabel, WindowLabel,
+        ClassLabel, CodeLabel, ComplaintLabel, DutyCallLabel, KindLabel, ReasonLabel,
+        ShortageLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel, WasteLabel, WindowLabel,
     },
     metrics::Metrics,
     reuse::ReuseFigures,
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -12,8 +12,9 @@
 };
 
 use crate::{
-    Attainment, ClassLabel, CodeLabel, ComplaintLabel, DutyCallLabel, Gauges, TierLabel,
-    UpstreamCountLabel, UpstreamOrderLabel, WasteLabel, WindowLabel, reuse::ReuseCounters,
+    Attainment, ClassLabel, CodeLabel, ComplaintLabel, DutyCallLabel, Gauges, KindLabel,
+    ReasonLabel, ShortageLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel, WasteLabel,
+    WindowLabel, reuse::ReuseCounters,
 };
 
 /// Prefix of all metric names.
@@ -45,6 +46,11 @@
     duties_held: Gauge,
     reuse: ReuseCounters,
     upstream_complaints: Family<ComplaintLabel, Counter>,
+    shortages: Family<ShortageLabel, Counter>,
+    closed_callers: Family<ReasonLabel, Counter>,
+    held_bytes: Family<KindLabel, Gauge>,
+    memory_waits: Gauge,
+    caller_connections: Gauge,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -81,6 +87,11 @@
             duties_held: Gauge::default(),
             reuse: ReuseCounters::default(),
             upstream_complaints: Family::default(),
+            shortages: Family::default(),
+            closed_callers: Family::default(),
+            held_bytes: Family::default(),
+            memory_waits: Gauge::default(),
+            caller_connections: Gauge::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -95,6 +106,7 @@
         metrics.register_duties();
         metrics.reuse.register(&mut metrics.registry);
         metrics.register_upstream_news();
+        metrics.register_holds();
         metrics
     }
 }
@@ -259,6 +271,19 @@
             .inc_by(u64::try_from(count).unwrap_or(u64::MAX));
     }
 
+    /// Counts memory that was not granted, by what it was for and why.
+    pub fn record_shortage(&self, kind: &'static str, reason: &'static str) {
+        let label = ShortageLabel { kind, reason };
+        self.shortages.get_or_create(&label).inc();
+    }
+
+    /// Counts a connection of a caller that was closed, by reason.
+    pub fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Sets the gauges and writes all families in the Prometheus text format.
     #[must_use]
     pub fn encode(&self, gauges: &Gauges) -> String {
@@ -277,6 +302,14 @@
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
         self.reuse.set(&gauges.reuse);
+        for &(kind, bytes) in &gauges.held_bytes {
+            self.held_bytes
+                .get_or_create(&KindLabel { kind })
+                .set(saturating_i64(bytes));
+        }
+        self.memory_waits.set(saturating_i64(gauges.memory_waits));
+        self.caller_connections
+            .set(saturating_i64(gauges.caller_connections));
         self.config_version
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
@@ -359,6 +392,38 @@
         );
     }
 
+    /// Registers what is held for callers, and what they don't get.
+    fn register_holds(&mut self) {
+        let registry = &mut self.registry;
+        register(
+            registry,
+            "memory_shortages",
+            "Memory for callers that was not granted",
+            &self.shortages,
+        );
+        register(
+            registry,
+            "closed_callers",
+            "Connections of callers that were closed to save memory or descriptors",
+            &self.closed_callers,
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "memory_waits",
+            "Requests that wait for memory",
+            self.memory_waits.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         register(
--- a/crates/metric/src/tests.rs
+++ b/crates/metric/src/tests.rs
@@ -21,10 +21,15 @@
     metrics.record_duty_holder_change();
     metrics.record_duty_call("usage_report", "accepted");
     metrics.record_usage_window("missed");
+    metrics.record_shortage("receiving", "full");
+    metrics.record_closed_caller("idle");
     let gauges = Gauges {
         queued: [1, 2, 3],
         config_version: 4,
         duties_held: true,
+        held_bytes: vec![("kept", 5)],
+        memory_waits: 6,
+        caller_connections: 7,
         ..Gauges::default()
     };
     let text = metrics.encode(&gauges);
@@ -45,6 +50,11 @@
         "fireflylever_duty_calls_total{duty=\"usage_report\",result=\"accepted\"} 1",
         "fireflylever_usage_windows_total{outcome=\"missed\"} 1",
         "fireflylever_duties_held 1",
+        "fireflylever_memory_shortages_total{kind=\"receiving\",reason=\"full\"} 1",
+        "fireflylever_closed_callers_total{reason=\"idle\"} 1",
+        "fireflylever_held_bytes{kind=\"kept\"} 5",
+        "fireflylever_memory_waits 6",
+        "fireflylever_caller_connections 7",
         "fireflylever_queued_requests{tier=\"2\"} 3",
         "fireflylever_config_version 4",
         "fireflylever_first_token_seconds_count{class=\"urgent\"} 1",
--- a/crates/route/src/reuse_load_tests.rs
+++ b/crates/route/src/reuse_load_tests.rs
@@ -46,6 +46,7 @@
             state: UpstreamLifecycle::Live,
             engine: Some(capacity),
             started_ms: None,
+            reclaimable: false,
         });
         let mut fleet = Self {
             engines: engines.collect(),
