--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,15 +1,16 @@
 //! HTTP handlers of the admin address: health, readiness, status, metrics and drain.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
+use intake::Kind;
 use log::info;
-use metric::Gauges;
+use metric::{Gauges, ReuseFigures};
 use ntex::web::{
     HttpResponse,
     types::{Path, State},
 };
 use quarantine::{CrashEvidence, QuarantinedPart, VerdictState};
-use sched::UpstreamStatus;
+use sched::{ReuseTotals, UpstreamStatus};
 use serde_json::json;
 
 use crate::{duties, prompt_evidence, shared::Shared};
@@ -73,6 +74,7 @@
             "weight": status.weight,
             "slowdown": status.slowdown,
             "ejected": status.ejected,
+            "is_down": status.is_down,
             "outstanding": status.outstanding,
         })
     };
@@ -98,8 +100,14 @@
             .iter()
             .filter(|part| part.state == VerdictState::Quarantined)
             .count() as u64,
+        reuse: reuse_figures(&core.dispatcher.reuse_totals()),
         ..Gauges::default()
     });
+    let held = shared.holds.held();
+    let kinds = Kind::ALL.map(Kind::as_str).into_iter();
+    gauges.held_bytes = kinds.zip(held.by_kind).collect();
+    gauges.memory_waits = held.waiting;
+    gauges.caller_connections = shared.caller_connections.load(Ordering::Relaxed);
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.snapshot.load().config.version;
     gauges.ready = shared.is_ready();
@@ -109,6 +117,22 @@
         .body(shared.metrics.encode(&gauges))
 }
 
+/// Converts sums about the reuse of shared prompt parts for the metrics.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "sums are positive and far below 2^64"
+)]
+const fn reuse_figures(totals: &ReuseTotals) -> ReuseFigures {
+    ReuseFigures {
+        fetches: totals.fetches,
+        fetched_tokens: totals.fetched_tokens as u64,
+        judged: totals.judged,
+        expected: totals.expected_hits as u64,
+        missed: totals.misses,
+    }
+}
+
 /// Serves `/admin/explain/ID`: the recorded decisions of one request.
 pub(crate) async fn explain(id: Path<String>, shared: State<Arc<Shared>>) -> HttpResponse {
     // A request ID is the host name, a hyphen and the number of the request in hexadecimal.
--- a/crates/daemon/src/duties/report.rs
+++ b/crates/daemon/src/duties/report.rs
@@ -15,9 +15,6 @@
 /// Row in which reports are written ahead.
 const REPORTS_KEY: &str = "duty/usage";
 
-/// Time limit of a call: a round trip between regions with a margin for a slow service.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Pause before a report without an answer is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -73,8 +70,9 @@
 
 /// Sends a report and logs its result.
 async fn call(shared: &Shared, cloud: &dyn CloudAdapter, report: &Report) -> CallOutcome {
-    let call_us = u64::try_from(CALL_TIMEOUT.as_micros()).unwrap_or(u64::MAX);
-    let Some(hold) = shared.held.begin_call(call_us) else {
+    let limit = shared.held.call_timeout();
+    let limit_us = u64::try_from(limit.as_micros()).unwrap_or(u64::MAX);
+    let Some(hold) = shared.held.begin_call(limit_us) else {
         tokio::time::sleep(BLOCKED_PAUSE).await;
         return CallOutcome::Blocked;
     };
@@ -83,9 +81,7 @@
         token: hold.token,
     };
     let (window, counts) = (report.window, report.counts.entries());
-    let result = cloud
-        .report_usage(holder, window, counts, CALL_TIMEOUT)
-        .await;
+    let result = cloud.report_usage(holder, window, counts, limit).await;
     shared.held.finish_call(DutyKind::UsageReport, result);
     let kind = DutyKind::UsageReport.name();
     shared.metrics.record_duty_call(kind, result.name());
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -5,7 +5,7 @@
 use grant::Peer;
 use log::debug;
 
-use crate::{duties, prompt_evidence, shared::Shared, sharing::Message};
+use crate::{duties, prompt_evidence, shared::Shared, sharing::Message, upstream_evidence};
 
 /// Interval between checks whether a report is due; reports are due every 200 to 900 ms.
 const TICK: Duration = Duration::from_millis(50);
@@ -47,13 +47,11 @@
             return;
         }
     };
-    if let Message::Quarantine(message) = &message {
-        prompt_evidence::receive(shared, from, message);
-        return;
-    }
-    if let Message::Usage(message) = &message {
-        duties::receive(shared, from, message);
-        return;
+    match &message {
+        Message::Quarantine(message) => return prompt_evidence::receive(shared, from, message),
+        Message::Health(message) => return upstream_evidence::receive(shared, from, message),
+        Message::Usage(message) => return duties::receive(shared, from, message),
+        Message::Demand(_) | Message::Grants(_) | Message::Loads(_) => {}
     }
     let reply = shared.with_core(|now_us, core| {
         let reply = core.sharing.receive(now_us, from, &message);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod announce_loads;
 mod attempt;
+mod caller_connections;
 mod claimed;
 mod clock;
 mod completions;
@@ -19,6 +20,7 @@
 mod follow;
 mod grants;
 mod handle;
+mod holds;
 mod input;
 mod loads;
 mod logs;
@@ -40,6 +42,7 @@
 mod sharing;
 mod sse_body;
 mod start;
+mod upstream_evidence;
 
 pub use self::{
     logs::init_logging,
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -1,10 +1,11 @@
 //! Sends one attempt of a routed request to an upstream and logs its start and failure.
 
-use std::{fmt::Write as _, rc::Rc, time::Duration};
+use std::{fmt::Write as _, net::SocketAddr, rc::Rc, time::Duration};
 
 use link::{ConnectionPool, RequestError, Response};
 use log::info;
-use sched::Outcome;
+use sched::{Outcome, Symptom};
+use settings::Upstream;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,6 +27,7 @@
     pool: &Rc<ConnectionPool>,
     call: &Call,
     upstream: &str,
+    fetch_from: Option<SocketAddr>,
     resume_after: Option<&str>,
 ) -> Result<Response, Outcome> {
     let snapshot = shared.snapshot.load_full();
@@ -33,7 +35,7 @@
         return Err(Outcome::NotSent);
     };
     let adapter = shared.header_adapter();
-    let Some(request) = call.request(adapter, upstream_settings, resume_after) else {
+    let Some(request) = call.request(adapter, upstream_settings, fetch_from, resume_after) else {
         return Err(Outcome::NotSent);
     };
     let idle_max = if call.kind.is_repeatable() {
@@ -52,6 +54,7 @@
         Ok(response) => response,
         Err(error) => {
             let outcome = outcome_of(&error);
+            record_symptom(shared, upstream_settings, sent_at, &error);
             if outcome == Outcome::NotSent {
                 pool.close_idle(upstream_settings.address);
             }
@@ -132,12 +135,40 @@
 /// Maps a request error to the attempt's outcome.
 pub(super) const fn outcome_of(error: &RequestError) -> Outcome {
     match error {
-        RequestError::NotSent(_) => Outcome::NotSent,
+        RequestError::NotSent(_) | RequestError::Refused(_) | RequestError::Unreachable(_) => {
+            Outcome::NotSent
+        }
         RequestError::Withheld => Outcome::Withheld,
-        RequestError::Lost(_) => Outcome::LostBeforeAnswer,
+        RequestError::Lost(_) | RequestError::Unacknowledged(_) => Outcome::LostBeforeAnswer,
     }
 }
 
+/// Records what the failure of an attempt says about the reachability of its upstream. Nothing came
+/// from the upstream since `silent_since`.
+pub(super) fn record_symptom(
+    shared: &Shared,
+    upstream: &Upstream,
+    silent_since: Instant,
+    error: &RequestError,
+) {
+    let symptom = match error {
+        RequestError::Refused(_) => Symptom::Refused,
+        RequestError::Unreachable(_) | RequestError::Unacknowledged(_) => Symptom::Silent,
+        RequestError::NotSent(_) | RequestError::Withheld | RequestError::Lost(_) => return,
+    };
+    let silent_us = match symptom {
+        Symptom::Refused => 0,
+        Symptom::Silent | Symptom::Cut => {
+            u64::try_from(silent_since.elapsed().as_micros()).unwrap_or(u64::MAX)
+        }
+    };
+    let started_ms = upstream.started_ms;
+    shared.with_core(|now_us, core| {
+        core.dispatcher
+            .record_symptom(now_us, &upstream.name, started_ms, symptom, silent_us);
+    });
+}
+
 /// Logs the start of an attempt and counts it in the metrics.
 pub(super) fn record_start(
     shared: &Shared,
@@ -145,11 +176,13 @@
     upstream: &str,
     attempt: u32,
     work_tokens: u32,
+    fetch_from: Option<SocketAddr>,
 ) {
     shared.metrics.record_attempt(attempt);
     let now = Instant::now();
+    let fetch_from = fetch_from.map_or_else(|| "none".to_owned(), |source| source.to_string());
     info!(
-        "attempt: started request={} upstream={upstream} attempt={attempt} rank={} work_tokens={work_tokens} waited_ms={} left_ms={}",
+        "attempt: started request={} upstream={upstream} attempt={attempt} rank={} work_tokens={work_tokens} fetch_from={fetch_from} waited_ms={} left_ms={}",
         call.request_id,
         call.rank,
         now.duration_since(call.received_at).as_millis(),
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -1,11 +1,11 @@
 //! Serves routed requests whose response is an event stream.
 
-use std::{io, rc::Rc, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use code::{Code, Run};
 use futures::{Stream, StreamExt as _};
-use link::{ConnectionPool, Response};
+use link::{ConnectionPool, RequestError, Response};
 use log::info;
 use ntex::{io::IoRef, web::HttpResponse};
 use sched::Outcome;
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    answer::{self, Answer},
     attempt::{self, log_failure, log_loss, record_start},
     call::Call,
     events::EventBuffer,
@@ -22,8 +23,8 @@
     reply,
 };
 use crate::{
-    core::Decision, handle::JobHandle, refusal::Refusal, response_body::response_body,
-    shared::Shared,
+    core::Decision, handle::JobHandle, holds::HeldBody, refusal::Refusal,
+    response_body::response_body, shared::Shared,
 };
 
 /// Largest body of an error response to a stream request.
@@ -39,9 +40,13 @@
     call: Call,
     handle: JobHandle,
     upstream: Arc<str>,
+    /// Engine from which the upstream fetches cached parts of the prompt.
+    fetch_from: Option<SocketAddr>,
     response: Option<Response>,
     /// Time of the first event of the current attempt.
     begun_at: Option<Instant>,
+    /// Time at which something of the current attempt was last received, or it was sent.
+    heard_at: Instant,
     events: EventBuffer,
     /// Whether the request was counted as one that began to run.
     is_counted: bool,
@@ -65,8 +70,10 @@
         call,
         handle,
         upstream: "".into(),
+        fetch_from: None,
         response: None,
         begun_at: None,
+        heard_at: Instant::now(),
         events: EventBuffer::default(),
         is_counted: false,
     };
@@ -196,7 +203,7 @@
             self.upstream,
             response.status().as_u16()
         );
-        let body = response_body(&self.shared, body.clone());
+        let body = response_body(&self.shared, body.clone(), None, None);
         reply::start_from(&self.shared, response).message_body(body)
     }
 
@@ -211,11 +218,20 @@
                     upstream,
                     attempt,
                     work_tokens,
+                    fetch_from,
                     ..
                 } => {
-                    record_start(&self.shared, &self.call, &upstream, attempt, work_tokens);
+                    record_start(
+                        &self.shared,
+                        &self.call,
+                        &upstream,
+                        attempt,
+                        work_tokens,
+                        fetch_from,
+                    );
                     progress.record_start();
                     self.upstream = upstream;
+                    self.fetch_from = fetch_from;
                     match self.first().await {
                         Ok(FirstPart::Error(body)) if self.may_retry_error() => {
                             progress.error_response = self.response.take().zip(Some(body));
@@ -257,21 +273,25 @@
     /// Sends one attempt and returns the first part of its response.
     async fn first(&mut self) -> Result<FirstPart, Outcome> {
         self.begun_at = None;
+        self.heard_at = Instant::now();
         let resume_after = self.events.last_id();
         let sending = attempt::send(
             &self.shared,
             &self.pool,
             &self.call,
             &self.upstream,
+            self.fetch_from,
             resume_after.as_deref(),
         );
         let mut response = sending.await?;
         if !response.status().is_success() {
-            let body = response.read_body(ERROR_MAX_BYTES).await;
+            let answer =
+                answer::read(&self.shared, &self.call, &mut response, ERROR_MAX_BYTES).await;
             self.response = Some(response);
-            return body
-                .map(FirstPart::Error)
-                .map_err(|_| Outcome::LostBeforeAnswer);
+            return match answer {
+                Ok(Answer::Whole(body, hold)) => Ok(FirstPart::Error(HeldBody::share(body, hold))),
+                Ok(Answer::Begun(_)) | Err(_) => Err(Outcome::LostBeforeAnswer),
+            };
         }
         let is_framed = response.is_framed();
         self.response = Some(response);
@@ -279,6 +299,9 @@
         match self.read().await {
             Ok(Some(events)) => {
                 self.begun_at = Some(Instant::now());
+                if self.call.kind != RequestKind::ResumableStream {
+                    self.call.release_body();
+                }
                 self.handle.first_token();
                 self.count_begin();
                 Ok(FirstPart::Events(events))
@@ -336,6 +359,7 @@
         loop {
             match response.next_chunk().await {
                 Ok(Some(chunk)) => {
+                    self.heard_at = Instant::now();
                     let events = match self.events.push(chunk) {
                         Ok(events) => events,
                         Err(error) => {
@@ -359,6 +383,7 @@
                 }
                 Err(error) => {
                     self.log_loss(&error.to_string());
+                    self.record_symptom(&error);
                     self.events.take_partial();
                     return Err(());
                 }
@@ -373,6 +398,14 @@
         }
     }
 
+    /// Records what the loss of the current attempt says about the reachability of its upstream.
+    fn record_symptom(&self, error: &RequestError) {
+        let snapshot = self.shared.snapshot.load();
+        if let Some(upstream) = snapshot.config.upstream(&self.upstream) {
+            attempt::record_symptom(&self.shared, upstream, self.heard_at, error);
+        }
+    }
+
     /// Logs that the current attempt was lost.
     fn log_loss(&self, detail: &str) {
         log_loss(&self.call, &self.upstream, self.begun_at, detail);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use audit::Step;
 use code::Code;
+use intake::{HostLimits, ProgressFloor};
 use metric::Metrics;
 use sched::{Job, JobId, Target};
 use settings::{Config, Host};
@@ -27,6 +28,7 @@
     fingerprint::FingerprintKey,
     follow::ReleaseState,
     handle::JobHandle,
+    holds::Holds,
     peers::Peers,
     pending_work::PendingWork,
 };
@@ -34,6 +36,26 @@
 /// Lowest tier of the dispatcher; engines distinguish more ranks.
 const LAST_TIER: u8 = 2;
 
+/// Bytes in a megabyte of the settings.
+const MEGABYTE_BYTES: u64 = 1_000_000;
+
+/// Returns the limits of what is held for callers.
+pub(crate) fn host_limits(host: &Host) -> HostLimits {
+    let memory_bytes = host
+        .memory_max_mb
+        .map(|memory_mb| memory_mb * MEGABYTE_BYTES);
+    let floor = ProgressFloor {
+        bytes_per_s: host.caller_min_bytes_per_s,
+        window_us: host.caller_window_ms * 1_000,
+    };
+    HostLimits::new(
+        memory_bytes,
+        host.descriptors_max,
+        host.descriptors_reserved,
+    )
+    .with_floor(floor)
+}
+
 /// State that all threads and tasks of a daemon share.
 pub(crate) struct Shared {
     pub(crate) host: Host,
@@ -56,10 +78,16 @@
     /// Key of the fingerprints of requests.
     pub(crate) fingerprint_key: FingerprintKey,
     pub(crate) pending_work: PendingWork,
+    /// What is held for callers.
+    pub(crate) holds: Arc<Holds>,
+    /// Number of open connections of callers; of one thread if several serve.
+    pub(crate) caller_connections: AtomicU64,
     /// Distinguishes this run of the daemon from all others in claims.
     start_nonce: u64,
     /// Wakes the task that exchanges evidence about prompts.
     pub(crate) evidence: Notify,
+    /// Wakes the task that tells others about upstreams that can't be reached.
+    pub(crate) upstream_evidence: Notify,
     /// Wakes the dispatcher's tick task when a job has to wait.
     pub(crate) queued: Notify,
     core: Mutex<Core>,
@@ -73,6 +101,7 @@
         let start_nonce = rand::random();
         let held = Held::new(&host, start_nonce);
         let usage = UsageCounter::new(&host, start_nonce);
+        let holds = Holds::new(host_limits(&host).budget());
         Self {
             host,
             clock: Clock::new(),
@@ -90,8 +119,11 @@
             header_adapter: None,
             fingerprint_key,
             pending_work: PendingWork::default(),
+            holds: Arc::new(holds),
+            caller_connections: AtomicU64::new(0),
             start_nonce,
             evidence: Notify::new(),
+            upstream_evidence: Notify::new(),
             queued: Notify::new(),
             core: Mutex::new(core),
         }
--- a/crates/daemon/src/sharing.rs
+++ b/crates/daemon/src/sharing.rs
@@ -22,6 +22,8 @@
     Quarantine(quarantine::Message),
     /// Counts of the usage reports.
     Usage(duty::Message),
+    /// Evidence about upstreams that can't be reached.
+    Health(health::Message),
 }
 
 /// This daemon's roles in sharing upstream slots: holder of grants, and home of some upstreams.
@@ -127,8 +129,8 @@
                 self.peer_loads.update(now_us, from, loads);
                 None
             }
-            // Concern no slots; `receive_payload` handles them.
-            Message::Quarantine(_) | Message::Usage(_) => None,
+            // They concern no slots; `receive_payload` handles them.
+            Message::Quarantine(_) | Message::Health(_) | Message::Usage(_) => None,
         }
     }
 
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -1,5 +1,7 @@
 //! Gauge values, passed in at each scrape.
 
+use crate::ReuseFigures;
+
 /// Values of the gauges at the time of a scrape.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Gauges {
@@ -13,6 +15,14 @@
     pub stragglers: u64,
     /// Number of prompt parts whose requests are refused because they crash upstreams.
     pub quarantined_parts: u64,
+    /// Sums about the reuse of shared prompt parts.
+    pub reuse: ReuseFigures,
+    /// Bytes that are held for callers, by kind.
+    pub held_bytes: Vec<(&'static str, u64)>,
+    /// Number of requests that wait for memory.
+    pub memory_waits: u64,
+    /// Number of open connections of callers.
+    pub caller_connections: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// Number of other daemons that are live.
--- a/crates/metric/src/lib.rs
+++ b/crates/metric/src/lib.rs
@@ -14,6 +14,7 @@
 mod gauges;
 mod labels;
 mod metrics;
+mod reuse;
 #[cfg(test)]
 mod tests;
 
@@ -21,8 +22,9 @@
     attainment::Attainment,
     gauges::Gauges,
     labels::{
-        ClassLabel, CodeLabel, DutyCallLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel,
-        WasteLabel, WindowLabel,
+        ClassLabel, CodeLabel, ComplaintLabel, DutyCallLabel, KindLabel, ReasonLabel,
+        ShortageLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel, WasteLabel, WindowLabel,
     },
     metrics::Metrics,
+    reuse::ReuseFigures,
 };
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -12,8 +12,9 @@
 };
 
 use crate::{
-    Attainment, ClassLabel, CodeLabel, DutyCallLabel, Gauges, TierLabel, UpstreamCountLabel,
-    UpstreamOrderLabel, WasteLabel, WindowLabel,
+    Attainment, ClassLabel, CodeLabel, ComplaintLabel, DutyCallLabel, Gauges, KindLabel,
+    ReasonLabel, ShortageLabel, TierLabel, UpstreamCountLabel, UpstreamOrderLabel, WasteLabel,
+    WindowLabel, reuse::ReuseCounters,
 };
 
 /// Prefix of all metric names.
@@ -43,6 +44,13 @@
     duty_calls: Family<DutyCallLabel, Counter>,
     usage_windows: Family<WindowLabel, Counter>,
     duties_held: Gauge,
+    reuse: ReuseCounters,
+    upstream_complaints: Family<ComplaintLabel, Counter>,
+    shortages: Family<ShortageLabel, Counter>,
+    closed_callers: Family<ReasonLabel, Counter>,
+    held_bytes: Family<KindLabel, Gauge>,
+    memory_waits: Gauge,
+    caller_connections: Gauge,
     queued: Family<TierLabel, Gauge>,
     oldest_wait_us: Family<TierLabel, Gauge>,
     in_flight: Gauge,
@@ -77,6 +85,13 @@
             duty_calls: Family::default(),
             usage_windows: Family::default(),
             duties_held: Gauge::default(),
+            reuse: ReuseCounters::default(),
+            upstream_complaints: Family::default(),
+            shortages: Family::default(),
+            closed_callers: Family::default(),
+            held_bytes: Family::default(),
+            memory_waits: Gauge::default(),
+            caller_connections: Gauge::default(),
             queued: Family::default(),
             oldest_wait_us: Family::default(),
             in_flight: Gauge::default(),
@@ -89,6 +104,9 @@
         metrics.register();
         metrics.register_orders();
         metrics.register_duties();
+        metrics.reuse.register(&mut metrics.registry);
+        metrics.register_upstream_news();
+        metrics.register_holds();
         metrics
     }
 }
@@ -227,6 +245,45 @@
         self.usage_windows.get_or_create(&label).inc();
     }
 
+    /// Counts complaints about upstreams that this daemon told others.
+    pub fn record_complaints_told(&self, count: usize) {
+        self.count_complaints("told", count);
+    }
+
+    /// Counts complaints about upstreams that this daemon heard from others.
+    pub fn record_complaints_heard(&self, count: usize) {
+        self.count_complaints("heard", count);
+    }
+
+    /// Counts upstreams that went out of service because of complaints of others.
+    pub fn record_complaints_followed(&self, count: usize) {
+        self.count_complaints("followed", count);
+    }
+
+    /// Counts complaints of others that have lapsed.
+    pub fn record_complaints_lapsed(&self, count: usize) {
+        self.count_complaints("lapsed", count);
+    }
+
+    fn count_complaints(&self, event: &'static str, count: usize) {
+        self.upstream_complaints
+            .get_or_create(&ComplaintLabel { event })
+            .inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+
+    /// Counts memory that was not granted, by what it was for and why.
+    pub fn record_shortage(&self, kind: &'static str, reason: &'static str) {
+        let label = ShortageLabel { kind, reason };
+        self.shortages.get_or_create(&label).inc();
+    }
+
+    /// Counts a connection of a caller that was closed, by reason.
+    pub fn record_closed_caller(&self, reason: &'static str) {
+        self.closed_callers
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
+    }
+
     /// Sets the gauges and writes all families in the Prometheus text format.
     #[must_use]
     pub fn encode(&self, gauges: &Gauges) -> String {
@@ -244,6 +301,15 @@
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
+        self.reuse.set(&gauges.reuse);
+        for &(kind, bytes) in &gauges.held_bytes {
+            self.held_bytes
+                .get_or_create(&KindLabel { kind })
+                .set(saturating_i64(bytes));
+        }
+        self.memory_waits.set(saturating_i64(gauges.memory_waits));
+        self.caller_connections
+            .set(saturating_i64(gauges.caller_connections));
         self.config_version
             .set(saturating_i64(gauges.config_version));
         self.live_peers.set(saturating_i64(gauges.live_peers));
@@ -306,6 +372,58 @@
         );
     }
 
+    /// Registers the families about what upstreams say, and what is said of them.
+    fn register_upstream_news(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "upstream_departures",
+            "Upstreams that said in an answer that they are leaving",
+            self.upstream_departures.clone(),
+        );
+        registry.register(
+            "upstream_pauses",
+            "Answers of upstreams that asked for a pause",
+            self.upstream_pauses.clone(),
+        );
+        registry.register(
+            "upstream_complaints",
+            "Complaints about upstreams that can't be reached, told to or heard from other hosts",
+            self.upstream_complaints.clone(),
+        );
+    }
+
+    /// Registers what is held for callers, and what they don't get.
+    fn register_holds(&mut self) {
+        let registry = &mut self.registry;
+        register(
+            registry,
+            "memory_shortages",
+            "Memory for callers that was not granted",
+            &self.shortages,
+        );
+        register(
+            registry,
+            "closed_callers",
+            "Connections of callers that were closed to save memory or descriptors",
+            &self.closed_callers,
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "memory_waits",
+            "Requests that wait for memory",
+            self.memory_waits.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.caller_connections.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         register(
@@ -352,16 +470,6 @@
             self.preemptions.clone(),
         );
         registry.register("hedges", "Hedged attempts", self.hedges.clone());
-        registry.register(
-            "upstream_departures",
-            "Upstreams that said in an answer that they are leaving",
-            self.upstream_departures.clone(),
-        );
-        registry.register(
-            "upstream_pauses",
-            "Answers of upstreams that asked for a pause",
-            self.upstream_pauses.clone(),
-        );
         let help = "Time to the first token";
         registry.register(
             "first_token_seconds",
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -40,12 +40,20 @@
 mod prefix_table;
 mod prompt_part;
 mod ratio;
+#[cfg(test)]
+mod reachability_tests;
+mod recent_losses;
+mod reuse;
+#[cfg(test)]
+mod reuse_load_tests;
+mod reuse_totals;
 mod route_request;
 mod step_time;
 mod target;
 #[cfg(test)]
 mod tests;
 mod tree_position;
+mod uncertainty;
 mod upstream_status;
 
 pub use self::{
@@ -61,6 +69,7 @@
     pick::Pick,
     pool::{PAUSE_MAX_US, Pool},
     prompt_part::PromptPart,
+    reuse_totals::ReuseTotals,
     route_request::RouteRequest,
     target::Target,
     upstream_status::UpstreamStatus,
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -1,20 +1,24 @@
 use std::sync::Arc;
 
+use health::{Board, Outbox};
 use settings::{Config, UpstreamLifecycle};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Locality, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
+    Locality, ReuseTotals, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
     departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
-    prefix_table::PrefixTable,
+    prefix_table::PrefixTable, recent_losses::RecentLosses,
 };
 
 mod choice;
 mod demand;
+mod evidence;
 mod layout;
 mod notices;
 mod outlier_detection;
 mod placement;
+mod reachability;
+mod sources;
 
 pub use self::notices::PAUSE_MAX_US;
 
@@ -47,12 +51,18 @@
     ejected: Vec<u32>,
     departures: Departures,
     pauses: Pauses,
+    losses: RecentLosses,
+    /// What other daemons say about the reachability of upstreams.
+    board: Board,
+    /// What this daemon has to tell about it.
+    outbox: Outbox,
     /// Number of live daemons, this one included.
     live_daemons: u32,
     /// Share of the other daemons that announced their load lately.
     heard_share: f64,
     link_budget: LinkBudget,
     prefixes: PrefixTable,
+    reuse_totals: ReuseTotals,
 }
 
 impl Pool {
@@ -163,6 +173,12 @@
         members.any(|member| member.is_usable() && member.has_reduced_capacity())
     }
 
+    /// Returns sums about the reuse of shared prompt parts.
+    #[must_use]
+    pub const fn reuse_totals(&self) -> ReuseTotals {
+        self.reuse_totals
+    }
+
     /// Returns the status of each configured upstream, sorted by name.
     #[must_use]
     pub fn statuses(&self) -> Vec<UpstreamStatus> {
@@ -173,6 +189,7 @@
             weight: member.weight(now_us),
             slowdown: member.slowdown,
             ejected: member.ejected,
+            is_down: member.down_since_us.is_some(),
             outstanding: member.outstanding,
         };
         configured.map(status).collect()
--- a/crates/route/src/pool/outlier_detection.rs
+++ b/crates/route/src/pool/outlier_detection.rs
@@ -37,18 +37,25 @@
         let member = &mut self.members[index];
         let cohort = &mut self.cohorts[member.cohort as usize];
         let sent_us = now_us.saturating_sub(elapsed_us);
-        member.take_pending(sent_us);
+        let pending = member.take_pending(sent_us);
         let elapsed_us = elapsed_us as f64;
         let expected_us = cohort.first_token.predict(f64::from(prompt_tokens));
         cohort
             .first_token
             .observe(f64::from(prompt_tokens), elapsed_us);
+        if let Some(uncertainty) = pending.and_then(|pending| pending.uncertainty) {
+            let kept_share = uncertainty.kept_share(elapsed_us);
+            self.reuse_totals.judged += 1;
+            self.reuse_totals.expected_hits += uncertainty.expected_share();
+            self.reuse_totals.misses += u64::from(kept_share < 0.5);
+        }
         cohort.has_first_token = true;
         let ratio = elapsed_us / expected_us;
         member
             .first_token
             .observe(now_us, ratio, FIRST_TOKEN_WEIGHT);
         member.record_first_token(now_us, sent_us);
+        self.record_alive(now_us, index);
         self.update_ejection(now_us, index);
     }
 
@@ -69,6 +76,7 @@
         member
             .gap
             .observe(now_us, gap_us / expected_us, f64::from(count));
+        self.record_alive(now_us, index);
         self.update_ejection(now_us, index);
     }
 
@@ -92,6 +100,7 @@
         cohort
             .steps
             .observe(work.all_running(), prefill_us, elapsed_us as f64);
+        self.record_alive(now_us, index);
     }
 
     /// Records the number of events of a complete answer.
@@ -152,16 +161,23 @@
         };
         let member = &mut self.members[index];
         member.free_slot();
+        member.tried_us = now_us;
         let running = member.outstanding;
         let surplus = member.pending.len().saturating_sub(running as usize);
         member.pending.drain(..surplus);
         match outcome {
             AttemptOutcome::Complete => member.record_complete(now_us),
             AttemptOutcome::Cancelled => {}
-            AttemptOutcome::ConnectFailed | AttemptOutcome::Lost => member.record_failure(now_us),
+            AttemptOutcome::ConnectFailed | AttemptOutcome::Lost => {
+                member.record_failure(now_us);
+                self.record_unreachable(now_us, index, outcome);
+            }
             AttemptOutcome::Rejected => member.record_rejection(now_us, running),
             AttemptOutcome::Failed => member.record_error(now_us),
         }
+        if outcome.is_answer() {
+            self.record_alive(now_us, index);
+        }
         self.update_ejection(now_us, index);
         self.update_key(now_us, index);
     }
@@ -202,6 +218,7 @@
         self.update_medians(now_us);
         self.update_partitions(now_us);
         self.end_pauses(now_us);
+        self.update_down(now_us);
         for index in 0..self.members.len() {
             self.members[index].recover_capacity(now_us);
             self.members[index].age_jitter();
@@ -210,9 +227,10 @@
         }
     }
 
-    /// Counts usable and ejected members, and reinstates the least severe ones beyond the bound on
+    /// Takes unreachable members out of service, counts usable and ejected ones, and reinstates the least severe ones beyond the bound on
     /// ejections.
     pub(super) fn recount(&mut self, now_us: u64) {
+        let down_changes = self.mark_down(now_us);
         for cohort in &mut self.cohorts {
             (cohort.usable, cohort.ejected) = (0, 0);
         }
@@ -241,6 +259,9 @@
                 self.update_key(now_us, index);
             }
         }
+        for index in down_changes {
+            self.update_key(now_us, index);
+        }
     }
 
     /// Ejects or reinstates a member according to its failures and slow-down.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -21,9 +21,13 @@
 mod dispatch;
 mod dispatcher;
 mod entry;
+mod evidence;
 #[cfg(test)]
 mod fixtures;
 mod group;
+mod held_retries;
+#[cfg(test)]
+mod held_retries_tests;
 #[cfg(test)]
 mod holds_complete_tests;
 #[cfg(test)]
@@ -63,8 +67,9 @@
     policy::JobPolicy,
     reason::Reason,
 };
+pub use health::Symptom;
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
     EngineDemand, EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality,
-    PAUSE_MAX_US, PeerLoads, PromptPart, Target, UpstreamStatus,
+    PAUSE_MAX_US, PeerLoads, PromptPart, ReuseTotals, Target, UpstreamStatus,
 };
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -38,6 +38,10 @@
 pub(crate) const ATTEMPTS_MAX: Range = 1..=16;
 /// The largest engines hold a few hundred million tokens.
 pub(crate) const CACHE_TOKENS: Range = 1..=1_000_000_000;
+/// The cache of the largest models takes some MB for each token.
+pub(crate) const CACHE_TOKEN_BYTES: Range = 0..=100_000_000;
+/// Up to 100 Tbit/s.
+pub(crate) const LINK_MBPS: Range = 0..=100_000_000;
 pub(crate) const SLOTS: Range = 1..=65_536;
 pub(crate) const ANSWER_MAX_MS: Range = 1..=3_600_000;
 
@@ -54,6 +58,13 @@
 pub(crate) const WORKERS: Range = 1..=256;
 pub(crate) const BODY_MAX_BYTES: Range = 1_024..=268_435_456;
 pub(crate) const RECEIVE_MAX_MS: Range = 1..=600_000;
+/// A process without callers needs some 20 MiB; up to 1 TiB.
+pub(crate) const MEMORY_MAX_MB: Range = 48..=1_048_576;
+pub(crate) const DESCRIPTORS: Range = 16..=1_048_576;
+/// At most half of what a caller gets of a link of 10 Mbit/s that a hundred share.
+pub(crate) const CALLER_BYTES_PER_S: Range = 1..=6_250;
+/// A sound caller may be cut off from its host for a few seconds.
+pub(crate) const CALLER_WINDOW_MS: Range = 5_000..=600_000;
 /// With 5 s, a change is in force on every host within 11 s even if one read is lost.
 pub(crate) const STORE_POLL_MS: Range = 1..=5_000;
 /// Shorter leases end while a call or a write of the store is still under way.
--- a/crates/settings/src/schemas.rs
+++ b/crates/settings/src/schemas.rs
@@ -56,10 +56,14 @@
     Field::optional("reclaimable", Schema::Bool),
 ]);
 
-const ENGINE: Schema = Schema::Object(&[Field::required(
-    "cache_tokens",
-    Schema::Number(limits::CACHE_TOKENS),
-)]);
+const ENGINE: Schema = Schema::Object(&[
+    Field::required("cache_tokens", Schema::Number(limits::CACHE_TOKENS)),
+    Field::optional(
+        "cache_token_bytes",
+        Schema::Number(limits::CACHE_TOKEN_BYTES),
+    ),
+    Field::optional("link_mbps", Schema::Number(limits::LINK_MBPS)),
+]);
 
 const REQUEST_MATCHER: Schema = Schema::Object(&[
     Field::required(
@@ -186,6 +190,14 @@
     Field::optional("workers", Schema::Number(limits::WORKERS)),
     Field::optional("body_max_bytes", Schema::Number(limits::BODY_MAX_BYTES)),
     Field::optional("receive_max_ms", Schema::Number(limits::RECEIVE_MAX_MS)),
+    Field::optional("memory_max_mb", Schema::Number(limits::MEMORY_MAX_MB)),
+    Field::optional("descriptors_max", Schema::Number(limits::DESCRIPTORS)),
+    Field::optional("descriptors_reserved", Schema::Number(limits::DESCRIPTORS)),
+    Field::optional(
+        "caller_min_bytes_per_s",
+        Schema::Number(limits::CALLER_BYTES_PER_S),
+    ),
+    Field::optional("caller_window_ms", Schema::Number(limits::CALLER_WINDOW_MS)),
     Field::optional("store_poll_ms", Schema::Number(limits::STORE_POLL_MS)),
     Field::optional("drain_max_ms", Schema::Number(limits::DRAIN_MAX_MS)),
     Field::optional(
