--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -69,7 +69,8 @@
             // Half of the 4 KB/s of a daemon, as it receives about as much as it sends.
             send_bytes_per_s: 2_000,
             send_burst_bytes: 4_000,
-            // Urgent payloads are rare: they follow losses of upstreams.
+            // Urgent payloads are rare, as they follow losses of upstreams, or few, as the counts of
+            // usage.
             urgent_bytes_per_s: 8_000,
             urgent_burst_bytes: 16_000,
             datagram_max_bytes: 1_200,
