--- a/crates/fireflylever/src/lib.rs
+++ b/crates/fireflylever/src/lib.rs
@@ -17,6 +17,6 @@
 //! ```
 
 pub use ::{
-    audit, claim, code, daemon, grant, lease, limit, metric, peer, queue, release, route, sched,
-    settings, store, wire,
+    audit, claim, code, daemon, grant, intake, lease, limit, metric, peer, queue, release, route,
+    sched, settings, store, wire,
 };
