fix(quarantine): one faulty upstream convicts no request; a released part releases its requests

Change: only the first loss at an upstream counts against a request; one that starts again mostly has another name. The release of a part releases the held requests that were lost with it.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -266,6 +266,18 @@
         culprits.collect()
     }
 
+    /// Returns the fingerprints of the lost requests with a part.
+    pub(crate) fn requests_with(&self, part: u64) -> Vec<u64> {
+        let losses = self
+            .crashes
+            .iter()
+            .flat_map(|crash| crash.losses_with(part));
+        let mut requests: Vec<u64> = losses.map(|loss| loss.request).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        requests
+    }
+
     /// Returns the parts of the held requests with their fingerprints, sorted.
     fn held_requests<H>(&self, is_held_request: H) -> Vec<(u64, u64)>
     where
--- a/crates/quarantine/src/quarantine/operators.rs
+++ b/crates/quarantine/src/quarantine/operators.rs
@@ -60,7 +60,8 @@
         .collect()
     }
 
-    /// Releases a part, as an operator asks. No other part is blamed for its crashes until then.
+    /// Releases a part or a whole request, as an operator asks. No other part is blamed for its crashes
+    /// until then, and requests with the part that are held back are released with it.
     ///
     /// Returns whether it was suspected or quarantined.
     pub fn release(&mut self, now_us: u64, part: u64) -> bool {
@@ -68,7 +69,13 @@
         let state = self.state(part);
         let held = state.is_some_and(VerdictState::is_held);
         if held {
+            let requests = self.log.requests_with(part);
             self.set_free(now_us, part, VerdictState::Released);
+            for request in requests {
+                if self.state(request).is_some_and(VerdictState::is_held) {
+                    self.set_free(now_us, request, VerdictState::Released);
+                }
+            }
         }
         held
     }
--- a/crates/quarantine/src/request_log.rs
+++ b/crates/quarantine/src/request_log.rs
@@ -15,9 +15,6 @@
 /// Time for which a loss is kept as evidence.
 const LOSS_AGE_MAX_US: u64 = 600_000_000;
 
-/// Losses at one upstream within this time belong to the same crash, as in the log of crashes.
-const SAME_CRASH_US: u64 = 5_000_000;
-
 /// Crashes within this time count once if the request ran at several upstreams at the same time.
 const SAME_MOMENT_US: u64 = 300_000;
 
@@ -54,17 +51,15 @@
 }
 
 impl RequestLog {
-    /// Records a loss; returns whether it is new.
+    /// Records a loss; returns whether it is new. An upstream that loses a request once more may be
+    /// faulty itself, so only its first loss counts.
     pub(crate) fn record(&mut self, request: u64, loss: RequestLoss) -> bool {
         let index = match self.index(request) {
             Ok(index) => index,
             Err(_) => self.insert(request),
         };
         let losses = &mut self.requests[index].losses;
-        let is_known = losses.iter().any(|known| {
-            known.upstream == loss.upstream && known.lost_us.abs_diff(loss.lost_us) < SAME_CRASH_US
-        });
-        if is_known {
+        if losses.iter().any(|known| known.upstream == loss.upstream) {
             return false;
         }
         losses.push(loss);
--- a/crates/quarantine/src/whole_request_tests.rs
+++ b/crates/quarantine/src/whole_request_tests.rs
@@ -136,6 +136,29 @@
     }
 }
 
+/// Guards against requests that stay held back after an operator has released the part that they
+/// were lost with.
+#[test]
+fn release_of_a_part_releases_its_requests() {
+    let mut daemon = Quarantine::new("a");
+    let request = |own| PromptParts::new([1, 9, own]).with_request(own);
+    for own in 50..54 {
+        for crash in 0..3 {
+            let now_us = (own - 49) * S_US + crash * 100 * MS_US;
+            lose(&mut daemon, now_us, own * 10 + crash, &request(own));
+        }
+    }
+    for second in 6..9 {
+        daemon.tick(second * S_US);
+    }
+    let held = daemon.parts(9 * S_US);
+    let part = held.iter().find(|held| !held.is_request);
+    let part = part.expect("the part that the requests share is held").part;
+    assert!(held.iter().any(|held| held.is_request));
+    assert!(daemon.release(9 * S_US, part));
+    assert!(daemon.parts(9 * S_US).is_empty());
+}
+
 /// Guards against losses from before a release that hold the request back again, because a daemon
 /// reads them in the row or is told them late.
 #[test]
