--- a/crates/daemon/src/duties/held.rs
+++ b/crates/daemon/src/duties/held.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Returns the time by which a hold ends; it also advances while the machine is suspended.
+    /// Returns the time by which a hold ends; it also advances while the host is suspended.
     pub(crate) fn now_us(&self) -> u64 {
         self.clock.now_us()
     }
--- a/crates/daemon/src/duties/steady_clock.rs
+++ b/crates/daemon/src/duties/steady_clock.rs
@@ -1,9 +1,9 @@
 use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::time::Instant;
 
-/// Clock that also advances while the machine is suspended, in microseconds since its creation.
+/// Clock that also advances while the host is suspended, in microseconds since its creation.
 ///
-/// It is the runtime's clock, which tests pause, plus the time that the machine was suspended.
+/// It is the runtime's clock, which tests pause, plus the time that the host was suspended.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SteadyClock {
     start: Instant,
@@ -27,7 +27,7 @@
     }
 }
 
-/// Returns how long the machine has been suspended since its start.
+/// Returns how long the host has been suspended since its start.
 ///
 /// The monotonic clock is read first, so that a pause between the two reads counts as time that has
 /// passed.
