--- a/review/rig/src/bin/memory.rs
+++ b/review/rig/src/bin/memory.rs
@@ -138,9 +138,10 @@
         let ordinary: Vec<_> = (0..4)
             .map(|caller| {
                 let (seen, stop, front) = (seen.clone(), stop.clone(), daemon.front);
+                let record = record.clone();
                 let name = format!("m{number}r{round}c{caller}");
                 tokio::spawn(async move {
-                    call_on_kept_connection(front, &name, number - 1, &seen, &stop).await;
+                    call_on_kept_connection(front, &name, number - 1, &seen, &stop, &record).await;
                 })
             })
             .collect();
@@ -151,6 +152,7 @@
                 let delay = STAGGER * u32::try_from(caller).unwrap_or(0);
                 tokio::spawn(async move {
                     sleep(delay).await;
+                    record.line(&format!("long answer {name}: asked for"));
                     let ended = read_long_answer(front, &name).await;
                     record.line(&format!("long answer {name}: {ended}"));
                 })
@@ -242,6 +244,7 @@
     machine: usize,
     seen: &Seen,
     stop: &AtomicBool,
+    record: &Record,
 ) {
     let Ok(mut stream) = open(front).await else {
         return;
@@ -264,6 +267,9 @@
                     .run
                     .lock()
                     .is_ok_and(|mut run| run.remove(&id).is_some());
+                record.line(&format!(
+                    "ordinary request {id}: run by the server: {is_run}, no answer, connection closed"
+                ));
                 // The first request of a connection doesn't count: the connection isn't a kept one.
                 seen.lost[machine].fetch_add(u64::from(is_run && number > 0), Ordering::Relaxed);
                 return;
