--- a/review/rig/src/bin/lookups.rs
+++ b/review/rig/src/bin/lookups.rs
@@ -81,13 +81,7 @@
         grace_s: 8,
     };
     let mut site = Site::start(limits).await?;
-    site.configure(
-        &[
-            route("stock-lookup", "idempotent", "balcao-pecas", 3_000, 2),
-            route("parts-order", "non_idempotent", "balcao-pecas", 3_000, 1),
-        ],
-        &[json!({"name": "balcao-pecas"})],
-    );
+    configure(&site);
     let mut servers = Vec::new();
     for number in 1..=SERVERS {
         let listener = TcpListener::bind((site.ip(200), 0)).await?;
@@ -127,6 +121,9 @@
         server.loses_next.store(has_trouble(), Ordering::Relaxed);
     }
     sleep_until(began + Duration::from_secs(KILL_S)).await;
+    // The final fault follows the acknowledgement of one more version, here with the same routes.
+    configure(&site);
+    record.line("the store has acknowledged a version of the configuration");
     let killed_at = began.elapsed();
     if has_trouble() {
         restart_all(&record, &mut machines).await?;
@@ -162,6 +159,17 @@
     Ok(!is_broken)
 }
 
+/// Writes a version of the configuration.
+fn configure(site: &Site) {
+    site.configure(
+        &[
+            route("stock-lookup", "idempotent", "balcao-pecas", 3_000, 2),
+            route("parts-order", "non_idempotent", "balcao-pecas", 3_000, 1),
+        ],
+        &[json!({"name": "balcao-pecas"})],
+    );
+}
+
 /// The final fault: all processes are killed, and started again.
 async fn restart_all(record: &Record, machines: &mut [Daemon]) -> Result<()> {
     for machine in machines.iter_mut() {
