--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use log::info;
+use log::{info, warn};
 use settings::{Config, Upstream, UpstreamLifecycle};
 use tokio::sync::{Notify, watch};
 
@@ -149,7 +149,7 @@
     pub(crate) fn apply_upstreams(&self, shared: &Shared, read: UpstreamRead) -> Option<Duration> {
         let mut inner = self.lock();
         let has_news = inner.set_failing(Read::Upstreams, false);
-        let changed = inner.table.apply(read);
+        let changed = inner.apply_rows(shared, read, "store");
         let grace = inner.refresh_upstreams(shared, changed);
         drop(inner);
         self.notify_followers(has_news || changed);
@@ -180,7 +180,9 @@
         if update.after_outage {
             inner.roster.record_failure();
         }
-        let changed = update.upstreams.is_some_and(|read| inner.table.apply(read));
+        let changed = update
+            .upstreams
+            .is_some_and(|read| inner.apply_rows(shared, read, peer));
         let grace = inner.refresh_upstreams(shared, changed);
         drop(inner);
         self.notify_followers(has_news || changed);
@@ -273,6 +275,21 @@
         true
     }
 
+    /// Applies rows about upstreams; returns whether an upstream may have changed.
+    fn apply_rows(&mut self, shared: &Shared, read: UpstreamRead, source: &str) -> bool {
+        let known = self.table.store_version();
+        if known.is_some_and(|known| read.store_version < known) {
+            warn!(
+                "directory: read dropped source={source} version={} known={} rows={}",
+                read.store_version,
+                known.unwrap_or_default(),
+                read.rows.len()
+            );
+            shared.metrics.record_dropped_read("older");
+        }
+        self.table.apply(read)
+    }
+
     /// Updates the upstreams in force to the table's, if they can differ; returns the time until a
     /// grace period ends.
     fn refresh_upstreams(&mut self, shared: &Shared, changed: bool) -> Option<Duration> {
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -85,13 +85,17 @@
         if state.has_config() && wait_until(&mut source, |source| source != Source::Peer).await {
             reachability = Reachability::new("config");
         }
+        let after = state.config_store_version();
         let answer = tokio::select! {
-            answer = store.config(state.config_store_version(), wait) => answer,
+            answer = store.config(after, wait) => answer,
             () = state.store_returned.notified() => continue,
         };
         match answer {
             Ok(read) => {
                 reachability.record_success();
+                if after.is_some() && read.store_version.is_none() {
+                    shared.metrics.record_lost_history("config");
+                }
                 state.apply_config(&shared, read);
             }
             Err(error) => {
@@ -114,8 +118,12 @@
         if wait_until(&mut source, |source| source == Source::Store).await {
             reachability = Reachability::new("upstreams");
         }
-        match store.upstreams(state.upstreams_store_version(), wait).await {
+        let after = state.upstreams_store_version();
+        match store.upstreams(after, wait).await {
             Ok(read) => {
+                if after.is_some() && read.is_whole {
+                    shared.metrics.record_lost_history("upstreams");
+                }
                 if reachability.record_success() {
                     state.store_returned.notify_waiters();
                 }
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -25,6 +25,8 @@
     pub caller_connections: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
+    /// Version of the store up to which the upstreams are known, 0 if there is none.
+    pub upstreams_version: u64,
     /// Number of other daemons that are live.
     pub live_peers: u64,
     /// Whether the host accepts new requests.
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -44,6 +44,9 @@
     duty_calls: Family<DutyCallLabel, Counter>,
     usage_windows: Family<WindowLabel, Counter>,
     duties_held: Gauge,
+    lost_histories: Family<KindLabel, Counter>,
+    dropped_reads: Family<ReasonLabel, Counter>,
+    upstreams_version: Gauge,
     reuse: ReuseCounters,
     upstream_complaints: Family<ComplaintLabel, Counter>,
     shortages: Family<ShortageLabel, Counter>,
@@ -85,6 +88,9 @@
             duty_calls: Family::default(),
             usage_windows: Family::default(),
             duties_held: Gauge::default(),
+            lost_histories: Family::default(),
+            dropped_reads: Family::default(),
+            upstreams_version: Gauge::default(),
             reuse: ReuseCounters::default(),
             upstream_complaints: Family::default(),
             shortages: Family::default(),
@@ -104,6 +110,7 @@
         metrics.register();
         metrics.register_orders();
         metrics.register_duties();
+        metrics.register_store();
         metrics.reuse.register(&mut metrics.registry);
         metrics.register_upstream_news();
         metrics.register_holds();
@@ -245,6 +252,18 @@
         self.usage_windows.get_or_create(&label).inc();
     }
 
+    /// Counts a read of changes that the store answered with all rows; `read` names its kind.
+    pub fn record_lost_history(&self, read: &'static str) {
+        let label = KindLabel { kind: read };
+        self.lost_histories.get_or_create(&label).inc();
+    }
+
+    /// Counts a list of upstreams that was not applied, by the reason.
+    pub fn record_dropped_read(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.dropped_reads.get_or_create(&label).inc();
+    }
+
     /// Counts complaints about upstreams that this daemon told others.
     pub fn record_complaints_told(&self, count: usize) {
         self.count_complaints("told", count);
@@ -298,6 +317,8 @@
                 .set(saturating_i64(oldest_wait_us));
         }
         self.in_flight.set(saturating_i64(gauges.in_flight));
+        self.upstreams_version
+            .set(saturating_i64(gauges.upstreams_version));
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
@@ -346,6 +367,28 @@
         );
     }
 
+    /// Registers what became of reads of the platform's store.
+    fn register_store(&mut self) {
+        let registry = &mut self.registry;
+        register(
+            registry,
+            "lost_store_histories",
+            "Reads of changes that the store answered with its history being gone",
+            &self.lost_histories,
+        );
+        register(
+            registry,
+            "dropped_reads",
+            "Lists of upstreams that were not applied, by reason",
+            &self.dropped_reads,
+        );
+        registry.register(
+            "upstreams_version",
+            "Version of the store up to which the upstreams are known",
+            self.upstreams_version.clone(),
+        );
+    }
+
     fn register_duties(&mut self) {
         let registry = &mut self.registry;
         registry.register(
