fix(directory): versions of the store carry their era

Cause: a cursor was a bare number of the store. After a restore it was compared with numbers of another history. UpstreamTable dropped each list that was read whole, because its version was lower, and asked for changes after its old version again, for ever. Where the number had been given out again, no read got 410, and what was written below it was never read. A follower's cursor in the configuration only grew. A host's own row was written at its start only.

A list of a new era replaces the old one as a whole; upstreams that it lacks stay for the grace period, those that had left get no work for 10 s unless their row was written anew (Departed). Hosts register again. The same version of a configuration with other content is logged.

--- a/crates/daemon/src/adapter/store_adapter.rs
+++ b/crates/daemon/src/adapter/store_adapter.rs
@@ -2,7 +2,7 @@
 
 use futures::future::LocalBoxFuture;
 use peer::ListedHost;
-use store::StoreError;
+use store::{StoreError, StoreVersion};
 
 use super::{ConfigRead, UpstreamRead};
 
@@ -11,14 +11,15 @@
     /// Reads the configuration.
     ///
     /// Without `after`, the configuration is read at once. With it, the call returns as soon as the
-    /// configuration has changed since that version of the store, and after `wait` at the latest.
+    /// configuration has changed since that version of the store, and after `wait` at the latest; if
+    /// the store no longer knows the changes, the configuration is read as it is.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] if the store does not respond or refuses the request.
     fn config(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<ConfigRead, StoreError>>;
 
@@ -33,7 +34,7 @@
     /// Any [`StoreError`] if the store does not respond or refuses the request.
     fn upstreams(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<UpstreamRead, StoreError>>;
 
--- a/crates/daemon/src/adapter/store_reads.rs
+++ b/crates/daemon/src/adapter/store_reads.rs
@@ -1,11 +1,14 @@
 use settings::{Config, Upstream};
+use store::StoreVersion;
 
 /// Result of a read of the configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigRead {
-    /// Version of the store up to which the read is complete, and after which to ask next; `None` if
-    /// the store no longer knows the changes and the configuration must be read whole.
-    pub store_version: Option<u64>,
+    /// Version of the store up to which the read is complete, and after which to ask next.
+    pub store_version: StoreVersion,
+    /// Whether the configuration was read as it is, because its changes weren't asked for or aren't
+    /// known.
+    pub is_whole: bool,
     /// Configuration, if it has changed and can be parsed; without upstreams.
     pub config: Option<Config>,
 }
@@ -14,7 +17,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamRead {
     /// Version of the store up to which the read is complete, and after which to ask next.
-    pub store_version: u64,
+    pub store_version: StoreVersion,
     /// Whether the rows are all that there are, rather than those that have changed.
     pub is_whole: bool,
     /// Rows in any order.
@@ -27,7 +30,7 @@
     /// Name of the upstream.
     pub name: String,
     /// Version of the store at the last change of the row.
-    pub store_version: u64,
+    pub store_version: StoreVersion,
     /// Upstream; `None` if the row was removed or can't be parsed.
     pub upstream: Option<Upstream>,
 }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -111,7 +111,8 @@
     gauges.live_peers = shared.peers.with(|membership| membership.live().count()) as u64;
     gauges.config_version = shared.snapshot.load().config.version;
     let upstreams_version = shared.cluster_state.upstreams_store_version();
-    gauges.upstreams_version = upstreams_version.unwrap_or_default();
+    gauges.upstreams_version = upstreams_version.unwrap_or_default().number;
+    gauges.store_era = shared.cluster_state.era().borrow().unwrap_or_default();
     gauges.ready = shared.is_ready();
     gauges.duties_held = shared.held.current().is_some();
     HttpResponse::Ok()
--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -7,9 +7,11 @@
 
 use log::{info, warn};
 use settings::{Config, Upstream, UpstreamLifecycle};
+use store::StoreVersion;
 use tokio::sync::{Notify, watch};
 
 use super::{
+    departed::Departed,
     roster::Roster,
     update::{Subscription, Update},
     upstream_table::UpstreamTable,
@@ -42,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Cursor {
     config_version: u64,
-    upstreams_version: Option<u64>,
+    upstreams_version: Option<StoreVersion>,
     outages: u64,
 }
 
@@ -56,6 +58,8 @@
     /// Notified of everything that followers have to be told.
     changed: watch::Sender<()>,
     source: watch::Sender<Source>,
+    /// Newest known era of the store; `None` before the first read.
+    era: watch::Sender<Option<u64>>,
     /// Whether the other daemons have been listed once.
     pub(crate) has_listed_daemons: watch::Sender<bool>,
 }
@@ -64,9 +68,12 @@
 struct Inner {
     config: Option<Config>,
     /// Version of the store up to which the configuration is known.
-    config_store_version: Option<u64>,
+    config_store_version: Option<StoreVersion>,
     table: UpstreamTable,
     roster: Roster,
+    departed: Departed,
+    /// Whether the last update may have left out rows of a restored list.
+    is_doubting: bool,
     /// Outages of the store that have ended.
     outages: u64,
     /// Reads of the store that fail at present.
@@ -80,6 +87,7 @@
             store_returned: Notify::default(),
             changed: watch::channel(()).0,
             source: watch::channel(Source::default()).0,
+            era: watch::channel(None).0,
             has_listed_daemons: watch::channel(false).0,
         }
     }
@@ -108,13 +116,22 @@
         self.changed.subscribe()
     }
 
+    /// Returns the newest known era of the store, and notifies of its changes; `None` before the
+    /// first read.
+    ///
+    /// If it rises, the store has come back from an older copy, and what this daemon wrote may be
+    /// gone.
+    pub(crate) fn era(&self) -> watch::Receiver<Option<u64>> {
+        self.era.subscribe()
+    }
+
     /// Returns the version of the store up to which the configuration is known.
-    pub(crate) fn config_store_version(&self) -> Option<u64> {
+    pub(crate) fn config_store_version(&self) -> Option<StoreVersion> {
         self.lock().config_store_version
     }
 
     /// Returns the version of the store up to which the upstreams are known.
-    pub(crate) fn upstreams_store_version(&self) -> Option<u64> {
+    pub(crate) fn upstreams_store_version(&self) -> Option<StoreVersion> {
         self.lock().table.store_version()
     }
 
@@ -137,8 +154,10 @@
         if let Some(config) = read.config {
             has_news |= inner.offer_config(shared, config, "store");
         }
-        inner.config_store_version = read.store_version;
+        let store_version = Some(read.store_version).max(inner.config_store_version);
+        inner.config_store_version = store_version;
         drop(inner);
+        self.raise_era(store_version);
         self.notify_followers(has_news);
     }
 
@@ -151,7 +170,9 @@
         let has_news = inner.set_failing(Read::Upstreams, false);
         let changed = inner.apply_rows(shared, read, "store");
         let grace = inner.refresh_upstreams(shared, changed);
+        let store_version = inner.table.store_version();
         drop(inner);
+        self.raise_era(store_version);
         self.notify_followers(has_news || changed);
         grace
     }
@@ -174,9 +195,8 @@
         if let Some(config) = update.config {
             has_news |= inner.offer_config(shared, config, peer);
         }
-        if update.config_store_version > inner.config_store_version {
-            inner.config_store_version = update.config_store_version;
-        }
+        let config_store_version = update.config_store_version.max(inner.config_store_version);
+        inner.config_store_version = config_store_version;
         if update.after_outage {
             inner.roster.record_failure();
         }
@@ -184,7 +204,9 @@
             .upstreams
             .is_some_and(|read| inner.apply_rows(shared, read, peer));
         let grace = inner.refresh_upstreams(shared, changed);
+        let store_version = inner.table.store_version();
         drop(inner);
+        self.raise_era(store_version.max(config_store_version));
         self.notify_followers(has_news || changed);
         grace
     }
@@ -244,6 +266,16 @@
         update
     }
 
+    /// Records the era of a version that the store has, directly or as another daemon tells it.
+    fn raise_era(&self, store_version: Option<StoreVersion>) {
+        let era = store_version.map(|version| version.era);
+        self.era.send_if_modified(|known| {
+            let is_newer = era > *known;
+            *known = era.max(*known);
+            is_newer
+        });
+    }
+
     fn notify_followers(&self, has_news: bool) {
         if has_news {
             self.changed.send_replace(());
@@ -260,6 +292,10 @@
     fn offer_config(&mut self, shared: &Shared, config: Config, source: &str) -> bool {
         let in_force = self.config.as_ref().map_or(0, |config| config.version);
         if config.version <= in_force {
+            let is_other = self.config.as_ref().is_some_and(|known| *known != config);
+            if config.version == in_force && is_other {
+                warn!("config: other content ignored version={in_force} source={source}");
+            }
             return false;
         }
         let (version, routes) = (config.version, config.routes.len());
@@ -277,17 +313,36 @@
 
     /// Applies rows about upstreams; returns whether an upstream may have changed.
     fn apply_rows(&mut self, shared: &Shared, read: UpstreamRead, source: &str) -> bool {
+        let (version, rows) = (read.store_version, read.rows.len());
         let known = self.table.store_version();
-        if known.is_some_and(|known| read.store_version < known) {
+        if known.is_some_and(|known| version < known) {
             warn!(
-                "directory: read dropped source={source} version={} known={} rows={}",
-                read.store_version,
-                known.unwrap_or_default(),
-                read.rows.len()
+                "directory: read dropped source={source} version={version} known={} rows={rows}",
+                known.unwrap_or_default()
             );
             shared.metrics.record_dropped_read("older");
+            return false;
+        }
+        let is_restored = read.is_whole && known.is_some_and(|known| version.era > known.era);
+        let now_us = shared.clock.now_us();
+        if is_restored {
+            let removed = self.table.rows().iter();
+            let removed = removed.filter(|row| row.upstream.is_none());
+            let removed = removed.map(|row| row.name.as_str());
+            self.departed.record_removed(now_us, removed);
         }
-        self.table.apply(read)
+        let changed = self.table.apply(read);
+        if is_restored {
+            warn!(
+                "directory: restored list applied source={source} version={version} known={} rows={rows}",
+                known.unwrap_or_default()
+            );
+            shared.metrics.record_restore();
+            // The copy may lack rows of live upstreams, as after an outage in which they expired.
+            self.roster.record_failure();
+            self.departed.record_restore(shared.clock.now_us(), version);
+        }
+        changed
     }
 
     /// Updates the upstreams in force to the table's, if they can differ; returns the time until a
@@ -295,22 +350,30 @@
     fn refresh_upstreams(&mut self, shared: &Shared, changed: bool) -> Option<Duration> {
         let now_us = shared.clock.now_us();
         self.table.store_version()?;
-        if changed || self.roster.is_pending() {
+        let doubt_ends_us = self.departed.ends_us(now_us);
+        if changed || self.roster.is_pending() || doubt_ends_us.is_some() || self.is_doubting {
+            self.is_doubting = doubt_ends_us.is_some();
             self.outages += u64::from(self.roster.is_unreachable());
-            let mut listed = self.table.upstreams();
-            for upstream in &mut listed {
-                upstream.region = shared.host.region_of(&upstream.zone).to_owned();
-            }
+            let rows = self.table.rows().iter();
+            let listed = rows.filter_map(|row| self.departed.screen(now_us, row));
+            let listed = listed.map(|upstream| Upstream {
+                region: shared.host.region_of(&upstream.zone).to_owned(),
+                ..upstream
+            });
+            let listed = listed.collect();
             let before = self.roster.upstreams().to_vec();
             if self.roster.update(now_us, listed) {
+                self.departed
+                    .record(now_us, &before, self.roster.upstreams());
                 log_changes(&before, self.roster.upstreams());
                 if self.config.is_some() {
                     shared.replace_config(self.merged());
                 }
             }
         }
-        let grace_ends_us = self.roster.grace_ends_us()?;
-        Some(Duration::from_micros(grace_ends_us.saturating_sub(now_us)))
+        let grace_ends_us = self.roster.grace_ends_us();
+        let ends_us = grace_ends_us.into_iter().chain(doubt_ends_us).min()?;
+        Some(Duration::from_micros(ends_us.saturating_sub(now_us)))
     }
 
     /// Returns the configuration with the listed upstreams and the engine settings of their
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -30,6 +30,10 @@
 /// Pause after the first read of that list, which may be made while other daemons still start.
 const FIRST_DAEMONS_PAUSE: Duration = Duration::from_secs(2);
 
+/// Longest delay before a daemon registers again in a restored store, so that a large fleet doesn't
+/// write all its rows at once.
+const REGISTER_DELAY_MAX_MS: u64 = 2_000;
+
 /// Tracks whether reads of one kind succeed, and logs when that changes.
 struct Reachability {
     read: &'static str,
@@ -93,7 +97,7 @@
         match answer {
             Ok(read) => {
                 reachability.record_success();
-                if after.is_some() && read.store_version.is_none() {
+                if after.is_some() && read.is_whole {
                     shared.metrics.record_lost_history("config");
                 }
                 state.apply_config(&shared, read);
@@ -124,7 +128,8 @@
                 if after.is_some() && read.is_whole {
                     shared.metrics.record_lost_history("upstreams");
                 }
-                if reachability.record_success() {
+                let is_restored = after.is_some_and(|after| read.store_version.era > after.era);
+                if reachability.record_success() || is_restored {
                     state.store_returned.notify_waiters();
                 }
                 let grace = state.apply_upstreams(&shared, read);
@@ -144,17 +149,45 @@
 }
 
 /// Registers this daemon, then polls the list of the daemons of its zone. The daemon that follows no
-/// other one also reads those of the other zones; the rest hear of them from it.
+/// other one also reads those of the other zones; the rest hear of them from it. Registers again
+/// when the store has come back from an older copy, which may lack the row.
 pub(crate) async fn follow_daemons(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
     let mut reachability = Reachability::new("daemons");
+    let mut era = shared.cluster_state.era();
+    loop {
+        let registered_era = *era.borrow();
+        register(&shared, &*store, &mut reachability).await;
+        tokio::select! {
+            () = wait_for_restore(&mut era, registered_era) => {}
+            () = poll_daemons(&shared, &*store, &mut reachability) => {}
+        }
+        let delay_ms = rand::rng().random_range(0..=REGISTER_DELAY_MAX_MS);
+        sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
+/// Waits until the store has come back from an older copy since it had this era.
+async fn wait_for_restore(era: &mut watch::Receiver<Option<u64>>, since: Option<u64>) {
+    // Both fail only when the daemon ends, and with it this task.
+    let first = era.wait_for(Option::is_some).await.map(|era| *era);
+    let since = since.or(first.unwrap_or_default());
+    let _ = era.wait_for(|era| *era > since).await;
+}
+
+async fn register(shared: &Shared, store: &dyn StoreAdapter, reachability: &mut Reachability) {
     let host = &shared.host;
     let own = ListedHost::new(&host.name, host.peer_listen).with_locality(&host.region, &host.zone);
     while let Err(error) = store.register(&own).await {
         reachability.back_off(&error).await;
     }
+    info!("directory: registered name={}", host.name);
+}
+
+/// Polls the list of the other daemons.
+async fn poll_daemons(shared: &Shared, store: &dyn StoreAdapter, reachability: &mut Reachability) {
     let mut pause = FIRST_DAEMONS_PAUSE;
     loop {
-        match read_daemons(&shared, &*store).await {
+        match read_daemons(shared, store).await {
             Ok(count) => {
                 reachability.record_success();
                 sleep(with_jitter(millis(pause))).await;
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -5,6 +5,7 @@
 //! tells it to the daemons that follow this one.
 
 mod cluster_state;
+mod departed;
 mod follow;
 mod follow_peer;
 mod roster;
--- a/crates/daemon/src/directory/update.rs
+++ b/crates/daemon/src/directory/update.rs
@@ -5,6 +5,7 @@
 use eyre::{Result, eyre};
 use serde::{Deserialize, Serialize};
 use settings::{Config, Honours, Route, Upstream, UpstreamKind, UpstreamLifecycle};
+use store::StoreVersion;
 
 use crate::adapter::{UpstreamRead, UpstreamRow};
 
@@ -14,7 +15,7 @@
     /// Version of the configuration in force at the follower, 0 if there is none.
     pub(crate) config_version: u64,
     /// Version of the store up to which the follower knows the upstreams.
-    pub(crate) upstreams_version: Option<u64>,
+    pub(crate) upstreams_version: Option<StoreVersion>,
     /// Whether to answer once instead of telling all later changes.
     pub(crate) once: bool,
 }
@@ -30,7 +31,7 @@
     /// Configuration without upstreams, if the follower has an older one.
     pub(crate) config: Option<Config>,
     /// Version of the store up to which the configuration is known.
-    pub(crate) config_store_version: Option<u64>,
+    pub(crate) config_store_version: Option<StoreVersion>,
     /// Changes of the upstreams.
     pub(crate) upstreams: Option<UpstreamRead>,
 }
@@ -41,7 +42,7 @@
     is_failing: bool,
     after_outage: bool,
     config: Option<EncodedConfig>,
-    config_store_version: Option<u64>,
+    config_store_version: Option<StoreVersion>,
     upstreams: Option<EncodedRead>,
 }
 
@@ -55,7 +56,7 @@
 
 #[derive(Serialize, Deserialize)]
 struct EncodedRead {
-    store_version: u64,
+    store_version: StoreVersion,
     is_whole: bool,
     /// Zones, services and models, each once.
     texts: Vec<String>,
@@ -65,6 +66,7 @@
 #[derive(Serialize, Deserialize)]
 struct EncodedRow {
     name: String,
+    /// Number of the version, whose era is that of the read.
     store_version: u64,
     upstream: Option<EncodedUpstream>,
 }
@@ -152,7 +154,7 @@
         }
         let rows = read.rows.iter().map(|row| EncodedRow {
             name: row.name.clone(),
-            store_version: row.store_version,
+            store_version: row.store_version.number,
             upstream: row
                 .upstream
                 .as_ref()
@@ -169,6 +171,7 @@
 
     fn decode(self) -> Result<UpstreamRead> {
         let texts = self.texts;
+        let era = self.store_version.era;
         let rows = self.rows.into_iter().map(|row| {
             let name = row.name;
             let upstream = row.upstream;
@@ -176,7 +179,7 @@
             Ok(UpstreamRow {
                 upstream: upstream.transpose()?,
                 name,
-                store_version: row.store_version,
+                store_version: StoreVersion::new(era, row.store_version),
             })
         });
         Ok(UpstreamRead {
--- a/crates/daemon/src/directory/update_tests.rs
+++ b/crates/daemon/src/directory/update_tests.rs
@@ -1,4 +1,5 @@
 use settings::{Config, RequestKind, Route, Share, Upstream};
+use store::StoreVersion;
 
 use super::Update;
 use crate::{
@@ -9,7 +10,7 @@
 fn update(upstreams: u16, routes: u32) -> Update {
     let rows = (1..=upstreams).map(|number| UpstreamRow {
         name: format!("i-{number:010}"),
-        store_version: 7_000 + u64::from(number),
+        store_version: StoreVersion::new(3, 7_000 + u64::from(number)),
         upstream: (number % 50 != 0).then(|| Upstream {
             name: format!("i-{number:010}"),
             region: String::new(),
@@ -27,9 +28,9 @@
             routes: (0..routes).map(route).collect(),
             ..Config::default()
         }),
-        config_store_version: Some(9),
+        config_store_version: Some(StoreVersion::new(3, 9)),
         upstreams: Some(UpstreamRead {
-            store_version: 9_000,
+            store_version: StoreVersion::new(3, 9_000),
             is_whole: true,
             rows: rows.collect(),
         }),
--- a/crates/daemon/src/directory/upstream_table.rs
+++ b/crates/daemon/src/directory/upstream_table.rs
@@ -1,6 +1,6 @@
 //! Copy of the store's rows about upstreams.
 
-use settings::Upstream;
+use store::StoreVersion;
 
 use crate::adapter::{UpstreamRead, UpstreamRow};
 
@@ -12,32 +12,31 @@
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamTable {
     /// Version of the store up to which the copy is complete; `None` before the first read.
-    store_version: Option<u64>,
+    store_version: Option<StoreVersion>,
     /// Version from which on all changes are known.
-    history_start: u64,
+    history_start: StoreVersion,
     /// Rows and removed rows, sorted by name.
     rows: Vec<UpstreamRow>,
 }
 
 impl UpstreamTable {
     /// Returns the version of the store up to which the copy is complete.
-    pub(crate) const fn store_version(&self) -> Option<u64> {
+    pub(crate) const fn store_version(&self) -> Option<StoreVersion> {
         self.store_version
     }
 
-    /// Returns the upstreams, sorted by name.
-    pub(crate) fn upstreams(&self) -> Vec<Upstream> {
-        let rows = self.rows.iter();
-        rows.filter_map(|row| row.upstream.clone()).collect()
+    /// Returns the rows and removed rows, sorted by name.
+    pub(crate) fn rows(&self) -> &[UpstreamRow] {
+        &self.rows
     }
 
     /// Applies a read of the store or of another daemon's copy; returns whether an upstream may have
     /// changed. A read that is older than the copy is ignored.
     pub(crate) fn apply(&mut self, mut read: UpstreamRead) -> bool {
-        if self
-            .store_version
-            .is_some_and(|known| read.store_version < known)
-        {
+        let known = self.store_version.unwrap_or_default();
+        // Changes since a version of an earlier era don't lead to this one.
+        let lacks_base = !read.is_whole && read.store_version.era != known.era;
+        if read.store_version < known || lacks_base {
             return false;
         }
         self.store_version = Some(read.store_version);
@@ -70,7 +69,7 @@
 
     /// Returns what a copy that is complete up to a version lacks: the changed rows, or all rows if
     /// the changes aren't known. `None` before the first read.
-    pub(crate) fn changes_since(&self, version: Option<u64>) -> Option<UpstreamRead> {
+    pub(crate) fn changes_since(&self, version: Option<StoreVersion>) -> Option<UpstreamRead> {
         let store_version = self.store_version?;
         let known = version.filter(|&version| version >= self.history_start);
         let rows = self.rows.iter().filter(|row| match known {
@@ -87,7 +86,7 @@
     /// Forgets the older half of the removed rows if there are too many.
     fn forget_removed(&mut self) {
         let removed = self.rows.iter().filter(|row| row.upstream.is_none());
-        let mut versions: Vec<u64> = removed.map(|row| row.store_version).collect();
+        let mut versions: Vec<StoreVersion> = removed.map(|row| row.store_version).collect();
         if versions.len() <= REMOVED_MAX {
             return;
         }
--- a/crates/daemon/src/duties/capacity_tests.rs
+++ b/crates/daemon/src/duties/capacity_tests.rs
@@ -4,7 +4,7 @@
 
 use futures::future::{LocalBoxFuture, join, ready};
 use settings::{Honours, Service, Upstream, UpstreamKind, ZonePrice};
-use store::MemoryTable;
+use store::{MemoryTable, StoreVersion};
 use tokio::time::timeout;
 
 use super::*;
@@ -113,7 +113,8 @@
         ..Config::default()
     };
     let read = ConfigRead {
-        store_version: Some(1),
+        store_version: StoreVersion::new(1, 1),
+        is_whole: true,
         config: Some(config),
     };
     shared.cluster_state.apply_config(shared, read);
@@ -122,12 +123,12 @@
         let upstream = upstream(number, zone, false, UpstreamLifecycle::Live);
         UpstreamRow {
             name: upstream.name.clone(),
-            store_version: 2,
+            store_version: StoreVersion::new(1, 2),
             upstream: Some(upstream),
         }
     });
     let read = UpstreamRead {
-        store_version: 2,
+        store_version: StoreVersion::new(1, 2),
         is_whole: true,
         rows: rows.collect(),
     };
--- a/crates/daemon/tests/routed_support/mod.rs
+++ b/crates/daemon/tests/routed_support/mod.rs
@@ -21,7 +21,7 @@
     UpstreamLifecycle, hash_api_key,
 };
 use standin::sample_host;
-use store::{MemoryTable, StoreError};
+use store::{MemoryTable, StoreError, StoreVersion};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -114,15 +114,18 @@
 impl StoreAdapter for TestStore {
     fn config(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
         _: Duration,
     ) -> LocalBoxFuture<'_, Result<ConfigRead, StoreError>> {
         Box::pin(async move {
             sleep(Duration::from_millis(5)).await;
             let config = self.rows.lock().unwrap().config.clone();
-            let newer = config.filter(|config| Some(config.version) != after);
+            let known = after.unwrap_or_default().number;
+            let newer = config.filter(|config| config.version != known);
+            let number = newer.as_ref().map_or(known, |config| config.version);
             Ok(ConfigRead {
-                store_version: newer.as_ref().map(|config| config.version).or(after),
+                store_version: StoreVersion::new(0, number),
+                is_whole: after.is_none(),
                 config: newer,
             })
         })
@@ -130,7 +133,7 @@
 
     fn upstreams(
         &self,
-        after: Option<u64>,
+        after: Option<StoreVersion>,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<UpstreamRead, StoreError>> {
         Box::pin(async move {
@@ -141,7 +144,7 @@
                 wait.min(Duration::from_millis(5))
             };
             sleep(pause).await;
-            let store_version = after.unwrap_or(0) + 1;
+            let store_version = StoreVersion::new(0, after.unwrap_or_default().number + 1);
             let rows = self.rows.lock().unwrap();
             if rows.is_unreachable {
                 return Err(StoreError::Down);
--- a/crates/metric/src/gauges.rs
+++ b/crates/metric/src/gauges.rs
@@ -27,6 +27,8 @@
     pub config_version: u64,
     /// Version of the store up to which the upstreams are known, 0 if there is none.
     pub upstreams_version: u64,
+    /// Era of the store, which rises when the store comes back from an older copy.
+    pub store_era: u64,
     /// Number of other daemons that are live.
     pub live_peers: u64,
     /// Whether the host accepts new requests.
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -47,6 +47,8 @@
     lost_histories: Family<KindLabel, Counter>,
     dropped_reads: Family<ReasonLabel, Counter>,
     upstreams_version: Gauge,
+    store_era: Gauge,
+    restores: Counter,
     reuse: ReuseCounters,
     upstream_complaints: Family<ComplaintLabel, Counter>,
     shortages: Family<ShortageLabel, Counter>,
@@ -91,6 +93,8 @@
             lost_histories: Family::default(),
             dropped_reads: Family::default(),
             upstreams_version: Gauge::default(),
+            store_era: Gauge::default(),
+            restores: Counter::default(),
             reuse: ReuseCounters::default(),
             upstream_complaints: Family::default(),
             shortages: Family::default(),
@@ -264,6 +268,11 @@
         self.dropped_reads.get_or_create(&label).inc();
     }
 
+    /// Counts a list of upstreams that was applied from a store that came back from an older copy.
+    pub fn record_restore(&self) {
+        self.restores.inc();
+    }
+
     /// Counts complaints about upstreams that this daemon told others.
     pub fn record_complaints_told(&self, count: usize) {
         self.count_complaints("told", count);
@@ -319,6 +328,7 @@
         self.in_flight.set(saturating_i64(gauges.in_flight));
         self.upstreams_version
             .set(saturating_i64(gauges.upstreams_version));
+        self.store_era.set(saturating_i64(gauges.store_era));
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
@@ -387,6 +397,16 @@
             "Version of the store up to which the upstreams are known",
             self.upstreams_version.clone(),
         );
+        registry.register(
+            "store_era",
+            "Era of the store, which rises when it comes back from an older copy",
+            self.store_era.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Lists of upstreams that were applied from a store that came back from an older copy",
+            self.restores.clone(),
+        );
     }
 
     fn register_duties(&mut self) {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,6 +16,7 @@
 mod memory_table;
 mod row;
 mod store_error;
+mod store_version;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -29,5 +30,6 @@
     memory_table::MemoryTable,
     row::Row,
     store_error::StoreError,
+    store_version::StoreVersion,
     table::Table,
 };
