feat(daemon): log and count attempts sent after their upstream was known to leave

Each attempt is now checked against the departures of the instance that it is sent to, under the lock that the check of the upstream takes already: a binary search, nothing allocated unless there is something to log. The line `attempt: sent after leaving` says for how long the departure had been known, by what, and how long ago the upstream was chosen; the counter is `sent_after_leaving`.

The departures are kept beside those that decide, for ten minutes, and no newer configuration ends them, so that a departure that was forgotten shows. No decision changes.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -18,6 +18,8 @@
     Start {
         upstream: Arc<str>,
         attempt: u32,
+        /// Time of the decision; the request may be sent much later.
+        chosen_us: u64,
         priority: i32,
         /// Prompt tokens that the upstream is expected to process before the first output token.
         work_tokens: u32,
@@ -104,7 +106,7 @@
             } else if matches!(action, Action::Cancel { .. }) {
                 self.sharing.ended(id);
             }
-            let (decision, step) = translate(action);
+            let (decision, step) = translate(now_us, action);
             self.journal.record(now_us, id.0, step);
             let Some(decision) = decision else { continue };
             let has_ended = matches!(decision, Decision::Refuse { .. });
@@ -121,7 +123,7 @@
 
 /// Converts an action of the dispatcher to a decision for the request's task, if the task needs
 /// one, and a step for the journal.
-fn translate(action: Action) -> (Option<Decision>, Step) {
+fn translate(now_us: u64, action: Action) -> (Option<Decision>, Step) {
     let reason = action.reason().to_string();
     match action {
         Action::Start {
@@ -140,6 +142,7 @@
             let decision = Decision::Start {
                 upstream,
                 attempt,
+                chosen_us: now_us,
                 priority,
                 work_tokens,
                 fetch_from,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -39,6 +39,7 @@
 mod routed;
 mod run;
 mod running;
+mod send_check;
 mod services;
 mod shared;
 mod sharing;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     attempt::Attempt, core::Decision, handle::JobHandle, holds::Hold, notices, progress::Progress,
-    refusal::Refusal, shared::Shared,
+    refusal::Refusal, send_check::may_send, shared::Shared,
 };
 
 /// Response to one request, across as many attempts as needed.
@@ -149,12 +149,13 @@
             Decision::Start {
                 upstream,
                 attempt,
+                chosen_us,
                 priority,
                 ..
             } => {
                 self.attempts = attempt;
                 self.shared.metrics.record_attempt(attempt);
-                self.open_attempt(&upstream, priority).await;
+                self.open_attempt(&upstream, chosen_us, priority).await;
                 Ok(())
             }
             Decision::Refuse {
@@ -172,7 +173,7 @@
     }
 
     /// Sends the request to an upstream; for a resumed response, with the text received so far.
-    async fn open_attempt(&mut self, name: &str, priority: i32) {
+    async fn open_attempt(&mut self, name: &str, chosen_us: u64, priority: i32) {
         // The decision may date from before a suspension of this process.
         self.shared
             .peers
@@ -184,7 +185,7 @@
             self.handle.finish(Outcome::NotSent);
             return;
         };
-        if !self.shared.accepts_requests(name) {
+        if !may_send(&self.shared, &self.request_id, upstream, chosen_us) {
             self.handle.finish(Outcome::Withheld);
             return;
         }
--- a/crates/daemon/src/routed/attempt.rs
+++ b/crates/daemon/src/routed/attempt.rs
@@ -10,7 +10,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::call::Call;
-use crate::{adapter::ResponseKind, config_snapshot::ConfigSnapshot, notices, shared::Shared};
+use crate::{
+    adapter::ResponseKind, config_snapshot::ConfigSnapshot, notices, send_check::may_send,
+    shared::Shared,
+};
 
 /// Longest idle time of a pooled connection that is reused for a request that may not be repeated.
 ///
@@ -27,6 +30,7 @@
     pool: &Rc<ConnectionPool>,
     call: &Call,
     upstream: &str,
+    chosen_us: u64,
     fetch_from: Option<SocketAddr>,
     resume_after: Option<&str>,
 ) -> Result<Response, Outcome> {
@@ -47,7 +51,7 @@
     let sent_at = Instant::now();
     let mut response = match pool
         .send(upstream_settings.address, request, idle_max, tag, || {
-            shared.accepts_requests(upstream)
+            may_send(shared, &call.request_id, upstream_settings, chosen_us)
         })
         .await
     {
--- a/crates/daemon/src/routed/buffered.rs
+++ b/crates/daemon/src/routed/buffered.rs
@@ -109,6 +109,7 @@
             Decision::Start {
                 upstream,
                 attempt,
+                chosen_us,
                 work_tokens,
                 fetch_from,
                 ..
@@ -116,8 +117,16 @@
                 record_start(shared, call, &upstream, attempt, work_tokens, fetch_from);
                 progress.record_start();
                 let sent_at = Instant::now();
-                let tried =
-                    try_upstream(shared, pool, call, upstream.clone(), attempt, fetch_from).await;
+                let tried = try_upstream(
+                    shared,
+                    pool,
+                    call,
+                    upstream.clone(),
+                    attempt,
+                    chosen_us,
+                    fetch_from,
+                )
+                .await;
                 if !is_counted && !matches!(tried, Err(outcome) if !may_have_run(outcome)) {
                     is_counted = true;
                     attempt::count_sent(shared, call, &upstream, sent_at);
@@ -172,9 +181,11 @@
     call: &Call,
     upstream: Arc<str>,
     attempt: u32,
+    chosen_us: u64,
     fetch_from: Option<SocketAddr>,
 ) -> Result<Exchanged, Outcome> {
-    let mut response = attempt::send(shared, pool, call, &upstream, fetch_from, None).await?;
+    let mut response =
+        attempt::send(shared, pool, call, &upstream, chosen_us, fetch_from, None).await?;
     if !call.kind.is_repeatable() {
         call.release_body();
     }
--- a/crates/daemon/src/routed/stream.rs
+++ b/crates/daemon/src/routed/stream.rs
@@ -44,6 +44,8 @@
     call: Call,
     handle: JobHandle,
     upstream: Arc<str>,
+    /// Time at which the upstream was chosen.
+    chosen_us: u64,
     /// Engine from which the upstream fetches cached parts of the prompt.
     fetch_from: Option<SocketAddr>,
     response: Option<Response>,
@@ -74,6 +76,7 @@
         call,
         handle,
         upstream: "".into(),
+        chosen_us: 0,
         fetch_from: None,
         response: None,
         begun_at: None,
@@ -221,6 +224,7 @@
                 Decision::Start {
                     upstream,
                     attempt,
+                    chosen_us,
                     work_tokens,
                     fetch_from,
                     ..
@@ -235,6 +239,7 @@
                     );
                     progress.record_start();
                     self.upstream = upstream;
+                    self.chosen_us = chosen_us;
                     self.fetch_from = fetch_from;
                     match self.first().await {
                         Ok(FirstPart::Error(body)) if self.may_retry_error() => {
@@ -284,6 +289,7 @@
             &self.pool,
             &self.call,
             &self.upstream,
+            self.chosen_us,
             self.fetch_from,
             resume_after.as_deref(),
         );
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -35,6 +35,7 @@
     refusal::{Refusal, record_refusal},
     response_body::response_body,
     routed::outcome_of,
+    send_check::may_send,
     shared::Shared,
 };
 
@@ -263,14 +264,17 @@
     loop {
         decision = match decision {
             Decision::Start {
-                upstream, attempt, ..
+                upstream,
+                attempt,
+                chosen_us,
+                ..
             } => {
                 shared.metrics.record_attempt(attempt);
                 tokio::select! {
                     biased;
                     // Only calls that may be repeated are preempted by other work.
                     decision = handle.decision(), if call.idempotent => decision,
-                    result = try_upstream(shared, clients, &upstream, call) => {
+                    result = try_upstream(shared, clients, &upstream, chosen_us, call) => {
                         let answer = match result {
                             Ok(answer) => answer,
                             Err(outcome) => {
@@ -301,6 +305,7 @@
     shared: &Shared,
     clients: &ServiceClients,
     upstream: &str,
+    chosen_us: u64,
     call: &Call,
 ) -> Result<HeldAnswer, Outcome> {
     // The decision may date from before a suspension of this process.
@@ -320,7 +325,7 @@
         ConnectionPool::new(PoolOptions::default())
     };
     let exchange = async {
-        let is_allowed = || shared.accepts_requests(&upstream.name);
+        let is_allowed = || may_send(shared, "-", upstream, chosen_us);
         let sent = pool.send(upstream.address, request, IDLE_MAX, UNTAGGED, is_allowed);
         let mut response = sent.await.map_err(|error| outcome_of(&error))?;
         let notice = notice_of(response.status(), header_text(&response, "retry-after"));
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -38,6 +38,7 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
+    sent_after_leaving: Counter,
     ordered_upstreams: Family<UpstreamCountLabel, Gauge>,
     upstream_orders: Family<UpstreamOrderLabel, Counter>,
     duty_holder_changes: Counter,
@@ -84,6 +85,7 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
+            sent_after_leaving: Counter::default(),
             ordered_upstreams: Family::default(),
             upstream_orders: Family::default(),
             duty_holder_changes: Counter::default(),
@@ -206,6 +208,11 @@
         self.upstream_pauses.inc();
     }
 
+    /// Counts an attempt that was sent to an upstream that this host knew as leaving or gone.
+    pub fn record_sent_after_leaving(&self) {
+        self.sent_after_leaving.inc();
+    }
+
     /// Sets the number of upstreams of one kind that a service has in one state.
     pub fn set_ordered_upstreams(
         &self,
@@ -448,6 +455,11 @@
             "Answers of upstreams that asked for a pause",
             self.upstream_pauses.clone(),
         );
+        registry.register(
+            "sent_after_leaving",
+            "Attempts sent to upstreams that this host already knew as leaving or gone",
+            self.sent_after_leaving.clone(),
+        );
         registry.register(
             "upstream_complaints",
             "Complaints about upstreams that can't be reached, told to or heard from other hosts",
--- a/crates/metric/src/tests.rs
+++ b/crates/metric/src/tests.rs
@@ -16,6 +16,7 @@
     metrics.record_attempt(2);
     metrics.record_preemption();
     metrics.record_hedge();
+    metrics.record_sent_after_leaving();
     metrics.set_ordered_upstreams("drafts", "reclaimable", "starting", 4);
     metrics.record_upstream_order("drafts", "reclaimable", "unavailable");
     metrics.record_duty_holder_change();
@@ -44,6 +45,7 @@
         "fireflylever_retries_total 1",
         "fireflylever_preemptions_total 1",
         "fireflylever_hedges_total 1",
+        "fireflylever_sent_after_leaving_total 1",
         "fireflylever_ordered_upstreams{service=\"drafts\",kind=\"reclaimable\",state=\"starting\"} 4",
         "fireflylever_upstream_orders_total{service=\"drafts\",kind=\"reclaimable\",result=\"unavailable\"} 1",
         "fireflylever_duty_holder_changes_total 1",
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 mod gap_class;
 mod group;
 mod hedge_budget;
+mod known_departure;
 mod latency_aims;
 mod lateness;
 mod link_budget;
@@ -61,6 +62,7 @@
     engine_demand::EngineDemand,
     engine_load::EngineLoad,
     hedge_budget::HedgeBudget,
+    known_departure::{DepartureSource, KnownDeparture},
     latency_aims::LatencyAims,
     load_announcement::{KindEstimate, LoadAnnouncement},
     load_report::LoadReport,
--- a/crates/route/src/notices_tests.rs
+++ b/crates/route/src/notices_tests.rs
@@ -3,7 +3,8 @@
 use settings::{Upstream, UpstreamLifecycle};
 
 use crate::{
-    AttemptOutcome, Locality, PAUSE_MAX_US, Pool, PromptPart, RouteRequest,
+    AttemptOutcome, DepartureSource, KnownDeparture, Locality, PAUSE_MAX_US, Pool, PromptPart,
+    RouteRequest,
     tests::{config, engine, model, request},
 };
 
@@ -127,6 +128,82 @@
     }
 }
 
+// Guards against a departure that was acted upon and then forgotten without a trace, and against one
+// that is held against the next instance or against a row that had only expired.
+#[test]
+fn departures_stay_known_as_long_as_the_same_instance_is_meant() {
+    use DepartureSource::{Answer, Gone, HostList, Listed};
+    let live = [instance("a", 1), instance("b", 1)];
+    let mut leaving = live.clone();
+    leaving[0].state = UpstreamLifecycle::Leaving;
+    let restarted = [instance("a", 2), live[1].clone()];
+    let known = |source| {
+        Some(KnownDeparture {
+            since_us: 2,
+            source,
+        })
+    };
+    let list = |pool: &mut Pool, us, version, upstreams: &[Upstream]| {
+        pool.configure(us, &config(version, upstreams));
+    };
+    let cases: [(&str, &[Change<'_>], Option<KnownDeparture>); 8] = [
+        ("live", &[], None),
+        (
+            "listed",
+            &[&|pool| list(pool, 2, 5, &leaving)],
+            known(Listed),
+        ),
+        (
+            "listed, then live by a newer configuration",
+            &[&|pool| list(pool, 2, 5, &leaving), &|pool| {
+                list(pool, 3, 6, &live);
+            }],
+            known(Listed),
+        ),
+        (
+            "listed, then another instance",
+            &[&|pool| list(pool, 2, 5, &leaving), &|pool| {
+                list(pool, 3, 5, &restarted);
+            }],
+            None,
+        ),
+        ("gone", &[&|pool| list(pool, 2, 5, &live[1..])], known(Gone)),
+        (
+            "gone, then back",
+            &[&|pool| list(pool, 2, 5, &live[1..]), &|pool| {
+                list(pool, 3, 5, &live);
+            }],
+            None,
+        ),
+        (
+            "said, then gone and back",
+            &[
+                &|pool| {
+                    pool.set_instance_leaving(2, "a", Some(1));
+                },
+                &|pool| list(pool, 3, 5, &live[1..]),
+                &|pool| list(pool, 4, 5, &live),
+            ],
+            known(Answer),
+        ),
+        (
+            "host list",
+            &[&|pool| list(pool, 2, 5, &live), &|pool| {
+                pool.set_leaving("a");
+            }],
+            known(HostList),
+        ),
+    ];
+    for (name, changes, expected) in cases {
+        let mut pool = pool(&live);
+        for change in changes {
+            change(&mut pool);
+        }
+        assert_eq!(pool.known_departure("a", Some(1)), expected, "{name}");
+        assert_eq!(pool.known_departure("b", Some(1)), None, "{name}");
+    }
+}
+
 // Guards against requests for an upstream in the pause that it asked for, which another
 // configuration, a shorter pause or a time without a row must not end.
 #[test]
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -5,9 +5,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Locality, ReuseTotals, Target, UpstreamStatus, candidate_tree::CandidateTree, cohort::Cohort,
-    departures::Departures, group::Group, link_budget::LinkBudget, member::Member, pauses::Pauses,
-    prefix_table::PrefixTable, recent_losses::RecentLosses,
+    DepartureSource, Locality, ReuseTotals, Target, UpstreamStatus, candidate_tree::CandidateTree,
+    cohort::Cohort, departures::Departures, group::Group, known_departure::KnownDepartures,
+    link_budget::LinkBudget, member::Member, pauses::Pauses, prefix_table::PrefixTable,
+    recent_losses::RecentLosses,
 };
 
 mod choice;
@@ -50,6 +51,7 @@
     /// Indexes of the ejected members, in ascending order.
     ejected: Vec<u32>,
     departures: Departures,
+    known_departures: KnownDepartures,
     pauses: Pauses,
     losses: RecentLosses,
     /// What other daemons say about the reachability of upstreams.
@@ -118,6 +120,9 @@
         };
         let name = self.members[index].name.clone();
         self.departures.insert(now_us, &name, self.version);
+        let started_ms = self.members[index].settings.started_ms;
+        self.known_departures
+            .insert(now_us, &name, started_ms, DepartureSource::HostList);
         self.members[index].leaving = true;
         self.recount(now_us);
         self.update_key(now_us, index);
--- a/crates/route/src/pool/layout.rs
+++ b/crates/route/src/pool/layout.rs
@@ -7,7 +7,7 @@
 
 use super::{Pool, choice::unit_interval, is_leaving};
 use crate::{
-    Target,
+    DepartureSource, Target,
     candidate_tree::CandidateTree,
     cohort::Cohort,
     group::{DISTANCES, Group},
@@ -21,6 +21,7 @@
         self.pauses.expire(now_us);
         self.update_members(now_us, config);
         self.departures.expire(now_us);
+        self.known_departures.expire(now_us);
         self.version = self.version.max(config.version);
         self.build_cohorts();
         self.build_groups();
@@ -53,6 +54,17 @@
                     upstream.started_ms,
                 )
             };
+            if is_leaving(upstream.state) {
+                self.known_departures.insert(
+                    now_us,
+                    &member.name,
+                    upstream.started_ms,
+                    DepartureSource::Listed,
+                );
+            } else {
+                self.known_departures
+                    .record_live(&member.name, upstream.started_ms);
+            }
             if let Some(until_us) = self.pauses.until_us(&member.name, upstream.started_ms) {
                 member.pause(until_us);
             }
@@ -67,6 +79,12 @@
             for member in old.iter().flatten() {
                 self.departures
                     .insert(now_us, &member.name, config.version - 1);
+                self.known_departures.insert(
+                    now_us,
+                    &member.name,
+                    member.settings.started_ms,
+                    DepartureSource::Gone,
+                );
             }
         }
         // Attempts on a withdrawn upstream continue; their slots count until they end.
--- a/crates/route/src/pool/notices.rs
+++ b/crates/route/src/pool/notices.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of themselves: that they are leaving, and that they want a pause.
 
 use super::Pool;
-use crate::{Target, candidate_tree::CandidateTree};
+use crate::{DepartureSource, KnownDeparture, Target, candidate_tree::CandidateTree};
 
 /// Longest pause that an upstream is granted, so that one bad answer costs minutes, not a day.
 pub const PAUSE_MAX_US: u64 = 300_000_000;
@@ -25,6 +25,8 @@
         let name = found.map_or_else(|| upstream.into(), |index| self.members[index].name.clone());
         self.departures
             .insert_instance(now_us, &name, self.version, started_ms);
+        self.known_departures
+            .insert(now_us, &name, started_ms, DepartureSource::Answer);
         let Some(index) = found else {
             return true;
         };
@@ -61,6 +63,17 @@
             .is_none_or(|index| self.members[index].accepts_requests())
     }
 
+    /// Returns since when this daemon has known that the instance of an upstream which started at
+    /// `started_ms` is leaving or gone, also if it accepts requests again.
+    #[must_use]
+    pub fn known_departure(
+        &self,
+        upstream: &str,
+        started_ms: Option<u64>,
+    ) -> Option<KnownDeparture> {
+        self.known_departures.get(upstream, started_ms)
+    }
+
     /// Returns when the first of the upstreams of a target returns, if all of them that are live
     /// have asked for a pause.
     #[must_use]
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -70,6 +70,6 @@
 pub use health::Symptom;
 pub use quarantine::{PromptParts, Quarantine};
 pub use route::{
-    EngineDemand, EngineLoad, KindEstimate, LatencyAims, LoadAnnouncement, LoadReport, Locality,
-    PAUSE_MAX_US, PeerLoads, PromptPart, ReuseTotals, Target, UpstreamStatus,
+    EngineDemand, EngineLoad, KindEstimate, KnownDeparture, LatencyAims, LoadAnnouncement,
+    LoadReport, Locality, PAUSE_MAX_US, PeerLoads, PromptPart, ReuseTotals, Target, UpstreamStatus,
 };
--- a/crates/sched/src/notices.rs
+++ b/crates/sched/src/notices.rs
@@ -2,6 +2,7 @@
 
 use code::Code;
 use queue::Item;
+use route::KnownDeparture;
 
 use crate::{Action, Dispatcher, JobId, Reason, entry::Entry};
 
@@ -60,6 +61,17 @@
         self.pool.accepts_requests(upstream)
     }
 
+    /// Returns since when this daemon has known that the instance of an upstream which started at
+    /// `started_ms` is leaving or gone, also if it accepts requests again.
+    #[must_use]
+    pub fn known_departure(
+        &self,
+        upstream: &str,
+        started_ms: Option<u64>,
+    ) -> Option<KnownDeparture> {
+        self.pool.known_departure(upstream, started_ms)
+    }
+
     /// Refuses a queued job if all of its upstreams have asked for pauses that end after its
     /// deadline; returns whether it did.
     pub(crate) fn refuse_while_paused(
