--- a/crates/route/src/notices_tests.rs
+++ b/crates/route/src/notices_tests.rs
@@ -309,3 +309,41 @@
     assert!(requests_for(&mut pool, 4 * SECOND_US, "b") > 0);
     assert_eq!(pool.earliest_resume_us(&model), None);
 }
+
+// Guards against requests for an upstream that is leaving because a later list, read from a store
+// that has come back from an older copy, has the same instance as live under a newer configuration.
+#[test]
+fn leaving_instance_stays_out_when_the_list_goes_back() {
+    let live = [instance("a", 1), instance("b", 1)];
+    let mut leaving = live.clone();
+    leaving[0].state = UpstreamLifecycle::Leaving;
+    for says_so in [false, true] {
+        let mut pool = pool(&live);
+        if says_so {
+            pool.set_instance_leaving(1, "a", Some(1));
+        }
+        pool.configure(2, &config(5, &leaving));
+        pool.configure(3, &config(6, &live));
+        assert_eq!(requests_for(&mut pool, 4, "a"), 0, "says so: {says_so}");
+    }
+}
+
+// Guards against an upstream that drains, leaves and starts again under its name, and gets no
+// request until the next version of the configuration.
+#[test]
+fn next_instance_gets_work_after_a_listed_departure() {
+    let live = [instance("a", 1), instance("b", 1)];
+    let mut leaving = live.clone();
+    leaving[0].state = UpstreamLifecycle::Leaving;
+    let restarted = [instance("a", 2), live[1].clone()];
+    for says_so in [false, true] {
+        let mut pool = pool(&live);
+        if says_so {
+            pool.set_instance_leaving(1, "a", Some(1));
+        }
+        pool.configure(2, &config(5, &leaving));
+        pool.configure(3, &config(5, &live[1..]));
+        pool.configure(4, &config(5, &restarted));
+        assert!(requests_for(&mut pool, 5, "a") > 0, "says so: {says_so}");
+    }
+}
