--- a/crates/daemon/src/send_check_tests.rs
+++ b/crates/daemon/src/send_check_tests.rs
@@ -66,3 +66,20 @@
     assert!(may_send(&restarted));
     assert_eq!(count(&shared), 1);
 }
+
+/// Guards against a request that waits for its connection while its upstream leaves, or starts again
+/// under its name at another address, and that is then sent to the address of before.
+#[test]
+fn attempt_at_an_instance_that_is_gone_is_held_back() {
+    let shared = shared();
+    let chosen = upstream(1, UpstreamLifecycle::Live);
+    put_in_force(&shared, 1, &[&chosen]);
+    assert!(may_send(&shared, "r-1", &chosen, 0));
+    put_in_force(&shared, 1, &[]);
+    assert!(!may_send(&shared, "r-1", &chosen, 0), "gone");
+    let mut restarted = upstream(2, UpstreamLifecycle::Live);
+    restarted.address.set_port(2);
+    put_in_force(&shared, 1, &[&restarted]);
+    assert!(!may_send(&shared, "r-1", &chosen, 0), "started again");
+    assert!(may_send(&shared, "r-1", &restarted, 0), "next instance");
+}
