fix(daemon): an attempt is sent only to the instance that was chosen

Cause: the check between the open connection and the request asked the pool for the upstream's name. A name that the pool didn't have passed; one that had started again was another instance.

Ruled out: that the pool loses an upstream with an attempt under way; it keeps members whose slots are taken as not configured, and these accepted nothing before either.

Change: the check compares start time and address with the list from which the attempt took its address, and an unknown upstream accepts nothing. What is held back is chosen again, as before.

--- a/crates/daemon/src/send_check.rs
+++ b/crates/daemon/src/send_check.rs
@@ -17,7 +17,7 @@
     let name = &upstream.name;
     let (now_us, is_allowed, departure) = shared.with_core(|now_us, core| {
         let dispatcher = &core.dispatcher;
-        let is_allowed = dispatcher.accepts_requests(name);
+        let is_allowed = dispatcher.accepts_attempt(upstream);
         let departure = dispatcher.known_departure(name, upstream.started_ms);
         (now_us, is_allowed, departure)
     });
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -312,7 +312,7 @@
     shared.peers.freshness.wait_until_fresh(shared.clock).await;
     let snapshot = shared.snapshot.load_full();
     let upstream = snapshot.config.upstream(upstream).ok_or(Outcome::NotSent)?;
-    if !shared.accepts_requests(&upstream.name) {
+    if !shared.accepts_attempt(upstream) {
         return Err(Outcome::Withheld);
     }
     let sent_at = Instant::now();
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -14,7 +14,7 @@
 use intake::{HostLimits, ProgressFloor};
 use metric::Metrics;
 use sched::{Job, JobId, Target};
-use settings::{Config, Host};
+use settings::{Config, Host, Upstream};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
@@ -255,9 +255,10 @@
         JobHandle::new(self.clone(), id, decisions)
     }
 
-    /// Returns whether requests may be sent to an upstream that was chosen for a job.
-    pub(crate) fn accepts_requests(&self, upstream: &str) -> bool {
-        self.with_core(|_, core| core.dispatcher.accepts_requests(upstream))
+    /// Returns whether requests may be sent to an upstream as it was listed when it was chosen for a
+    /// job.
+    pub(crate) fn accepts_attempt(&self, upstream: &Upstream) -> bool {
+        self.with_core(|_, core| core.dispatcher.accepts_attempt(upstream))
     }
 
     /// Records a step of a request in the journal.
--- a/crates/route/src/pool/notices.rs
+++ b/crates/route/src/pool/notices.rs
@@ -1,5 +1,7 @@
 //! What upstreams say of themselves: that they are leaving, and that they want a pause.
 
+use settings::Upstream;
+
 use super::Pool;
 use crate::{DepartureSource, KnownDeparture, Target, candidate_tree::CandidateTree};
 
@@ -55,12 +57,23 @@
         }
     }
 
-    /// Returns whether requests may be sent to an upstream that was chosen earlier; an unknown one
-    /// is not held back here.
+    /// Returns whether requests may be sent to an upstream; one that is gone accepts none.
     #[must_use]
     pub fn accepts_requests(&self, upstream: &str) -> bool {
         self.index(upstream)
-            .is_none_or(|index| self.members[index].accepts_requests())
+            .is_some_and(|index| self.members[index].accepts_requests())
+    }
+
+    /// Returns whether a request may be sent to an upstream as it was listed when it was chosen: the
+    /// same instance at the same address.
+    #[must_use]
+    pub fn accepts_attempt(&self, chosen: &Upstream) -> bool {
+        let found = self.index(&chosen.name);
+        let is_same = found.is_some_and(|index| {
+            let listed = &self.members[index].settings;
+            listed.started_ms == chosen.started_ms && listed.address == chosen.address
+        });
+        is_same && self.accepts_requests(&chosen.name)
     }
 
     /// Returns since when this daemon has known that the instance of an upstream which started at
--- a/crates/sched/src/notices.rs
+++ b/crates/sched/src/notices.rs
@@ -3,6 +3,7 @@
 use code::Code;
 use queue::Item;
 use route::KnownDeparture;
+use settings::Upstream;
 
 use crate::{Action, Dispatcher, JobId, Reason, entry::Entry};
 
@@ -55,10 +56,11 @@
         }
     }
 
-    /// Returns whether requests may be sent to an upstream that was chosen for a job.
+    /// Returns whether requests may be sent to an upstream as it was listed when it was chosen for a
+    /// job.
     #[must_use]
-    pub fn accepts_requests(&self, upstream: &str) -> bool {
-        self.pool.accepts_requests(upstream)
+    pub fn accepts_attempt(&self, chosen: &Upstream) -> bool {
+        self.pool.accepts_attempt(chosen)
     }
 
     /// Returns since when this daemon has known that the instance of an upstream which started at
--- a/crates/sched/src/notices_tests.rs
+++ b/crates/sched/src/notices_tests.rs
@@ -47,7 +47,9 @@
     dispatcher.submit(0, job(1, 0), &mut actions);
     let chosen = started(&mut actions).remove(0).1;
     dispatcher.pause_upstream(1, &chosen, None, 5 * S_US, &mut actions);
-    assert!(!dispatcher.accepts_requests(&chosen));
+    let listed = config(4);
+    let listed = listed.upstream(&chosen).unwrap();
+    assert!(!dispatcher.accepts_attempt(listed));
     dispatcher.finish(2, JobId(1), Outcome::Withheld, &mut actions);
     let next = started(&mut actions).remove(0).1;
     assert_ne!(next, chosen);
