test(daemon): a failed poll keeps upstreams that are gone for another 2.5 s

One poll for changes is reset or gets no answer while the store is in order, and an upstream that never reports that it drains is removed just before. The next poll has the removal, but `Roster` takes the failed poll for an outage of the store and keeps the row for 2.5 s more; `after_outage` makes all followers do the same, although they are in touch and their source never was out of order. The interval of the polls allows for one that fails, but not for this.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,8 @@
 mod handle;
 mod holds;
 mod input;
+#[cfg(test)]
+mod leaving_tests;
 mod loads;
 mod logs;
 mod models;
