fix(directory): one failed read is no outage of the store

What callers could see: an upstream whose row is removed without draining got requests for up to 5.2 s after that on a host whose one poll was lost, and on all hosts that follow it, although those were in touch all the time (DRAIN; 3 s allowed).

Cause: Roster took each failed read for an outage in which rows of live upstreams expire, and kept all missing rows for 2.5 s. The grace was added to the time of the poll, and Update::after_outage passed it on to followers that had lost nothing.

Ruled out: dropping the grace (rows do lapse in outages); a shorter grace (upstreams have two seconds to register again).

Change: rows can only have expired if nothing was read for 3 s, as they lapse after three intervals of heartbeats. Restores, and outages that a parent tells of, count as before. A follower's time without a read ends with each update of a parent that reaches the store.

--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -170,6 +170,7 @@
         let has_news = inner.set_failing(Read::Upstreams, false);
         let changed = inner.apply_rows(shared, read, "store");
         let grace = inner.refresh_upstreams(shared, changed);
+        inner.roster.record_read(shared.clock.now_us());
         let store_version = inner.table.store_version();
         drop(inner);
         self.raise_era(store_version);
@@ -198,12 +199,15 @@
         let config_store_version = update.config_store_version.max(inner.config_store_version);
         inner.config_store_version = config_store_version;
         if update.after_outage {
-            inner.roster.record_failure();
+            inner.roster.record_outage();
         }
         let changed = update
             .upstreams
             .is_some_and(|read| inner.apply_rows(shared, read, peer));
         let grace = inner.refresh_upstreams(shared, changed);
+        if !update.is_failing {
+            inner.roster.record_read(shared.clock.now_us());
+        }
         let store_version = inner.table.store_version();
         drop(inner);
         self.raise_era(store_version.max(config_store_version));
@@ -339,7 +343,7 @@
             );
             shared.metrics.record_restore();
             // The copy may lack rows of live upstreams, as after an outage in which they expired.
-            self.roster.record_failure();
+            self.roster.record_outage();
             self.departed.record_restore(shared.clock.now_us(), version);
         }
         changed
@@ -353,7 +357,7 @@
         let doubt_ends_us = self.departed.ends_us(now_us);
         if changed || self.roster.is_pending() || doubt_ends_us.is_some() || self.is_doubting {
             self.is_doubting = doubt_ends_us.is_some();
-            self.outages += u64::from(self.roster.is_unreachable());
+            self.outages += u64::from(self.roster.is_after_outage(now_us));
             let rows = self.table.rows().iter();
             let listed = rows.filter_map(|row| self.departed.screen(now_us, row));
             let listed = listed.map(|upstream| Upstream {
--- a/crates/daemon/src/directory/roster.rs
+++ b/crates/daemon/src/directory/roster.rs
@@ -6,6 +6,11 @@
 /// again.
 const REREGISTER_GRACE_US: u64 = 2_500_000;
 
+/// Shortest outage of the store in which rows of live upstreams may expire. They do after three
+/// intervals of their heartbeats without one (3.6 s on the users' platform), the first of which may
+/// have passed before the outage. One poll that is lost takes less, and says nothing of the rows.
+const OUTAGE_MIN_US: u64 = 3_000_000;
+
 /// Upstreams that the store lists, and those whose rows may only have expired during an outage.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
@@ -13,8 +18,13 @@
     upstreams: Vec<Upstream>,
     /// Time of the first successful read after the last outage, if there was one.
     recovered_us: Option<u64>,
+    /// Time of the last successful read.
+    read_us: Option<u64>,
     /// Whether the last read failed.
     unreachable: bool,
+    /// Whether rows may have expired or be missing for another reason than that the last read
+    /// failed.
+    is_doubtful: bool,
     /// Names of the upstreams that are missing since the last outage and are kept for the grace
     /// period, sorted.
     missing: Vec<String>,
@@ -26,14 +36,29 @@
         self.unreachable = true;
     }
 
-    /// Returns whether the last read failed.
-    pub(crate) const fn is_unreachable(&self) -> bool {
-        self.unreachable
+    /// Records that rows of live upstreams may be missing in the next list: the store came back from
+    /// an older copy, or another daemon tells of an outage.
+    pub(crate) const fn record_outage(&mut self) {
+        self.is_doubtful = true;
+    }
+
+    /// Records a successful read; an update with its list must have gone before.
+    pub(crate) const fn record_read(&mut self, now_us: u64) {
+        self.read_us = Some(now_us);
+        self.unreachable = false;
+    }
+
+    /// Returns whether rows of live upstreams may be missing in a list that is read now.
+    pub(crate) fn is_after_outage(&self, now_us: u64) -> bool {
+        let is_long = self
+            .read_us
+            .is_none_or(|read_us| now_us >= read_us + OUTAGE_MIN_US);
+        self.is_doubtful || self.unreachable && is_long
     }
 
     /// Returns whether an update may change the upstreams although the store lists the same ones.
     pub(crate) const fn is_pending(&self) -> bool {
-        self.unreachable || !self.missing.is_empty()
+        self.unreachable || self.is_doubtful || !self.missing.is_empty()
     }
 
     /// Updates the list to what the store lists; returns whether the upstreams have changed.
@@ -42,11 +67,12 @@
     /// after it are therefore kept for a grace period, except for those that were listed after the
     /// outage: they have left.
     pub(crate) fn update(&mut self, now_us: u64, mut listed: Vec<Upstream>) -> bool {
-        let first_after_outage = self.unreachable;
+        let first_after_outage = self.is_after_outage(now_us);
         if first_after_outage {
-            self.unreachable = false;
             self.recovered_us = Some(now_us);
         }
+        self.unreachable = false;
+        self.is_doubtful = false;
         let in_grace_period = self
             .recovered_us
             .is_some_and(|recovered_us| now_us < recovered_us + REREGISTER_GRACE_US);
--- a/crates/daemon/src/directory/roster_tests.rs
+++ b/crates/daemon/src/directory/roster_tests.rs
@@ -1,6 +1,6 @@
 use settings::{Honours, Upstream, UpstreamKind, UpstreamLifecycle};
 
-use super::{REREGISTER_GRACE_US, Roster};
+use super::{OUTAGE_MIN_US, REREGISTER_GRACE_US, Roster};
 
 pub(in crate::directory) fn upstream(number: u16) -> Upstream {
     Upstream {
@@ -66,6 +66,24 @@
     assert_eq!(names(&roster), ["engine-1", "engine-3"]);
 }
 
+/// Guards against a read that fails once, while the store is in order, and is taken for an outage in
+/// which rows may have expired: an upstream that left got requests for 2.5 s more (DRAIN).
+#[test]
+fn drops_a_missing_upstream_after_a_short_failure() {
+    let mut roster = Roster::default();
+    roster.update(0, vec![upstream(1), upstream(2)]);
+    roster.record_read(0);
+    roster.record_failure();
+    roster.update(OUTAGE_MIN_US - 1, vec![upstream(1)]);
+    assert_eq!(names(&roster), ["engine-1"]);
+    roster.record_read(OUTAGE_MIN_US - 1);
+    // Whoever knows of an outage goes before.
+    roster.update(OUTAGE_MIN_US, vec![upstream(1), upstream(2)]);
+    roster.record_outage();
+    roster.update(OUTAGE_MIN_US + 1, vec![upstream(1)]);
+    assert_eq!(names(&roster), ["engine-1", "engine-2"]);
+}
+
 /// Guards against keeping an upstream that left while the store was reachable.
 #[test]
 fn drops_a_missing_upstream_at_once_without_an_outage() {
