test(daemon): polls that fail again and again keep upstreams for ever

Each failed poll begins another grace period of `Roster`, also for upstreams that the one before had kept: with every second poll reset, an upstream that is gone is still used after 60 s, on the host that polls and on its followers.

--- a/crates/daemon/src/leaving_tests.rs
+++ b/crates/daemon/src/leaving_tests.rs
@@ -22,20 +22,33 @@
 /// The users require that a leaving upstream gets no more requests after this time.
 const LEAVING_MAX: Duration = Duration::from_secs(3);
 
-/// How the first poll for changes of the source host ends, although the store is in order.
+/// Time after which a test no longer waits for the end of a use.
+const USED_MAX: Duration = Duration::from_mins(1);
+
+/// How polls for changes of the source host end, although the store is in order.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Trouble {
     None,
-    /// Its connections are reset.
+    /// The connection of the first one is reset.
     Reset,
-    /// Its poll gets no answer.
+    /// The first one gets no answer.
     Lost,
+    /// The connections of every second one are reset.
+    ResetAgain,
 }
 
+const TROUBLES: [Trouble; 4] = [
+    Trouble::None,
+    Trouble::Reset,
+    Trouble::Lost,
+    Trouble::ResetAgain,
+];
+
 /// Store whose row of the upstream `a` is removed at a time.
 struct FakeStore {
     removed_at: Instant,
-    trouble: Cell<Trouble>,
+    trouble: Trouble,
+    polls: Cell<u32>,
 }
 
 fn upstream(name: &str, port: u16) -> Upstream {
@@ -68,14 +81,17 @@
                 rows,
             });
         }
-        match self.trouble.replace(Trouble::None) {
-            Trouble::None => {}
-            Trouble::Reset => return Err(StoreError::Unknown),
-            Trouble::Lost => {
+        let poll = self.polls.get();
+        self.polls.set(poll + 1);
+        match self.trouble {
+            Trouble::Reset if poll == 0 => return Err(StoreError::Unknown),
+            Trouble::ResetAgain if poll.is_multiple_of(2) => return Err(StoreError::Unknown),
+            Trouble::Lost if poll == 0 => {
                 // The limit of the store's client for a call without an answer.
                 sleep(wait + Duration::from_secs(1)).await;
                 return Err(StoreError::Unknown);
             }
+            _ => {}
         }
         let is_known = after == Some(StoreVersion::new(1, 3));
         let ends = Instant::now() + wait;
@@ -176,7 +192,8 @@
     let removed_at = Instant::now() + removed_after;
     let store = FakeStore {
         removed_at,
-        trouble: Cell::new(trouble),
+        trouble,
+        polls: Cell::new(0),
     };
     let (source, follower) = (host("entry-1"), host("entry-2"));
     source.cluster_state.set_source(Source::Store);
@@ -192,7 +209,7 @@
     let reads = follow_upstreams(source.clone(), Box::new(store));
     let told = follow(&follower, &source);
     tokio::select! {
-        used = timeout(Duration::from_secs(30), both) => used.unwrap(),
+        used = timeout(USED_MAX, both) => used.unwrap_or((USED_MAX, USED_MAX)),
         () = reads => unreachable!("the task never ends"),
         () = told => unreachable!("the task never ends"),
     }
@@ -204,7 +221,7 @@
 #[tokio::test(start_paused = true)]
 async fn failed_poll_of_a_host_delays_no_departure_at_its_followers() {
     let mut late = Vec::new();
-    for trouble in [Trouble::None, Trouble::Reset, Trouble::Lost] {
+    for trouble in TROUBLES {
         let (_, used) = used_for(trouble, Duration::from_millis(20)).await;
         if used > LEAVING_MAX {
             late.push((trouble, used));
@@ -218,7 +235,7 @@
 #[tokio::test(start_paused = true)]
 async fn failed_poll_of_a_host_delays_no_departure_there() {
     let mut late = Vec::new();
-    for trouble in [Trouble::None, Trouble::Reset, Trouble::Lost] {
+    for trouble in TROUBLES {
         let (used, _) = used_for(trouble, Duration::from_millis(20)).await;
         if used > LEAVING_MAX {
             late.push((trouble, used));
