test(soak): the store comes back from older copies

Versions may be given out again, to a new configuration and a departure among others, before a host reads.

The probes have a service of their own, since a host also learns from an answer that its upstream is leaving.

A heartbeat that only raises the sequence number may leave the row unchanged, as the platform's pages say.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -5,6 +5,9 @@
     DeploymentSpec, PromptSpec, RequestKind, RequestSpec, SharedPart, SizeDistribution,
 };
 
+/// Name of the route and of the service of the probes.
+pub const PROBE: &str = "probe";
+
 /// Engine that takes about 5 ms per step, so that streams last long enough to be interrupted.
 const PROFILE: Profile = Profile {
     slots: 8,
@@ -76,3 +79,15 @@
         accounts: 4,
     }
 }
+
+/// Returns the deployment with a route for the probes of departed upstreams, to which the load
+/// sends nothing.
+pub fn with_probe_route(deployment: &DeploymentSpec) -> DeploymentSpec {
+    let mut deployment = deployment.clone();
+    deployment.requests.push(RequestSpec {
+        name: PROBE,
+        service: PROBE,
+        ..deployment.requests[1]
+    });
+    deployment
+}
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -14,16 +14,19 @@
 }
 
 impl Upstreams {
-    /// Starts the plain upstreams and engines of a deployment.
+    /// Starts the plain upstreams and engines of a deployment. `heartbeats_change_row` tells whether
+    /// their rows change at each heartbeat.
     pub async fn start(
         deployment: &DeploymentSpec,
         store: &Store,
         ledger: &Arc<Ledger>,
+        heartbeats_change_row: bool,
     ) -> Result<Self> {
         let mut upstreams = Vec::new();
         for spec in deployment.upstreams() {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let proxy = Proxy::start(listener.local_addr()?).await?;
+            let spec = spec.with_heartbeats_change_row(heartbeats_change_row);
             let upstream = Upstream::start_behind(proxy.address, listener, spec, store, ledger)?;
             upstreams.push((upstream, proxy));
         }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -4,9 +4,15 @@
 
 /// Runs the soak with one seed and checks that it passes.
 fn run_seed(seed: &str, seconds: &str) {
+    run_seed_with_drills(seed, seconds, "0");
+}
+
+/// Does the same with a number of drills, in which the store comes back from an older copy.
+fn run_seed_with_drills(seed: &str, seconds: &str, drills: &str) {
     let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     let output = Command::new(env!("CARGO_BIN_EXE_soak"))
-        .args(["--seed", seed, "--seconds", seconds, "--folder"])
+        .args(["--seed", seed, "--seconds", seconds, "--drills", drills])
+        .arg("--folder")
         .arg(&folder)
         .output()
         .expect("the soak program starts");
@@ -67,3 +73,17 @@
 fn holds_promises_of_seed_423() {
     run_seed("423", "8");
 }
+
+/// Guards against hosts that never learn a configuration: the store comes back from an older copy,
+/// and gives the versions that the hosts know out again, to that configuration among others.
+#[test]
+fn hosts_learn_the_configuration_after_a_drill() {
+    run_seed_with_drills("2", "1", "1");
+}
+
+/// Guards against hosts that send requests to an upstream that has left: the store comes back from
+/// older copies, and the upstream's leaving gets a version that the hosts know.
+#[test]
+fn hosts_learn_departures_after_a_drill() {
+    run_seed_with_drills("9", "1", "1");
+}
