fix(store)!: versions of our own rows carry their era

Callers and operators: a write under a condition could replace a row that nobody had read, after the store had come back from an older copy. The caller took it for its own write.

Cause: `store::Row` and `Expect::Version` held a bare number. A restored store gives its numbers out again, so that a condition on one may hold for another row.

Ruled out: to check the era in each state machine. The condition would still be sent as a bare number, and each of them would have to know what a number of another era means.

Change: `Row::version`, `Expect::Version`, `Table::write` and `Table::scan` use `StoreVersion`. A conditional write that took effect and is answered in another era than it was sent under is `Unknown`; one that was refused took no effect in any era, and stays `Conflict`. `Table::era` tells the era where there is no row. The project's own store has no eras; its JSON is unchanged. `MemoryTable` can come back from a copy, and a fault lets a write be sent by a process that has not learned of it. Claims and releases change their types only.

--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -1,7 +1,7 @@
 //! State machine of a claimed call.
 
 use code::Code;
-use store::{Expect, Row, StoreError};
+use store::{Expect, Row, StoreError, StoreVersion};
 
 use crate::{CallResult, ClaimStep, Record, Reply, State};
 
@@ -60,7 +60,7 @@
     }
 
     /// Takes the result of a write and returns the next step.
-    pub fn handle_write(&mut self, result: Result<u64, StoreError>) -> ClaimStep {
+    pub fn handle_write(&mut self, result: Result<StoreVersion, StoreError>) -> ClaimStep {
         match result {
             Ok(version) => self.write_confirmed(version),
             Err(StoreError::Conflict(Some(row))) => self.handle_row(&row),
@@ -117,7 +117,7 @@
     }
 
     /// Continues after the row is known to hold the record that this machine wrote last.
-    fn write_confirmed(&mut self, version: u64) -> ClaimStep {
+    fn write_confirmed(&mut self, version: StoreVersion) -> ClaimStep {
         self.expect = Expect::Version(version);
         self.tries = 0;
         match std::mem::replace(&mut self.phase, Phase::Ended) {
@@ -184,7 +184,7 @@
         ClaimStep::Finish(self.reply_to_repeat(found))
     }
 
-    fn handle_own_row(&mut self, version: u64, found: &Record) -> ClaimStep {
+    fn handle_own_row(&mut self, version: StoreVersion, found: &Record) -> ClaimStep {
         if found.state == self.record.state {
             return self.write_confirmed(version);
         }
--- a/crates/claim/src/settle.rs
+++ b/crates/claim/src/settle.rs
@@ -1,6 +1,6 @@
 //! State machine of an operator's decision about a claim.
 
-use store::{Expect, Row, StoreError};
+use store::{Expect, Row, StoreError, StoreVersion};
 
 use crate::{Record, SettleOutcome, SettleStep, State};
 
@@ -19,7 +19,7 @@
     decision: State,
     in_progress_ms: u64,
     /// Version of the row that was read, and the record that replaces it.
-    pending: Option<(u64, Record)>,
+    pending: Option<(StoreVersion, Record)>,
     tries: u32,
     /// Whether a write got no answer and may have taken effect.
     maybe_written: bool,
@@ -64,7 +64,7 @@
     }
 
     /// Takes the result of a write and returns the next step.
-    pub fn handle_write(&mut self, result: Result<u64, StoreError>) -> SettleStep {
+    pub fn handle_write(&mut self, result: Result<StoreVersion, StoreError>) -> SettleStep {
         match result {
             Ok(_) => SettleStep::Done(SettleOutcome::Applied),
             Err(StoreError::Conflict(Some(row))) => self.handle_row(&row),
--- a/crates/cli/src/claim_read.rs
+++ b/crates/cli/src/claim_read.rs
@@ -2,7 +2,7 @@
 
 use claim::{Record, State, row_key, row_prefix};
 use code::Code;
-use store::{Row, Table as _};
+use store::{Row, StoreVersion, Table as _};
 
 use crate::{
     args::{ClaimListArgs, ClaimShowArgs},
@@ -16,7 +16,9 @@
 /// Lists the claims of an account that need an operator's decision.
 pub(crate) async fn list(args: &ClaimListArgs) -> Result<(), Failure> {
     let table = table_calls::open(&args.store).await?;
-    let rows = table.scan(&row_prefix(&args.account), 0).await;
+    let rows = table
+        .scan(&row_prefix(&args.account), StoreVersion::default())
+        .await;
     let rows = rows.map_err(|error| Failure::store(&error))?;
     let now_ms = now_unix_ms();
     let mut undecided = Vec::new();
--- a/crates/daemon/src/duties/held.rs
+++ b/crates/daemon/src/duties/held.rs
@@ -6,7 +6,7 @@
 use duty::{Hold, HoldChange, Holder, HolderStep, HolderTiming};
 use limit::TokenBucket;
 use settings::{Duties, DutyKind, Host};
-use store::{Row, StoreError};
+use store::{Row, StoreError, StoreVersion};
 
 use super::steady_clock::SteadyClock;
 use crate::adapter::CallResult;
@@ -143,7 +143,7 @@
     }
 
     /// Handles the result of writing the row of the lease.
-    pub(super) fn handle_write(&self, result: Result<u64, StoreError>) {
+    pub(super) fn handle_write(&self, result: Result<StoreVersion, StoreError>) {
         self.with_holder(|now_us, holder| holder.handle_write(now_us, result));
     }
 
--- a/crates/daemon/src/follow.rs
+++ b/crates/daemon/src/follow.rs
@@ -7,7 +7,7 @@
 
 use log::{info, warn};
 use release::{CURRENT_KEY, OfferOutcome, Tracker, record_key};
-use store::{StoreError, Table};
+use store::{StoreError, StoreVersion, Table};
 
 use crate::shared::Shared;
 
@@ -108,7 +108,7 @@
 #[derive(Debug, Default)]
 struct ReleasePoller {
     /// Table version up to which `release/current` has been read.
-    since_version: u64,
+    since_version: StoreVersion,
     /// Version of the configuration that corresponds to `since_version`.
     version: u64,
     polls: u32,
@@ -147,7 +147,7 @@
 
     /// Marks `release/current` as read up to the record of a version. That record is written after
     /// `release/current` holds that version and before it holds the next one.
-    fn mark_read(&mut self, version: u64, row_version: u64) {
+    fn mark_read(&mut self, version: u64, row_version: StoreVersion) {
         self.version = version;
         self.since_version = self.since_version.max(row_version);
     }
@@ -161,7 +161,7 @@
                 self.since_version = row.version;
                 self.version = release_state.status().0;
             }
-            None if self.since_version > 0 => release_state.confirm(shared),
+            None if self.since_version > StoreVersion::default() => release_state.confirm(shared),
             Some(_) | None => {}
         }
         Ok(())
--- a/crates/daemon/src/follow_tests.rs
+++ b/crates/daemon/src/follow_tests.rs
@@ -3,7 +3,7 @@
 use futures::future::{LocalBoxFuture, ready};
 use release::{CurrentRelease, Note, Record, diff};
 use settings::{Class, Config, Host};
-use store::{Expect, Fault, MemoryTable, Row};
+use store::{Expect, Fault, MemoryTable, Row, StoreVersion};
 
 use super::*;
 use crate::peers::Peers;
@@ -139,6 +139,10 @@
 }
 
 impl Table for CountingTable {
+    fn era(&self) -> u64 {
+        self.table.era_now()
+    }
+
     fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<Row>, StoreError>> {
         let row = self.table.read_now(key);
         let bytes = row.iter().flatten().map(|row| row.value.len());
@@ -151,14 +155,14 @@
         key: &'a str,
         expect: Expect,
         value: &'a str,
-    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+    ) -> LocalBoxFuture<'a, Result<StoreVersion, StoreError>> {
         Box::pin(ready(self.table.write_now(key, expect, value)))
     }
 
     fn scan<'a>(
         &'a self,
         prefix: &'a str,
-        since_version: u64,
+        since_version: StoreVersion,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>, StoreError>> {
         let rows = self.table.scan_now(prefix, since_version);
         let bytes = rows.iter().flatten().map(|row| row.value.len());
--- a/crates/daemon/src/prompt_store.rs
+++ b/crates/daemon/src/prompt_store.rs
@@ -4,7 +4,7 @@
 
 use log::{info, warn};
 use quarantine::{Persistence, PersistenceStep, Snapshot};
-use store::{Expect, Row, StoreError, Table};
+use store::{Expect, Row, StoreError, StoreVersion, Table};
 
 use crate::{clock::unix_ms, core::Core, prompt_evidence::apply_changes, shared::Shared};
 
@@ -48,9 +48,9 @@
 
 async fn write(
     table: &dyn Table,
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     snapshot: &Snapshot,
-) -> Result<u64, StoreError> {
+) -> Result<StoreVersion, StoreError> {
     let text = snapshot.to_text().map_err(|error| {
         warn!("prompt: {error}");
         StoreError::Down
@@ -89,7 +89,7 @@
     });
     info!(
         "prompt: evidence restored version={} losses={losses} verdicts={verdicts} age_ms={age_ms}",
-        version.unwrap_or(0)
+        version.unwrap_or_default()
     );
 }
 
--- a/crates/duty/src/fuzz_tests.rs
+++ b/crates/duty/src/fuzz_tests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use store::{Fault, MemoryTable, Row, StoreError};
+use store::{Fault, MemoryTable, Row, StoreError, StoreVersion};
 
 use crate::{Holder, HolderStep, HolderTiming};
 
@@ -114,7 +114,7 @@
     Ask,
     Perform(HolderStep),
     Read(Result<Option<Row>, StoreError>),
-    Written(Result<u64, StoreError>),
+    Written(Result<StoreVersion, StoreError>),
 }
 
 enum Call {
--- a/crates/duty/src/holder.rs
+++ b/crates/duty/src/holder.rs
@@ -1,5 +1,5 @@
 use lease::{Lease, LeaseEnd, LeaseStep};
-use store::{Row, StoreError};
+use store::{Row, StoreError, StoreVersion};
 
 use crate::{Hold, HoldChange, HolderStep, HolderTiming, LossReason};
 
@@ -218,7 +218,7 @@
     }
 
     /// Handles the result of writing the row.
-    pub fn handle_write(&mut self, now_us: u64, result: Result<u64, StoreError>) {
+    pub fn handle_write(&mut self, now_us: u64, result: Result<StoreVersion, StoreError>) {
         if let Some(lease) = &mut self.lease {
             lease.handle_write(now_us, result);
             self.update(now_us);
--- a/crates/duty/src/reporter.rs
+++ b/crates/duty/src/reporter.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use store::{Expect, Row, StoreError};
+use store::{Expect, Row, StoreError, StoreVersion};
 
 use crate::{Report, Reports, Usage};
 
@@ -161,7 +161,7 @@
         now_us: u64,
         unix_us: u64,
         usage: &Usage,
-        result: Result<u64, StoreError>,
+        result: Result<StoreVersion, StoreError>,
     ) -> Result<(), serde_json::Error> {
         let Some(reports) = self.writing.take() else {
             return Ok(());
--- a/crates/lease/src/delivery.rs
+++ b/crates/lease/src/delivery.rs
@@ -1,4 +1,4 @@
-use store::{Row, StoreError};
+use store::{Row, StoreError, StoreVersion};
 
 use crate::{
     Action, Command, DeliveryStep, Lease, LeaseEnd, LeaseStep, Outcome, Report, SendResult,
@@ -111,7 +111,7 @@
     }
 
     /// Handles the result of writing the lease's row.
-    pub fn handle_write(&mut self, now_us: u64, result: Result<u64, StoreError>) {
+    pub fn handle_write(&mut self, now_us: u64, result: Result<StoreVersion, StoreError>) {
         self.lease.handle_write(now_us, result);
     }
 
--- a/crates/lease/src/fuzz_tests.rs
+++ b/crates/lease/src/fuzz_tests.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use store::{Fault, MemoryTable, Row, StoreError};
+use store::{Fault, MemoryTable, Row, StoreError, StoreVersion};
 
 use crate::{
     Action, Command, Delivery, DeliveryStep, Lease, LeaseTiming, Outcome, SendResult,
@@ -114,7 +114,7 @@
 
 enum Answer {
     Read(Result<Option<Row>, StoreError>),
-    Written(Result<u64, StoreError>),
+    Written(Result<StoreVersion, StoreError>),
     State(UpstreamState),
     Sent(SendResult),
 }
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -1,4 +1,4 @@
-use store::{Expect, Row, StoreError};
+use store::{Expect, Row, StoreError, StoreVersion};
 
 use crate::{LeaseEnd, LeaseStep, LeaseTiming, Record};
 
@@ -34,7 +34,7 @@
 /// Newest known version of the row, and when it was first observed.
 #[derive(Debug, Clone)]
 struct ObservedRow {
-    version: u64,
+    version: StoreVersion,
     first_seen_us: u64,
     record: Record,
 }
@@ -202,7 +202,7 @@
     }
 
     /// Handles the result of a write.
-    pub fn handle_write(&mut self, now_us: u64, result: Result<u64, StoreError>) {
+    pub fn handle_write(&mut self, now_us: u64, result: Result<StoreVersion, StoreError>) {
         let Phase::Writing(purpose) = self.phase else {
             return;
         };
@@ -261,7 +261,7 @@
     }
 
     /// Completes a write: the row holds this lease's record at this version.
-    fn complete_write(&mut self, purpose: Purpose, version: u64) {
+    fn complete_write(&mut self, purpose: Purpose, version: StoreVersion) {
         self.expect = Expect::Version(version);
         self.tries = 0;
         if purpose == Purpose::Release {
--- a/crates/quarantine/src/fleet_tests/simulation.rs
+++ b/crates/quarantine/src/fleet_tests/simulation.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use store::StoreVersion;
 
 use super::plan::Plan;
 use crate::{Admission, Message, Persistence, PersistenceStep, PromptParts, Quarantine, Snapshot};
@@ -114,7 +115,7 @@
     pub(super) daemons: Vec<Quarantine>,
     persistence: Vec<Persistence>,
     /// Row of the store with its version.
-    row: Option<(u64, Snapshot)>,
+    row: Option<(StoreVersion, Snapshot)>,
     names: Vec<Arc<str>>,
     /// Number of restarts and the time from which it runs, of each upstream.
     upstreams: Vec<(u64, u64)>,
@@ -189,7 +190,7 @@
         match persistence.next_step(now_us, unix_ms, daemon) {
             PersistenceStep::Wait => {}
             PersistenceStep::Write { version, snapshot } if version == stored_version => {
-                let version = version.unwrap_or(0) + 1;
+                let version = StoreVersion::new(0, version.unwrap_or_default().number + 1);
                 self.row = Some((version, snapshot));
                 persistence.handle_write(now_us, version);
             }
--- a/crates/quarantine/src/persistence.rs
+++ b/crates/quarantine/src/persistence.rs
@@ -1,3 +1,5 @@
+use store::StoreVersion;
+
 use crate::{Quarantine, Snapshot};
 
 /// Time for which a daemon must have been one of the homes before it reads the row: daemons that
@@ -21,7 +23,7 @@
     /// [`Persistence::handle_write`].
     Write {
         /// Version of the row that is replaced.
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         /// New content.
         snapshot: Snapshot,
     },
@@ -34,7 +36,7 @@
     #[default]
     Unknown,
     /// It has this version, or does not exist.
-    Known(Option<u64>),
+    Known(Option<StoreVersion>),
 }
 
 /// Keeps evidence and verdicts in a row of the platform's store, over the end of all daemons.
@@ -92,7 +94,7 @@
         &mut self,
         now_us: u64,
         unix_ms: u64,
-        version: Option<u64>,
+        version: Option<StoreVersion>,
         snapshot: Option<&Snapshot>,
         quarantine: &mut Quarantine,
     ) {
@@ -107,7 +109,7 @@
     }
 
     /// Handles a successful write.
-    pub const fn handle_write(&mut self, now_us: u64, version: u64) {
+    pub const fn handle_write(&mut self, now_us: u64, version: StoreVersion) {
         self.row = StoredRow::Known(Some(version));
         self.saved_revision = self.written_revision;
         self.next_call_us = now_us + WRITE_INTERVAL_US;
--- a/crates/quarantine/src/persistence_tests.rs
+++ b/crates/quarantine/src/persistence_tests.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use store::StoreVersion;
 
 use crate::{
     Admission, Message, Persistence, PersistenceStep, PromptParts, Quarantine, Snapshot, Verdict,
@@ -16,6 +17,10 @@
 
 const DEADLY: u64 = 7;
 
+const fn version(number: u64) -> StoreVersion {
+    StoreVersion::new(0, number)
+}
+
 fn parts(own: u64) -> PromptParts {
     PromptParts::new([1, DEADLY, own])
 }
@@ -61,18 +66,15 @@
         let is_write = matches!(step, PersistenceStep::Write { version: None, .. });
         assert_eq!(is_write, rank == 0, "{step:?}");
         if rank == 0 {
-            persistence.handle_write(3 * S_US, 5);
+            persistence.handle_write(3 * S_US, version(5));
             lose(daemon, 3 * S_US + 1, 1);
             let step = persistence.next_step(3 * S_US + 1, 0, daemon);
             assert_eq!(step, PersistenceStep::Wait, "writes are a second apart");
             let step = persistence.next_step(4 * S_US, 0, daemon);
-            assert!(matches!(
-                step,
-                PersistenceStep::Write {
-                    version: Some(5),
-                    ..
-                }
-            ));
+            let expected = Some(version(5));
+            let is_write =
+                matches!(step, PersistenceStep::Write { version, .. } if version == expected);
+            assert!(is_write, "{step:?}");
         }
     }
     let names: Vec<String> = (0..9).map(|number| format!("entry-{number}")).collect();
@@ -108,15 +110,11 @@
         persistence.next_step(2 * S_US, 0, &daemon),
         PersistenceStep::Read
     );
-    persistence.handle_read(2 * S_US, 0, Some(3), None, &mut daemon);
+    persistence.handle_read(2 * S_US, 0, Some(version(3)), None, &mut daemon);
     let step = persistence.next_step(2 * S_US, 0, &daemon);
-    assert!(matches!(
-        step,
-        PersistenceStep::Write {
-            version: Some(3),
-            ..
-        }
-    ));
+    let expected = Some(version(3));
+    let is_write = matches!(step, PersistenceStep::Write { version, .. } if version == expected);
+    assert!(is_write, "{step:?}");
     persistence.handle_failure(21 * S_US);
     assert_eq!(
         persistence.next_step(22 * S_US, 0, &daemon),
@@ -124,12 +122,16 @@
     );
     // The row that is found is that of another daemon.
     let snapshot = other.snapshot(22 * S_US, 0);
-    persistence.handle_read(22 * S_US, 0, Some(9), Some(&snapshot), &mut daemon);
+    persistence.handle_read(22 * S_US, 0, Some(version(9)), Some(&snapshot), &mut daemon);
     let step = persistence.next_step(22 * S_US, 0, &daemon);
-    let PersistenceStep::Write { version, snapshot } = step else {
+    let PersistenceStep::Write {
+        version: found,
+        snapshot,
+    } = step
+    else {
         panic!("{step:?}");
     };
-    assert_eq!((version, snapshot.losses.len()), (Some(9), 2));
+    assert_eq!((found, snapshot.losses.len()), (Some(version(9)), 2));
 }
 
 /// Guards against a part that all daemons forget when they end, against one that is held back longer
@@ -289,7 +291,7 @@
     fn saved_losses_stay_in_the_row(events in prop::collection::vec((event(), 0..2_usize), 1..80)) {
         let start = || (Quarantine::new("entry"), Persistence::default());
         let mut writers = [start(), start()];
-        let mut row: Option<(u64, Snapshot)> = None;
+        let mut row: Option<(StoreVersion, Snapshot)> = None;
         let mut losses = 0;
         for (event, index) in events.into_iter().chain([(Event::Call, 0); 8]) {
             losses += 1;
@@ -309,7 +311,8 @@
                             persistence.handle_failure(now_us);
                         }
                         PersistenceStep::Write { version, snapshot } if version == stored => {
-                            let version = version.unwrap_or(0) + 1;
+                            let number = version.unwrap_or_default().number + 1;
+                            let version = StoreVersion::new(0, number);
                             row = Some((version, snapshot));
                             if matches!(event, Event::AnswerLost) {
                                 persistence.handle_failure(now_us);
--- a/crates/release/src/apply.rs
+++ b/crates/release/src/apply.rs
@@ -1,5 +1,7 @@
 //! State machine that applies a release note.
 
+use store::StoreVersion;
+
 use crate::{
     CURRENT_KEY, CurrentRelease, Note, Outcome, Record, Step, StoredRow, TableAnswer, TableCall,
     check, record_key,
@@ -54,7 +56,7 @@
 /// Conditional write of `release/current`.
 #[derive(Debug, Clone)]
 struct Replacement {
-    expect: Option<u64>,
+    expect: Option<StoreVersion>,
     next: CurrentRelease,
 }
 
--- a/crates/release/src/apply_tests.rs
+++ b/crates/release/src/apply_tests.rs
@@ -2,6 +2,8 @@
 
 use serde_json::json;
 
+use store::StoreVersion;
+
 use crate::{
     Apply, CurrentRelease, Note, Record, Step, StoredRow, TableAnswer, TableCall, record_key,
     tests::{change, config},
@@ -45,14 +47,17 @@
     let record = Some(Record::new(Note::default(), &config, attempt, 0));
     let value = CurrentRelease { config, record }.to_text();
     TableAnswer::Row(Some(StoredRow {
-        version: 10 * version,
+        version: StoreVersion::new(0, 10 * version),
         value,
     }))
 }
 
 fn record(version: u64, attempt: &str) -> TableAnswer {
     let value = Record::new(Note::default(), &config(version), attempt, 0).to_text();
-    TableAnswer::Row(Some(StoredRow { version: 1, value }))
+    TableAnswer::Row(Some(StoredRow {
+        version: StoreVersion::new(0, 1),
+        value,
+    }))
 }
 
 fn answer(text: &str) -> TableAnswer {
@@ -66,7 +71,7 @@
         },
         // The row exists already.
         ["taken"] => TableAnswer::Conflict(Some(StoredRow {
-            version: 1,
+            version: StoreVersion::new(0, 1),
             value: String::new(),
         })),
         ["none"] => TableAnswer::Row(None),
@@ -117,7 +122,7 @@
     let Step::Call(TableCall::Write { expect, value, .. }) = apply.step() else {
         panic!("no write");
     };
-    assert_eq!(expect, Some(70));
+    assert_eq!(expect, Some(StoreVersion::new(0, 70)));
     let next = CurrentRelease::from_text(&value).unwrap();
     assert_eq!((next.attempt(), next.config.version), (Some("me"), 8));
     assert_eq!(next.record.unwrap().written_unix_ms, 5);
--- a/crates/release/src/table_call.rs
+++ b/crates/release/src/table_call.rs
@@ -1,3 +1,5 @@
+use store::StoreVersion;
+
 /// Call that the driver of a state machine has to make to the table service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TableCall {
@@ -11,7 +13,7 @@
         /// Key of the row.
         key: String,
         /// Version that the row must have; `None` if it must not exist.
-        expect: Option<u64>,
+        expect: Option<StoreVersion>,
         /// New value.
         value: String,
     },
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use ::store::{Expect, HostEntry, HostList as _, MemoryTable, StoreError};
+use ::store::{Expect, HostEntry, HostList as _, MemoryTable, StoreError, StoreVersion};
 use futures::FutureExt as _;
 use ntex::{
     http::header,
@@ -145,7 +145,9 @@
     }
     let rows = store.with_inner(|inner| {
         inner.reads += 1;
-        inner.table.scan_now(&query.prefix, query.since)
+        inner
+            .table
+            .scan_now(&query.prefix, StoreVersion::new(0, query.since))
     });
     match rows {
         Ok(rows) => HttpResponse::Ok().json(&rows),
@@ -177,7 +179,7 @@
         .get(header::IF_MATCH)
         .and_then(|value| value.to_str().ok());
     let expect = match if_match.map(str::parse) {
-        Some(Ok(version)) => Expect::Version(version),
+        Some(Ok(number)) => Expect::Version(StoreVersion::new(0, number)),
         Some(Err(_)) => return HttpResponse::BadRequest().finish(),
         None => Expect::Absent,
     };
@@ -197,7 +199,7 @@
         return broken_response();
     }
     match result {
-        Ok(version) => HttpResponse::Ok().json(&serde_json::json!({ "version": version })),
+        Ok(version) => HttpResponse::Ok().json(&serde_json::json!({ "version": version.number })),
         Err(StoreError::Conflict(row)) => HttpResponse::PreconditionFailed().json(&row),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/crates/store/src/fault.rs
+++ b/crates/store/src/fault.rs
@@ -9,4 +9,8 @@
     RequestLost,
     /// A read of the row that was written last returns its value before that write.
     Stale,
+    /// The sender of a write has not learned of the last restore: the condition is compared by
+    /// number alone, and the outcome of a write that takes effect is unknown, because the answer is
+    /// of another era.
+    EraUnknown,
 }
--- a/crates/store/src/http_table.rs
+++ b/crates/store/src/http_table.rs
@@ -14,7 +14,7 @@
 };
 use serde::Deserialize;
 
-use crate::{Expect, HostEntry, HostList, Row, StoreError, Table};
+use crate::{Expect, HostEntry, HostList, Row, StoreError, StoreVersion, Table};
 
 /// Largest accepted response body. The configuration of a fleet with 2,300 upstreams is about 1 MiB
 /// of JSON.
@@ -24,7 +24,7 @@
 /// request that waits for the connection of another one.
 const MAX_CONNECTIONS: usize = 1 << 20;
 
-/// Client of the platform's table service over HTTP.
+/// Client of the platform's table service over HTTP, which has no eras: all versions are of era 0.
 ///
 /// A write is reported as [`StoreError::Down`] if the connection can't be opened, since nothing was
 /// sent, or if the response has status 503. Any other failure except a conflict is
@@ -65,6 +65,10 @@
 }
 
 impl Table for HttpTable {
+    fn era(&self) -> u64 {
+        0
+    }
+
     fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<Row>, StoreError>> {
         Box::pin(async move {
             let result = self
@@ -90,12 +94,14 @@
         key: &'a str,
         expect: Expect,
         value: &'a str,
-    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+    ) -> LocalBoxFuture<'a, Result<StoreVersion, StoreError>> {
         Box::pin(async move {
             let request = self.client.put(format!("{}/rows/{key}", self.base_url));
             let request = match expect {
                 Expect::Absent => request.header(header::IF_NONE_MATCH, "*"),
-                Expect::Version(version) => request.header(header::IF_MATCH, version.to_string()),
+                Expect::Version(version) => {
+                    request.header(header::IF_MATCH, version.number.to_string())
+                }
             };
             let response = request
                 .send_body(value.to_owned())
@@ -105,7 +111,7 @@
                 StatusCode::OK => response
                     .json::<WriteResponse>()
                     .await
-                    .map(|written| written.version)
+                    .map(|written| StoreVersion::new(0, written.version))
                     .map_err(|_| StoreError::Unknown),
                 StatusCode::PRECONDITION_FAILED => {
                     let row = response
@@ -123,12 +129,12 @@
     fn scan<'a>(
         &'a self,
         prefix: &'a str,
-        since_version: u64,
+        since_version: StoreVersion,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>, StoreError>> {
         Box::pin(async move {
             let url = format!(
-                "{}/changes?since={since_version}&prefix={prefix}",
-                self.base_url
+                "{}/changes?since={}&prefix={prefix}",
+                self.base_url, since_version.number
             );
             let response = self
                 .client
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,9 @@
 //! The error of a write shows whether it took effect: after [`StoreError::Down`] nothing was
 //! applied, after [`StoreError::Unknown`] the write may have taken effect and the row has to be
 //! read back.
+//!
+//! A [`StoreVersion`] is a pair of era and number: a platform whose store comes back from an older
+//! copy gives numbers out again, in a new era.
 
 mod expect;
 mod fault;
@@ -18,6 +21,7 @@
 mod store_error;
 mod store_version;
 mod table;
+mod table_copy;
 #[cfg(test)]
 mod tests;
 
@@ -32,4 +36,5 @@
     store_error::StoreError,
     store_version::StoreVersion,
     table::Table,
+    table_copy::TableCopy,
 };
--- a/crates/store/src/memory_table.rs
+++ b/crates/store/src/memory_table.rs
@@ -4,7 +4,7 @@
 
 use futures::future::{LocalBoxFuture, ready};
 
-use crate::{Expect, Fault, HostEntry, HostList, Row, StoreError, Table};
+use crate::{Expect, Fault, HostEntry, HostList, Row, StoreError, StoreVersion, Table, TableCopy};
 
 /// Table that keeps its rows in memory and injects faults, for tests and the stand-in of the table
 /// service.
@@ -17,6 +17,11 @@
 /// let table = MemoryTable::default().with_faults([Fault::AnswerLost]);
 /// assert_eq!(table.write_now("a", Expect::Absent, "1"), Err(StoreError::Unknown));
 /// assert_eq!(table.read_now("a").unwrap().unwrap().value, "1");
+///
+/// // The table comes back from a copy that was made before the write.
+/// let copy = MemoryTable::default().copy();
+/// table.restore(&copy);
+/// assert_eq!((table.read_now("a"), table.era_now()), (Ok(None), 1));
 /// ```
 #[derive(Debug, Default)]
 pub struct MemoryTable {
@@ -25,7 +30,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    version: u64,
+    version: StoreVersion,
     /// Rows, sorted by key.
     rows: Vec<Row>,
     /// Key of the row that was written last, and the row before that write.
@@ -66,6 +71,34 @@
         self.inner.borrow_mut().hosts = hosts;
     }
 
+    /// Returns a copy of the rows and of the counter of versions.
+    #[must_use]
+    pub fn copy(&self) -> TableCopy {
+        let inner = self.inner.borrow();
+        TableCopy {
+            number: inner.version.number,
+            rows: inner.rows.clone(),
+        }
+    }
+
+    /// Comes back from a copy: the era rises, and the versions since the copy are given out again.
+    pub fn restore(&self, copy: &TableCopy) {
+        let mut inner = self.inner.borrow_mut();
+        let era = inner.version.era + 1;
+        inner.version = StoreVersion::new(era, copy.number);
+        inner.rows.clone_from(&copy.rows);
+        for row in &mut inner.rows {
+            row.version.era = era;
+        }
+        inner.before_last_write = None;
+    }
+
+    /// Synchronous version of [`Table::era`].
+    #[must_use]
+    pub fn era_now(&self) -> u64 {
+        self.inner.borrow().version.era
+    }
+
     /// Synchronous version of [`Table::read`].
     ///
     /// # Errors
@@ -87,17 +120,23 @@
     /// # Errors
     ///
     /// As [`Table::write`].
-    pub fn write_now(&self, key: &str, expect: Expect, value: &str) -> Result<u64, StoreError> {
+    pub fn write_now(
+        &self,
+        key: &str,
+        expect: Expect,
+        value: &str,
+    ) -> Result<StoreVersion, StoreError> {
         let mut inner = self.inner.borrow_mut();
         let fault = inner.next_fault()?;
         if fault == Some(Fault::RequestLost) {
             return Err(StoreError::Unknown);
         }
-        let result = inner.apply(key, expect, value);
-        if fault == Some(Fault::AnswerLost) {
-            Err(StoreError::Unknown)
-        } else {
-            result
+        let is_unaware = fault == Some(Fault::EraUnknown);
+        let result = inner.apply(key, expect, value, is_unaware);
+        match fault {
+            Some(Fault::AnswerLost) => Err(StoreError::Unknown),
+            Some(Fault::EraUnknown) => result.and(Err(StoreError::Unknown)),
+            _ => result,
         }
     }
 
@@ -106,7 +145,11 @@
     /// # Errors
     ///
     /// As [`Table::scan`].
-    pub fn scan_now(&self, prefix: &str, since_version: u64) -> Result<Vec<Row>, StoreError> {
+    pub fn scan_now(
+        &self,
+        prefix: &str,
+        since_version: StoreVersion,
+    ) -> Result<Vec<Row>, StoreError> {
         let mut inner = self.inner.borrow_mut();
         if matches!(
             inner.next_fault()?,
@@ -141,19 +184,28 @@
         self.rows.binary_search_by(|row| row.key.as_str().cmp(key))
     }
 
-    /// Performs a conditional write.
-    fn apply(&mut self, key: &str, expect: Expect, value: &str) -> Result<u64, StoreError> {
+    /// Performs a conditional write; if its sender is unaware of the era, only numbers are compared.
+    fn apply(
+        &mut self,
+        key: &str,
+        expect: Expect,
+        value: &str,
+        is_unaware: bool,
+    ) -> Result<StoreVersion, StoreError> {
         let found = self.find(key);
         let before = found.ok().map(|index| self.rows[index].clone());
         let holds = match (&before, expect) {
             (None, Expect::Absent) => true,
-            (Some(row), Expect::Version(version)) => row.version == version,
+            (Some(row), Expect::Version(version)) => {
+                let is_same_era = is_unaware || row.version.era == version.era;
+                is_same_era && row.version.number == version.number
+            }
             _ => false,
         };
         if !holds {
             return Err(StoreError::Conflict(before));
         }
-        self.version += 1;
+        self.version.number += 1;
         let row = Row {
             key: key.to_owned(),
             version: self.version,
@@ -169,6 +221,10 @@
 }
 
 impl Table for MemoryTable {
+    fn era(&self) -> u64 {
+        self.era_now()
+    }
+
     fn read<'a>(&'a self, key: &'a str) -> LocalBoxFuture<'a, Result<Option<Row>, StoreError>> {
         Box::pin(ready(self.read_now(key)))
     }
@@ -178,14 +234,14 @@
         key: &'a str,
         expect: Expect,
         value: &'a str,
-    ) -> LocalBoxFuture<'a, Result<u64, StoreError>> {
+    ) -> LocalBoxFuture<'a, Result<StoreVersion, StoreError>> {
         Box::pin(ready(self.write_now(key, expect, value)))
     }
 
     fn scan<'a>(
         &'a self,
         prefix: &'a str,
-        since_version: u64,
+        since_version: StoreVersion,
     ) -> LocalBoxFuture<'a, Result<Vec<Row>, StoreError>> {
         Box::pin(ready(self.scan_now(prefix, since_version)))
     }
