fix(lease)!: a restored store neither ends nor doubles a lease

Operators: after a drill nobody did the duties of the fleet until the store's versions had passed their old values, or two hosts did them at the same time, with one token.

Cause: three places took the row of a restored store for a newer or older state of the same history. `observe` ignored a lower version for good, and the condition of a renewal was never met again, so that the holder gave up. A row that was absent or released in the copy was free at once, while the holder of before the restore still had its lease. A condition on a number that had been given out again held for another row.

Ruled out: to end each hold at a change of era. Nobody would do the duties for the length of a lease after each drill, and the wait is needed in any case, because a suspended holder doesn't know of the era. To keep the token of the row that is found: the highest one may be known to nobody but a host that is gone.

Change: `Lease::see_era` and `Holder::see_era`. Nobody acquires the lease before its length and a clock error have passed since the era was first seen, whatever the row says. A holder whose renewal meets a row of a newer era writes its record there, unless the row has a higher token. A write counts only if it was decided and took effect in one era. Tokens of an era begin at 2^20 times its number plus the replaced version, so that they exceed all that were used before, as long as fewer than 2^20 versions were lost; era 0 counts from 1 as before. `Lease::observed_token` also tells the tokens that were seen in earlier eras.

The daemon takes the era from the table, which knows it where there is no row, and from all other answers of the store to the process. The era that other hosts tell is not used: rows of a store whose era this process has not seen would be taken for late answers.

--- a/crates/cli/src/upstream_command.rs
+++ b/crates/cli/src/upstream_command.rs
@@ -101,10 +101,12 @@
         match delivery.step(now_us()) {
             DeliveryStep::Read => {
                 let result = table.read(&key).await;
+                delivery.see_era(now_us(), table.era());
                 delivery.handle_read(now_us(), result);
             }
             DeliveryStep::Write { expect, record } => {
                 let result = table.write(&key, expect, &record.to_value()).await;
+                delivery.see_era(now_us(), table.era());
                 delivery.handle_write(now_us(), result);
             }
             DeliveryStep::Wait { until_us } => {
--- a/crates/daemon/src/duties/held.rs
+++ b/crates/daemon/src/duties/held.rs
@@ -125,9 +125,15 @@
     }
 
     /// Returns the next step to acquire, keep or give back the duties, with the changes since the
-    /// last one.
-    pub(super) fn step(&self, is_candidate: bool, stops: bool) -> (HolderStep, Vec<HoldChange>) {
+    /// last one; `era` is the newest known one of the store.
+    pub(super) fn step(
+        &self,
+        is_candidate: bool,
+        stops: bool,
+        era: u64,
+    ) -> (HolderStep, Vec<HoldChange>) {
         self.with_holder(|now_us, holder| {
+            holder.see_era(now_us, era);
             holder.set_candidate(is_candidate);
             if stops {
                 holder.stop();
@@ -137,14 +143,20 @@
         .unwrap_or((HolderStep::Wait { until_us: u64::MAX }, Vec::new()))
     }
 
-    /// Handles the result of reading the row of the lease.
-    pub(super) fn handle_read(&self, result: Result<Option<Row>, StoreError>) {
-        self.with_holder(|now_us, holder| holder.handle_read(now_us, result));
+    /// Handles the result of reading the row of the lease, with the era that the table knows then.
+    pub(super) fn handle_read(&self, era: u64, result: Result<Option<Row>, StoreError>) {
+        self.with_holder(|now_us, holder| {
+            holder.see_era(now_us, era);
+            holder.handle_read(now_us, result);
+        });
     }
 
-    /// Handles the result of writing the row of the lease.
-    pub(super) fn handle_write(&self, result: Result<StoreVersion, StoreError>) {
-        self.with_holder(|now_us, holder| holder.handle_write(now_us, result));
+    /// Handles the result of writing the row of the lease, with the era that the table knows then.
+    pub(super) fn handle_write(&self, era: u64, result: Result<StoreVersion, StoreError>) {
+        self.with_holder(|now_us, holder| {
+            holder.see_era(now_us, era);
+            holder.handle_write(now_us, result);
+        });
     }
 
     /// Records a token of another holder.
--- a/crates/daemon/src/duties/hold.rs
+++ b/crates/daemon/src/duties/hold.rs
@@ -23,15 +23,19 @@
     let held = &shared.held;
     loop {
         let is_candidate = is_candidate(&shared);
-        let (step, changes) = held.step(is_candidate, shared.is_draining());
+        let (step, changes) = held.step(is_candidate, shared.is_draining(), table.era());
         for change in changes {
             log_change(&shared, change);
         }
         match step {
-            HolderStep::Read => held.handle_read(table.read(LEASE_KEY).await),
+            HolderStep::Read => {
+                let row = table.read(LEASE_KEY).await;
+                held.handle_read(table.era(), row);
+            }
             HolderStep::Write { expect, record } => {
                 let value = record.to_value();
-                held.handle_write(table.write(LEASE_KEY, expect, &value).await);
+                let written = table.write(LEASE_KEY, expect, &value).await;
+                held.handle_write(table.era(), written);
             }
             HolderStep::Wait { until_us } => {
                 let is_busy = is_candidate || held.current().is_some();
--- a/crates/duty/src/fuzz_tests.rs
+++ b/crates/duty/src/fuzz_tests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use store::{Fault, MemoryTable, Row, StoreError, StoreVersion};
+use store::{Fault, MemoryTable, Row, StoreError, StoreVersion, TableCopy};
 
 use crate::{Holder, HolderStep, HolderTiming};
 
@@ -20,6 +20,11 @@
 /// Longest time between the check of the hold and the send in a process that isn't frozen.
 const SEND_US: u64 = 20_000;
 
+/// Longest time without a holder after a restore that the last one doesn't survive: the pause of an
+/// observer's polls, in which it learns of it, then the length of a lease and its clock error, by a
+/// clock that is as slow as allowed, and three rounds of the test to read the row and write it.
+const HELD_AGAIN_US: u64 = (LEASE_US / 2 + LEASE_US + LATE_US) * 10 / 9 + 3 * 50_000;
+
 #[derive(Debug, Clone)]
 enum Transition {
     /// The hosts run for some rounds and make a call whenever they may.
@@ -42,6 +47,12 @@
     Stop { host: usize },
     /// The process ends at this point, and another one starts.
     Restart { host: usize },
+    /// The store is copied.
+    Copy,
+    /// The store comes back from the last copy.
+    Restore,
+    /// The host learns the era of the store from another one.
+    Hear { host: usize },
 }
 
 #[derive(Debug, Clone)]
@@ -101,6 +112,9 @@
             2 => (0..HOSTS).prop_map(|host| Transition::Begin { host }),
             2 => (0..HOSTS).prop_map(|host| Transition::Stop { host }),
             3 => (0..HOSTS).prop_map(|host| Transition::Restart { host }),
+            2 => Just(Transition::Copy),
+            2 => Just(Transition::Restore),
+            1 => (0..HOSTS).prop_map(|host| Transition::Hear { host }),
         ]
         .boxed()
     }
@@ -113,8 +127,9 @@
 enum Stage {
     Ask,
     Perform(HolderStep),
-    Read(Result<Option<Row>, StoreError>),
-    Written(Result<StoreVersion, StoreError>),
+    /// Result, with the newest era that an answer told until then.
+    Read(Result<Option<Row>, StoreError>, u64),
+    Written(Result<StoreVersion, StoreError>, u64),
 }
 
 enum Call {
@@ -129,6 +144,8 @@
     run: u32,
     stage: Stage,
     call: Option<Call>,
+    /// Newest era that an answer of the store told this process.
+    era: u64,
 }
 
 /// Call on its way to the control service.
@@ -144,6 +161,7 @@
 
 struct System {
     table: MemoryTable,
+    copy: TableCopy,
     real_us: u64,
     rates_ppm: [i64; HOSTS],
     hosts: Vec<Host>,
@@ -169,6 +187,7 @@
             run: self.runs,
             stage: Stage::Ask,
             call: None,
+            era: 0,
         }
     }
 
@@ -182,18 +201,30 @@
             },
             Stage::Perform(HolderStep::Read) => {
                 self.table.push_fault(fault);
-                Stage::Read(self.table.read_now(KEY))
+                let row = self.table.read_now(KEY);
+                if row.is_ok() {
+                    host.era = self.table.era_now();
+                }
+                Stage::Read(row, host.era)
             }
             Stage::Perform(HolderStep::Write { expect, record }) => {
-                self.table.push_fault(fault);
-                Stage::Written(self.table.write_now(KEY, expect, &record.to_value()))
+                let is_unaware = host.era < self.table.era_now();
+                let unaware = is_unaware.then_some(Fault::EraUnknown);
+                self.table.push_fault(fault.or(unaware));
+                let result = self.table.write_now(KEY, expect, &record.to_value());
+                if fault.is_none() || matches!(result, Err(StoreError::Conflict(_))) {
+                    host.era = self.table.era_now();
+                }
+                Stage::Written(result, host.era)
             }
             Stage::Perform(HolderStep::Wait { .. }) => Stage::Ask,
-            Stage::Read(result) => {
+            Stage::Read(result, era) => {
+                host.holder.see_era(now_us, era);
                 host.holder.handle_read(now_us, result);
                 Stage::Ask
             }
-            Stage::Written(result) => {
+            Stage::Written(result, era) => {
+                host.holder.see_era(now_us, era);
                 host.holder.handle_write(now_us, result);
                 Stage::Ask
             }
@@ -248,6 +279,14 @@
         }
     }
 
+    /// Returns the host that holds the duties.
+    fn holder(&self) -> Option<usize> {
+        (0..HOSTS).find(|&host| {
+            let holder = &self.hosts[host].holder;
+            holder.current(self.local_us(host)).is_some()
+        })
+    }
+
     /// Checks what the control service has seen.
     fn check(&self) {
         let mut senders: Vec<(u64, u32)> = self
@@ -294,6 +333,7 @@
     fn init_test(reference: &Reference) -> System {
         let mut system = System {
             table: MemoryTable::default(),
+            copy: TableCopy::default(),
             real_us: 0,
             rates_ppm: reference.rates_ppm,
             hosts: Vec::new(),
@@ -335,6 +375,12 @@
             Transition::Begin { host } => system.begin(host),
             Transition::Stop { host } => system.hosts[host].holder.stop(),
             Transition::Restart { host } => system.hosts[host] = system.start(host),
+            Transition::Copy => system.copy = system.table.copy(),
+            Transition::Restore => system.table.restore(&system.copy),
+            Transition::Hear { host } => {
+                let (now_us, era) = (system.local_us(host), system.table.era_now());
+                system.hosts[host].holder.see_era(now_us, era);
+            }
         }
         system
     }
@@ -343,7 +389,9 @@
         system.check();
     }
 
-    /// Checks that somebody holds the duties after a while without faults.
+    /// Checks that somebody holds the duties after a while without faults, that the holder keeps
+    /// them when the store comes back from a copy, and that they are held again in time if it does
+    /// so while the holder ends.
     fn teardown(mut system: System, _reference: Reference) {
         for host in 0..HOSTS {
             system.hosts[host] = system.start(host);
@@ -355,11 +403,31 @@
             }
             system.check();
         }
-        let holds = |host: usize| {
-            let holder = &system.hosts[host].holder;
-            holder.current(system.local_us(host)).is_some()
-        };
-        assert!((0..HOSTS).any(holds), "nobody holds the duties");
+        let holder = system.holder().expect("nobody holds the duties");
+        system.table.restore(&system.copy);
+        for _ in 0..200 {
+            system.real_us += 50_000;
+            for host in 0..HOSTS {
+                system.step(host, None);
+            }
+            system.check();
+            assert_eq!(system.holder(), Some(holder), "the holder lost the duties");
+        }
+
+        system.hosts[holder] = system.start(holder);
+        system.table.restore(&system.copy);
+        let restored_us = system.real_us;
+        while system.holder().is_none() {
+            system.real_us += 50_000;
+            for host in 0..HOSTS {
+                for _ in 0..6 {
+                    system.step(host, None);
+                }
+            }
+            system.check();
+            let after_us = system.real_us - restored_us;
+            assert!(after_us <= HELD_AGAIN_US, "nobody after {after_us} us");
+        }
     }
 }
 
@@ -369,7 +437,8 @@
         ..ProptestConfig::default()
     })]
     /// Guards against two holders that send one token, a lower token after a higher one, holders
-    /// that alternate within a lease, and duties that nobody takes over.
+    /// that alternate within a lease, and duties that nobody takes over, also if the store comes back
+    /// from older copies.
     #[test]
     fn holds_duties_for_racing_hosts(sequential 1..60 => Test);
 }
--- a/crates/duty/src/holder.rs
+++ b/crates/duty/src/holder.rs
@@ -40,6 +40,10 @@
     /// Whether the hold ends without another renewal.
     expiring: bool,
     highest_token: u64,
+    /// Newest known era of the store.
+    era: u64,
+    /// Time at which that era was first seen.
+    era_seen_us: u64,
     changes: Vec<HoldChange>,
 }
 
@@ -75,6 +79,8 @@
             failures: 0,
             expiring: false,
             highest_token: 0,
+            era: 0,
+            era_seen_us: 0,
             changes: Vec::new(),
         }
     }
@@ -97,6 +103,22 @@
         self.highest_token = self.highest_token.max(token);
     }
 
+    /// Records the newest known era of the store: in each step, and before the result of a call that
+    /// told it.
+    ///
+    /// A host that isn't a candidate has to know it too: once it is one, it must not acquire the
+    /// duties before the holder of the era before has lost them.
+    pub fn see_era(&mut self, now_us: u64, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        self.era_seen_us = now_us;
+        if let Some(lease) = &mut self.lease {
+            lease.see_era(now_us, era);
+        }
+    }
+
     /// Returns the highest token that is known.
     #[must_use]
     pub const fn highest_token(&self) -> u64 {
@@ -236,7 +258,8 @@
         let attempt = format!("{}/{}/{}", self.name, self.run, self.acquisitions);
         let lease = Lease::new(self.timing.lease, &self.name, &attempt, now_us)
             .with_earliest_us(self.rest_until_us.max(now_us))
-            .with_token_above(self.highest_token);
+            .with_token_above(self.highest_token)
+            .with_era(self.era, self.era_seen_us);
         match self.failed_lease.take() {
             Some(failed) => lease.with_observation_of(&failed),
             None => lease,
--- a/crates/lease/src/delivery.rs
+++ b/crates/lease/src/delivery.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Records the newest known era of the store, before the result of a call that told it.
+    pub fn see_era(&mut self, now_us: u64, era: u64) {
+        self.lease.see_era(now_us, era);
+    }
+
     /// Handles the result of reading the lease's row.
     pub fn handle_read(&mut self, now_us: u64, result: Result<Option<Row>, StoreError>) {
         self.lease.handle_read(now_us, result);
--- a/crates/lease/src/fuzz_tests.rs
+++ b/crates/lease/src/fuzz_tests.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use store::{Fault, MemoryTable, Row, StoreError, StoreVersion};
+use store::{Fault, MemoryTable, Row, StoreError, StoreVersion, TableCopy};
 
 use crate::{
     Action, Command, Delivery, DeliveryStep, Lease, LeaseTiming, Outcome, SendResult,
@@ -32,6 +32,10 @@
     Restart { host: usize },
     /// A delayed command reaches the upstream.
     Arrive { index: usize },
+    /// The store is copied.
+    Copy,
+    /// The store comes back from the last copy.
+    Restore,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -96,6 +100,8 @@
                 .prop_map(|(host, stages, loss)| Transition::Run { host, stages, loss }),
             1 => (0..HOSTS).prop_map(|host| Transition::Restart { host }),
             4 => (0..4_usize).prop_map(|index| Transition::Arrive { index }),
+            3 => Just(Transition::Copy),
+            3 => Just(Transition::Restore),
         ]
         .boxed()
     }
@@ -109,7 +115,8 @@
 enum Stage {
     Ask,
     Perform(DeliveryStep),
-    Answer(Answer),
+    /// Answer of a call, with the era of the store that it told.
+    Answer(Answer, u64),
 }
 
 enum Answer {
@@ -126,10 +133,21 @@
     /// Time by the host's clock at which the lease ends, as known when the last command was sent.
     until_us: u64,
     attempt: u32,
+    /// Newest era that an answer told this process.
+    era: u64,
     /// Whether a late command or a later holder changed the upstream after this holder read it.
     is_disturbed: bool,
 }
 
+impl Holder {
+    /// Learns the era from an answer.
+    fn hear_era(&mut self, table: &MemoryTable, is_answered: bool) {
+        if is_answered {
+            self.era = table.era_now();
+        }
+    }
+}
+
 struct Delayed {
     command: Command,
     host: usize,
@@ -138,6 +156,7 @@
 
 struct System {
     table: MemoryTable,
+    copy: TableCopy,
     real_us: u64,
     rates_ppm: [i64; HOSTS],
     honours_fencing: bool,
@@ -175,6 +194,7 @@
             stage: Stage::Ask,
             until_us: 0,
             attempt: self.attempts,
+            era: 0,
             is_disturbed: false,
         });
     }
@@ -203,9 +223,11 @@
                 }
             },
             Stage::Perform(step) => {
-                Stage::Answer(self.perform(&mut holder, host, step, fault, loss))
+                let answer = self.perform(&mut holder, host, step, fault, loss);
+                Stage::Answer(answer, holder.era)
             }
-            Stage::Answer(answer) => {
+            Stage::Answer(answer, era) => {
+                holder.delivery.see_era(now_us, era);
                 match answer {
                     Answer::Read(result) => holder.delivery.handle_read(now_us, result),
                     Answer::Written(result) => holder.delivery.handle_write(now_us, result),
@@ -230,11 +252,18 @@
         match step {
             DeliveryStep::Read => {
                 self.table.push_fault(fault);
-                Answer::Read(self.table.read_now(&key))
+                let row = self.table.read_now(&key);
+                holder.hear_era(&self.table, row.is_ok());
+                Answer::Read(row)
             }
             DeliveryStep::Write { expect, record } => {
-                self.table.push_fault(fault);
-                Answer::Written(self.table.write_now(&key, expect, &record.to_value()))
+                let is_unaware = holder.era < self.table.era_now();
+                let unaware = is_unaware.then_some(Fault::EraUnknown);
+                self.table.push_fault(fault.or(unaware));
+                let result = self.table.write_now(&key, expect, &record.to_value());
+                let is_answered = fault.is_none() || matches!(result, Err(StoreError::Conflict(_)));
+                holder.hear_era(&self.table, is_answered);
+                Answer::Written(result)
             }
             DeliveryStep::ReadState => {
                 holder.is_disturbed = false;
@@ -321,6 +350,7 @@
     fn init_test(reference: &Reference) -> System {
         System {
             table: MemoryTable::default(),
+            copy: TableCopy::default(),
             real_us: 0,
             rates_ppm: reference.rates_ppm,
             honours_fencing: reference.honours_fencing,
@@ -360,6 +390,8 @@
                 system.arrive(&delayed);
             }
             Transition::Arrive { .. } => {}
+            Transition::Copy => system.copy = system.table.copy(),
+            Transition::Restore => system.table.restore(&system.copy),
         }
         system
     }
@@ -394,8 +426,8 @@
         ..ProptestConfig::default()
     })]
     /// Guards against two hosts that hold one lease at the same time, an old command applied after
-    /// a newer one, and a wrong confirmation, under any interleaving of hosts, clocks, pauses and
-    /// faults.
+    /// a newer one, and a wrong confirmation, under any interleaving of hosts, clocks, pauses, faults
+    /// and restores of the store.
     #[test]
     fn holds_lease_for_racing_hosts(sequential 1..200 => Test);
 }
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -8,6 +8,11 @@
 /// Delay before the second try; it doubles with every try.
 const RETRY_DELAY_US: u64 = 50_000;
 
+/// Tokens of an era begin at its number times this one, above the version that is replaced. So they
+/// exceed all that were used before the store came back from a copy, although nobody may know them,
+/// as long as fewer versions than this were lost.
+const TOKENS_PER_ERA: u64 = 1 << 20;
+
 /// State machine of one acquisition of a lease, with its renewals and its release.
 ///
 /// The caller carries out the returned [`LeaseStep`]s and passes in their results.
@@ -17,12 +22,19 @@
     started_us: u64,
     /// Time before which the lease is not acquired.
     earliest_us: u64,
+    /// Newest known era of the store.
+    era: u64,
+    /// Time before which the lease is not acquired, because its holder of before the era may still
+    /// have it.
+    era_wait_until_us: u64,
     /// Token that an acquisition must exceed, whatever the row says.
     token_floor: u64,
     own_record: Record,
     observed: Option<ObservedRow>,
     phase: Phase,
     expect: Expect,
+    /// Era in which the write in progress was decided.
+    write_era: u64,
     /// Time at which the write in progress was first sent.
     write_sent_us: Option<u64>,
     /// Time at which the holder stops using the lease; 0 if it is not held.
@@ -71,11 +83,14 @@
             timing,
             started_us: now_us,
             earliest_us: now_us,
+            era: 0,
+            era_wait_until_us: 0,
             token_floor: 0,
             own_record,
             observed: None,
             phase: Phase::Observing,
             expect: Expect::Absent,
+            write_era: 0,
             write_sent_us: None,
             held_until_us: 0,
             tries: 0,
@@ -97,18 +112,45 @@
         self
     }
 
+    /// Sets the newest known era of the store, and when it was first seen by the same clock.
+    #[must_use]
+    pub fn with_era(mut self, era: u64, seen_us: u64) -> Self {
+        self.see_era(seen_us, era);
+        self
+    }
+
     /// Continues the observation of an acquisition that failed, by the same clock.
     #[must_use]
     pub fn with_observation_of(mut self, earlier: &Self) -> Self {
-        self.observed.clone_from(&earlier.observed);
+        if self.era <= earlier.era {
+            self.era = earlier.era;
+            self.era_wait_until_us = self.era_wait_until_us.max(earlier.era_wait_until_us);
+            self.observed.clone_from(&earlier.observed);
+        }
+        self.token_floor = self.token_floor.max(earlier.token_floor);
         self
     }
 
-    /// Returns the highest token that was seen in the row.
+    /// Records the newest known era of the store, before the result of the call that told it.
+    ///
+    /// In a new era, what was observed of the row may be gone, also that another holder has the
+    /// lease. So nobody acquires it before the lease of an unknown holder would have expired.
+    pub fn see_era(&mut self, now_us: u64, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        let observed = self.observed.take().map(|observed| observed.record);
+        let length_us = observed.map_or(0, |record| record.length_us);
+        let length_us = length_us.max(self.timing.length_us);
+        let wait_us = length_us.saturating_add(self.timing.clock_error_over_us(length_us));
+        self.era_wait_until_us = now_us.saturating_add(wait_us);
+    }
+
+    /// Returns the highest token that was seen in the row, or that has to be exceeded.
     #[must_use]
-    pub fn observed_token(&self) -> u64 {
-        let observed = self.observed.as_ref();
-        observed.map_or(0, |observed| observed.record.token)
+    pub const fn observed_token(&self) -> u64 {
+        self.token_floor
     }
 
     /// Returns whether a write is due or in progress, or its result is unknown.
@@ -166,11 +208,18 @@
                 until_us: self.held_until_us,
             },
             Phase::Held => self.end(LeaseEnd::Over),
+            // The decision was made on a row of an earlier era.
+            Phase::Writing(Purpose::Acquire)
+                if self.write_era < self.era && self.write_sent_us.is_none() =>
+            {
+                self.phase = Phase::Observing;
+                LeaseStep::Read
+            }
             Phase::Writing(_) => self.write(now_us),
             Phase::ReadingBack(_) => LeaseStep::Read,
             Phase::Observing => match &self.observed {
                 Some(observed)
-                    if now_us >= self.earliest_us && observed.is_free(now_us, self.timing) =>
+                    if now_us >= self.earliest_us() && observed.is_free(now_us, self.timing) =>
                 {
                     self.acquire(now_us)
                 }
@@ -207,7 +256,10 @@
             return;
         };
         match result {
-            Ok(version) => self.complete_write(purpose, version),
+            Ok(version) => {
+                self.see_era(now_us, version.era);
+                self.complete_write(now_us, purpose, version);
+            }
             Err(StoreError::Conflict(row)) => self.resolve_write(now_us, purpose, row),
             Err(StoreError::Unknown) => {
                 self.phase = Phase::ReadingBack(purpose);
@@ -231,19 +283,38 @@
         }
     }
 
+    /// Returns the time before which the lease is not acquired.
+    fn earliest_us(&self) -> u64 {
+        self.earliest_us.max(self.era_wait_until_us)
+    }
+
+    /// Returns the token of an acquisition that replaces this version.
+    ///
+    /// In a store that has come back from a copy, the row may hold the record of a process that had
+    /// not learned of it, in the place of one with a higher token. The version is unique in its era,
+    /// and so is a token above it.
+    fn next_token(&self, replaced: Option<StoreVersion>) -> u64 {
+        let number = replaced.map_or(0, |version| version.number);
+        let least = match self.era {
+            0 => 0,
+            era => era.saturating_mul(TOKENS_PER_ERA).saturating_add(number),
+        };
+        self.token_floor.max(least).saturating_add(1)
+    }
+
     /// Starts a write for this purpose.
     fn begin_write(&mut self, purpose: Purpose) {
         self.phase = Phase::Writing(purpose);
+        self.write_era = self.era;
         self.write_sent_us = None;
         self.tries = 0;
     }
 
     /// Starts to take over a lease that has expired or was released.
     fn acquire(&mut self, now_us: u64) -> LeaseStep {
-        if let Some(observed) = &self.observed {
-            self.own_record.token = observed.record.token.max(self.token_floor) + 1;
-            self.expect = Expect::Version(observed.version);
-        }
+        let version = self.observed.as_ref().map(|observed| observed.version);
+        self.expect = version.map_or(Expect::Absent, Expect::Version);
+        self.own_record.token = self.next_token(version);
         self.begin_write(Purpose::Acquire);
         self.write(now_us)
     }
@@ -261,26 +332,46 @@
     }
 
     /// Completes a write: the row holds this lease's record at this version.
-    fn complete_write(&mut self, purpose: Purpose, version: StoreVersion) {
+    ///
+    /// A write that was decided in one era and found in another one gives no time: its condition may
+    /// have held for another row, and another holder may have had the lease in between.
+    fn complete_write(&mut self, now_us: u64, purpose: Purpose, version: StoreVersion) {
         self.expect = Expect::Version(version);
         self.tries = 0;
-        if purpose == Purpose::Release {
-            self.phase = Phase::Ended(LeaseEnd::Over);
-            return;
+        let is_same_era = version.era == self.write_era;
+        match purpose {
+            Purpose::Release => self.phase = Phase::Ended(LeaseEnd::Over),
+            Purpose::Acquire if !is_same_era => {
+                self.phase = Phase::Observing;
+                self.observe_record(now_us, version, self.own_record.clone());
+            }
+            Purpose::Acquire | Purpose::Renew => {
+                if is_same_era {
+                    self.held_until_us = self.write_sent_us.unwrap_or(0) + self.usable_us();
+                }
+                self.phase = Phase::Held;
+            }
         }
-        self.held_until_us = self.write_sent_us.unwrap_or(0) + self.usable_us();
-        self.phase = Phase::Held;
     }
 
     /// Determines from the current row whether a write with an unknown result succeeded.
     fn resolve_write(&mut self, now_us: u64, purpose: Purpose, row: Option<Row>) {
+        if let Some(row) = &row {
+            self.see_era(now_us, row.version.era);
+        }
         let found = row.as_ref().map(|row| Record::parse(&row.value));
         match (&row, found) {
             (_, Some(Err(_))) => {
                 self.end(LeaseEnd::Unreadable);
             }
             (Some(row), Some(Ok(record))) if record == self.own_record => {
-                self.complete_write(purpose, row.version);
+                self.complete_write(now_us, purpose, row.version);
+            }
+            (row, Some(Ok(record))) if self.may_write_again(now_us, purpose, &record) => {
+                self.write_again(now_us, purpose, row.as_ref());
+            }
+            (None, None) if self.write_era < self.era && self.holds(now_us) => {
+                self.write_again(now_us, purpose, None);
             }
             // The write did not succeed, or the read was stale. Writing again is safe, because the
             // expected version makes it fail if the first write did succeed.
@@ -298,6 +389,30 @@
         }
     }
 
+    /// Returns whether a renewal may replace a record that the row got by a change of era.
+    ///
+    /// While this holder may use the lease, nobody has acquired it in a later era: a record of
+    /// another holder is one of the copy, or of a write that gave no lease.
+    fn may_write_again(&self, now_us: u64, purpose: Purpose, found: &Record) -> bool {
+        let expected_era = match self.expect {
+            Expect::Version(version) => version.era,
+            Expect::Absent => self.write_era,
+        };
+        let is_own = found.attempt == self.own_record.attempt;
+        let is_newer = found.token > self.own_record.token;
+        let has_changed = expected_era < self.era || self.expect == Expect::Absent;
+        purpose == Purpose::Renew && self.holds(now_us) && has_changed && (is_own || !is_newer)
+    }
+
+    /// Writes this lease's record over a row that was found in a new era.
+    fn write_again(&mut self, now_us: u64, purpose: Purpose, row: Option<&Row>) {
+        self.expect = row.map_or(Expect::Absent, |row| Expect::Version(row.version));
+        self.phase = Phase::Writing(purpose);
+        self.write_era = self.era;
+        self.write_sent_us = None;
+        self.retry(now_us, purpose);
+    }
+
     /// Returns whether the row is no newer than the version that the write expects.
     fn is_not_newer(&self, row: Option<&Row>) -> bool {
         match (row, self.expect) {
@@ -309,28 +424,29 @@
 
     /// Updates what is known about the row; acquires the lease if there is no row.
     fn observe(&mut self, now_us: u64, row: Option<Row>) {
+        if let Some(row) = &row {
+            self.see_era(now_us, row.version.era);
+        }
         let known = self.observed.as_ref().map(|observed| observed.version);
         match row {
-            None if known.is_none() && now_us < self.earliest_us => {
-                self.pause_until_us = self.earliest_us.min(now_us + self.timing.poll_us);
+            None if known.is_none() && now_us < self.earliest_us() => {
+                self.pause_until_us = self.earliest_us().min(now_us + self.timing.poll_us);
                 return;
             }
             None if known.is_none() => {
-                self.own_record.token = self.token_floor + 1;
+                self.own_record.token = self.next_token(None);
                 self.expect = Expect::Absent;
                 self.begin_write(Purpose::Acquire);
                 return;
             }
+            // The answer to a read that was sent in an earlier era.
+            Some(row) if row.version.era < self.era => {}
             Some(row) if known.is_none_or(|known| known < row.version) => {
                 let Ok(record) = Record::parse(&row.value) else {
                     self.end(LeaseEnd::Unreadable);
                     return;
                 };
-                self.observed = Some(ObservedRow {
-                    version: row.version,
-                    first_seen_us: now_us,
-                    record,
-                });
+                self.observe_record(now_us, row.version, record);
             }
             // A read that returned an older version says nothing about the newest one.
             _ => {}
@@ -341,13 +457,23 @@
             } else {
                 observed.expires_us(self.timing)
             };
-            let free_us = free_us.max(self.earliest_us);
+            let free_us = free_us.max(self.earliest_us());
             if now_us < free_us {
                 self.pause_until_us = free_us.min(now_us + self.timing.poll_us);
             }
         }
     }
 
+    /// Takes over the newest known record.
+    fn observe_record(&mut self, now_us: u64, version: StoreVersion, record: Record) {
+        self.token_floor = self.token_floor.max(record.token);
+        self.observed = Some(ObservedRow {
+            version,
+            first_seen_us: now_us,
+            record,
+        });
+    }
+
     /// Schedules another try, or ends after too many.
     fn retry(&mut self, now_us: u64, purpose: Purpose) {
         self.tries += 1;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -16,6 +16,14 @@
 //! [`LeaseTiming::clock_error_us`] over the length of a lease. The clock must advance while the
 //! process is suspended; a virtual machine whose clock stands still breaks this assumption.
 //!
+//! # Restored stores
+//!
+//! A store that comes back from an older copy may lack the present lease, show an earlier one, or
+//! show it as released; its era rises then. An observer acquires nothing until a lease and its clock
+//! error have passed since it first saw the era ([`Lease::see_era`]). A holder writes its record
+//! again with its next renewal and keeps the lease. A write counts only if it was decided and took
+//! effect in one era. Tokens begin above all of the eras before.
+//!
 //! # Guarantees
 //!
 //! - Two holders never consider the lease of an upstream theirs at the same time.
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of leases and deliveries with faults of the store and of the upstream.
 
-use store::{Expect, Fault, MemoryTable};
+use store::{Expect, Fault, MemoryTable, StoreVersion, TableCopy};
 
 use crate::{
     Action, Delivery, DeliveryStep, Lease, LeaseEnd, LeaseStep, LeaseTiming, Outcome, Record,
@@ -13,9 +13,14 @@
 fn run(table: &MemoryTable, lease: &mut Lease, now_us: &mut u64) -> LeaseStep {
     loop {
         match lease.step(*now_us) {
-            LeaseStep::Read => lease.handle_read(*now_us, table.read_now(&row_key("e"))),
+            LeaseStep::Read => {
+                let row = table.read_now(&row_key("e"));
+                lease.see_era(*now_us, table.era_now());
+                lease.handle_read(*now_us, row);
+            }
             LeaseStep::Write { expect, record } => {
                 let result = table.write_now(&row_key("e"), expect, &record.to_value());
+                lease.see_era(*now_us, table.era_now());
                 lease.handle_write(*now_us, result);
             }
             LeaseStep::Wait { until_us } => *now_us = until_us,
@@ -231,3 +236,106 @@
         assert_eq!(report.late, send_s > 0, "{name}");
     }
 }
+
+/// Copies of the table from which it comes back: without the row, with a lease that was released
+/// before, and with the present one before its last renewals.
+fn copies(table: &MemoryTable, first: &mut Lease) -> [(&'static str, TableCopy); 3] {
+    let absent = table.copy();
+    let mut earlier = lease("earlier", 0);
+    run(table, &mut earlier, &mut 0);
+    earlier.release();
+    run(table, &mut earlier, &mut 0);
+    let released = table.copy();
+    run(table, first, &mut 0);
+    let held = table.copy();
+    for _ in 0..3 {
+        first.renew(0);
+        run(table, first, &mut 0);
+    }
+    [("absent", absent), ("released", released), ("held", held)]
+}
+
+/// Guards against a lease that ends because the store came back from an older copy, whose versions
+/// are lower or name another row.
+#[test]
+fn holder_keeps_lease_when_the_store_comes_back_from_a_copy() {
+    for index in 0..3 {
+        let table = MemoryTable::default();
+        let mut first = lease("a", 0);
+        let (name, copy) = copies(&table, &mut first)[index].clone();
+        table.restore(&copy);
+        for round in 1..=4 {
+            let mut now_us = round * 5 * SECOND_US;
+            first.renew(now_us);
+            run(&table, &mut first, &mut now_us);
+            assert!(first.holds(now_us + 8 * SECOND_US), "{name}, round {round}");
+        }
+        let row = table.read_now(&row_key("e")).unwrap().unwrap();
+        assert_eq!(Record::parse(&row.value).unwrap().attempt, "a", "{name}");
+    }
+}
+
+/// Guards against a lease that is acquired while the holder of before a restore still has it, against
+/// one that is never acquired again, and against a token that was used before.
+#[test]
+fn restored_row_frees_no_lease_before_its_length_has_passed() {
+    for is_watching in [false, true] {
+        for index in 0..3 {
+            let table = MemoryTable::default();
+            let mut first = lease("a", 0);
+            let (name, copy) = copies(&table, &mut first)[index].clone();
+            let mut second = lease("b", 0);
+            if is_watching {
+                second.handle_read(0, table.read_now(&row_key("e")));
+            }
+            table.restore(&copy);
+            let mut now_us = SECOND_US;
+            run(&table, &mut second, &mut now_us);
+            let name = format!("{name}, watching {is_watching}");
+            assert!(second.holds(now_us), "{name}");
+            // Its length of 10 s and a clock error of 1 s, from 1 s on, when the new era is seen.
+            assert_eq!(now_us, 12 * SECOND_US, "{name}");
+            assert!(second.token() > first.token(), "{name}");
+            assert!(!first.holds(now_us), "{name}");
+        }
+    }
+}
+
+/// Guards against an acquisition or renewal that counts although its condition held for the row of
+/// another era.
+#[test]
+fn write_that_meets_another_era_gives_no_lease() {
+    // The number that the acquisition expects is given out again to another holder.
+    let table = MemoryTable::default();
+    let mut earlier = lease("earlier", 0);
+    run(&table, &mut earlier, &mut 0);
+    earlier.release();
+    run(&table, &mut earlier, &mut 0);
+    let copy = table.copy();
+    let mut second = lease("b", 0);
+    second.handle_read(0, table.read_now(&row_key("e")));
+    let LeaseStep::Write { expect, record } = second.step(0) else {
+        panic!("no write");
+    };
+    // Another host holds the lease in the time between, and its write is lost.
+    let mut first = lease("a", 0);
+    run(&table, &mut first, &mut 0);
+    table.restore(&copy);
+    table.push_fault(Some(Fault::EraUnknown));
+    let written = table.write_now(&row_key("e"), expect, &record.to_value());
+    assert_eq!(written, Err(store::StoreError::Unknown));
+    second.see_era(0, table.era_now());
+    second.handle_write(0, written);
+    let mut now_us = 50_000;
+    assert_eq!(second.step(now_us), LeaseStep::Read);
+    second.handle_read(now_us, table.read_now(&row_key("e")));
+    assert!(first.holds(now_us) && !second.holds(now_us));
+    // The holder writes its record again, and the other one finds it.
+    first.renew(now_us);
+    run(&table, &mut first, &mut now_us);
+    assert!(first.holds(9 * SECOND_US));
+    let row = table.read_now(&row_key("e")).unwrap().unwrap();
+    let version = StoreVersion::new(1, row.version.number);
+    assert_eq!(row.version, version);
+    assert_eq!(Record::parse(&row.value).unwrap().attempt, "a");
+}
