fix(duty)!: a restored row changes no usage report

Operators: after a drill, windows of usage were left out, or reported again with other counts.

Cause: the holder took the row of the restored store for all that was reported. Without a row it began anew at the current window, which left out those before it. With an earlier row it counted again what it had written ahead and sent without an answer, and the other hosts' sums had changed meanwhile. The row stayed behind until the next window was written, so that a holder that took over before then reported again.

Ruled out: to compare versions in the reporter. A row of the same era can tell less too, if a process that has not learned of the restore writes over it. What the holder knows goes before the row in any case; the row of a store that was not restored never lacks any of it.

Change: `Reporter` keeps what was last known to be in the row, over its holds, and merges it with each row that it reads. If the row lacks some of it, it is written before anything is sent. `Reporter::see_era` makes it read the row in a new era. Windows that were accepted are remembered over a loss of the duties, until they are overdue.

--- a/crates/daemon/src/duties/report.rs
+++ b/crates/daemon/src/duties/report.rs
@@ -33,6 +33,7 @@
     loop {
         let token = held.current().map(|hold| hold.token);
         let now_us = held.now_us();
+        reporter.see_era(table.era());
         let step = counter.with(now_us, |unix_us, usage| {
             reporter.step(now_us, unix_us, token, usage)
         });
--- a/crates/duty/src/lib.rs
+++ b/crates/duty/src/lib.rs
@@ -37,6 +37,8 @@
 mod pages;
 mod report;
 mod reporter;
+#[cfg(test)]
+mod reporter_tests;
 mod tally;
 mod usage;
 #[cfg(test)]
--- a/crates/duty/src/report.rs
+++ b/crates/duty/src/report.rs
@@ -23,7 +23,7 @@
 pub struct Reports {
     /// Last window that was written; no window up to it is counted again.
     pub through: u64,
-    /// Reports whose window is not overdue yet.
+    /// Reports whose window is not overdue yet, sorted by window.
     pub reports: Vec<Report>,
 }
 
@@ -37,6 +37,22 @@
         serde_json::from_str(value)
     }
 
+    /// Returns these reports with those of others that they lack; a window that both have keeps the
+    /// counts of these.
+    pub(crate) fn merged_with(&self, others: &Self) -> Self {
+        let mut reports = self.reports.clone();
+        for other in &others.reports {
+            let find = |report: &Report| report.window.cmp(&other.window);
+            if let Err(index) = reports.binary_search_by(find) {
+                reports.insert(index, other.clone());
+            }
+        }
+        Self {
+            through: self.through.max(others.through),
+            reports,
+        }
+    }
+
     /// Serializes the reports as the value of the row.
     #[must_use]
     pub fn to_value(&self) -> String {
--- a/crates/duty/src/reporter.rs
+++ b/crates/duty/src/reporter.rs
@@ -65,8 +65,13 @@
     /// Time at which the hold began.
     held_since_us: u64,
     row: Option<KnownRow>,
+    /// Newest known era of the store.
+    era: u64,
+    /// What was last known to be in the row, by any holder. It goes before what the row says, because
+    /// the row of a store that has come back from an older copy tells less than was reported.
+    stored: Option<Reports>,
     pause_until_us: u64,
-    /// Windows that were accepted or refused under this hold.
+    /// Windows that were accepted or refused for this host and are not overdue yet.
     done: Vec<u64>,
     /// Last window that was counted as missed or reported.
     counted: Option<u64>,
@@ -79,6 +84,9 @@
 struct KnownRow {
     expect: Expect,
     reports: Reports,
+    /// Whether the row in the store lacks some of these reports, so that it has to be written before
+    /// anything is sent.
+    is_behind: bool,
 }
 
 impl Reporter {
@@ -87,6 +95,16 @@
         std::mem::take(&mut self.counters)
     }
 
+    /// Records the newest known era of the store.
+    ///
+    /// In a new era the row is read, and written again if it tells less than is known.
+    pub fn see_era(&mut self, era: u64) {
+        if era > self.era {
+            self.era = era;
+            self.row = None;
+        }
+    }
+
     /// Returns the next step under the hold with this token; `None` means that there is no hold.
     pub fn step(
         &mut self,
@@ -106,7 +124,7 @@
             self.held_since_us = now_us;
             self.row = None;
             self.writing = None;
-            self.done.clear();
+            self.done.retain(|window| unix_us < usage.due_us(*window));
             self.pause_until_us = 0;
         }
         if now_us < self.pause_until_us {
@@ -115,6 +133,11 @@
         let Some(row) = &self.row else {
             return ReporterStep::Read;
         };
+        if row.is_behind {
+            let (expect, reports) = (row.expect, row.reports.clone());
+            self.writing = Some(reports.clone());
+            return ReporterStep::Write { expect, reports };
+        }
         let reports = &row.reports.reports;
         let unsent = reports.iter().find(|report| {
             !self.done.contains(&report.window) && unix_us < usage.due_us(report.window)
@@ -168,9 +191,13 @@
         };
         match result {
             Ok(version) => {
-                self.row = Some(KnownRow {
+                self.see_era(version.era);
+                self.stored = Some(reports.clone());
+                // A row of an earlier era is gone.
+                self.row = (version.era == self.era).then_some(KnownRow {
                     expect: Expect::Version(version),
                     reports,
+                    is_behind: false,
                 });
                 Ok(())
             }
@@ -239,7 +266,8 @@
         has_new.then_some(next)
     }
 
-    /// Takes over the row; without one, the windows from the current one on are reported.
+    /// Takes over the row, with what is known beyond it; if nothing is known, and without a row, the
+    /// windows from the current one on are reported.
     fn take_row(
         &mut self,
         now_us: u64,
@@ -247,26 +275,33 @@
         usage: &Usage,
         row: Option<Row>,
     ) -> Result<(), serde_json::Error> {
-        let known = match row {
-            None => KnownRow {
-                expect: Expect::Absent,
-                reports: Reports {
-                    through: usage.window_of(unix_us).saturating_sub(1),
-                    reports: Vec::new(),
-                },
+        let found = row.as_ref().map(|row| Reports::parse(&row.value));
+        let found = found.transpose().inspect_err(|_| {
+            self.pause_until_us = now_us + 10 * RETRY_US;
+        })?;
+        if let Some(row) = &row {
+            self.see_era(row.version.era);
+        }
+        if let Some(stored) = &mut self.stored {
+            let reports = &mut stored.reports;
+            reports.retain(|report| unix_us < usage.due_us(report.window));
+        }
+        let reports = match (&self.stored, &found) {
+            (Some(stored), Some(found)) => stored.merged_with(found),
+            (Some(reports), None) | (None, Some(reports)) => reports.clone(),
+            (None, None) => Reports {
+                through: usage.window_of(unix_us).saturating_sub(1),
+                reports: Vec::new(),
             },
-            Some(row) => {
-                let reports = Reports::parse(&row.value).inspect_err(|_| {
-                    self.pause_until_us = now_us + 10 * RETRY_US;
-                })?;
-                KnownRow {
-                    expect: Expect::Version(row.version),
-                    reports,
-                }
-            }
         };
+        let is_behind = self.stored.is_some() && found.as_ref() != Some(&reports);
         self.pause_until_us = 0;
-        self.row = Some(known);
+        self.stored = Some(reports.clone());
+        self.row = Some(KnownRow {
+            expect: row.map_or(Expect::Absent, |row| Expect::Version(row.version)),
+            reports,
+            is_behind,
+        });
         Ok(())
     }
 }
