fix(quarantine)!: evidence is saved again after a restore

Operators: a part of a prompt that crashes upstreams was forgotten when all daemons ended after a drill, although it had been saved before.

Cause: `saved_revision` said that the row has what this daemon knows. The row of a restored store is older, and nothing is written until something changes.

Ruled out: to write without a read. The row of the copy may have what this daemon doesn't know.

Change: `Persistence::see_era`. In a new era the row is read, its content merged, and what this daemon knows written again, by the first home alone and as often as any other write. Without any evidence nothing is written. The task in the daemon takes the era from the table, which all answers of the store to the process tell.

Tests that failed before, with `see_era` that does nothing (persistence_tests of quarantine): - evidence_is_written_again_when_the_store_comes_back_from_a_copy: "row true, evidence true left: Wait right: Read" - saved_losses_stay_in_the_row, now with restores: "0 of 2"

--- a/crates/daemon/src/prompt_store.rs
+++ b/crates/daemon/src/prompt_store.rs
@@ -19,6 +19,7 @@
     let mut persistence = Persistence::default();
     loop {
         tokio::time::sleep(INTERVAL).await;
+        persistence.see_era(table.era());
         let step = shared.with_core(|now_us, core| {
             persistence.next_step(now_us, unix_ms(), core.dispatcher.quarantine())
         });
--- a/crates/quarantine/src/persistence.rs
+++ b/crates/quarantine/src/persistence.rs
@@ -48,7 +48,10 @@
     /// Time from which this daemon has been a home without a break.
     home_since_us: Option<u64>,
     row: StoredRow,
-    /// Revision of the quarantine that the row holds.
+    /// Newest known era of the store.
+    era: u64,
+    /// Revision of the quarantine that the row holds; 0, with which nothing is known, if it may hold
+    /// none.
     saved_revision: u64,
     /// Revision that the last write has.
     written_revision: u64,
@@ -56,6 +59,18 @@
 }
 
 impl Persistence {
+    /// Records the newest known era of the store.
+    ///
+    /// In a new era the store has come back from an older copy: the row is read, and what this daemon
+    /// knows is written again.
+    pub const fn see_era(&mut self, era: u64) {
+        if era > self.era {
+            self.era = era;
+            self.row = StoredRow::Unknown;
+            self.saved_revision = 0;
+        }
+    }
+
     /// Returns the call that is due; `unix_ms` is the wall-clock time.
     pub fn next_step(
         &mut self,
@@ -98,6 +113,9 @@
         snapshot: Option<&Snapshot>,
         quarantine: &mut Quarantine,
     ) {
+        if let Some(version) = version {
+            self.see_era(version.era);
+        }
         self.row = StoredRow::Known(version);
         let is_saved = quarantine.revision() == self.saved_revision;
         if let Some(snapshot) = snapshot {
@@ -110,9 +128,13 @@
 
     /// Handles a successful write.
     pub const fn handle_write(&mut self, now_us: u64, version: StoreVersion) {
-        self.row = StoredRow::Known(Some(version));
-        self.saved_revision = self.written_revision;
         self.next_call_us = now_us + WRITE_INTERVAL_US;
+        self.see_era(version.era);
+        // A write of an earlier era is gone.
+        if version.era == self.era {
+            self.row = StoredRow::Known(Some(version));
+            self.saved_revision = self.written_revision;
+        }
     }
 
     /// Handles a failed call; a write may have taken effect.
--- a/crates/quarantine/src/persistence_tests.rs
+++ b/crates/quarantine/src/persistence_tests.rs
@@ -134,6 +134,55 @@
     assert_eq!((found, snapshot.losses.len()), (Some(version(9)), 2));
 }
 
+/// Guards against evidence that is taken for saved although the store has come back from a copy
+/// without it, and against daemons that write a row without having anything to add.
+#[test]
+fn evidence_is_written_again_when_the_store_comes_back_from_a_copy() {
+    // Whether the copy has the row; whether the daemon knows anything.
+    let cases = [(true, true), (false, true), (true, false), (false, false)];
+    for (has_row, has_evidence) in cases {
+        let mut daemon = daemons().remove(0);
+        let mut persistence = Persistence::default();
+        persistence.next_step(0, 0, &daemon);
+        persistence.see_era(1);
+        persistence.next_step(S_US, 0, &daemon);
+        let before = Some(StoreVersion::new(1, 8)).filter(|_| has_row);
+        persistence.handle_read(S_US, 0, before, None, &mut daemon);
+        if has_evidence {
+            lose(&mut daemon, 2 * S_US, 1);
+            persistence.next_step(2 * S_US, 0, &daemon);
+            persistence.handle_write(2 * S_US, StoreVersion::new(1, 9));
+        }
+        let step = persistence.next_step(4 * S_US, 0, &daemon);
+        assert_eq!(step, PersistenceStep::Wait);
+
+        let name = format!("row {has_row}, evidence {has_evidence}");
+        persistence.see_era(2);
+        let step = persistence.next_step(5 * S_US, 0, &daemon);
+        assert_eq!(step, PersistenceStep::Read, "{name}");
+        let copied = before.map(|version| StoreVersion::new(2, version.number));
+        let restored = Quarantine::new("other").snapshot(0, 0);
+        let snapshot = copied.map(|_| &restored);
+        persistence.handle_read(5 * S_US, 0, copied, snapshot, &mut daemon);
+        let step = persistence.next_step(5 * S_US, 0, &daemon);
+        let is_write = matches!(
+            &step,
+            PersistenceStep::Write { version, snapshot }
+                if *version == copied && snapshot.losses.len() == 1
+        );
+        assert_eq!(is_write, has_evidence, "{name}: {step:?}");
+        if !has_evidence {
+            assert_eq!(step, PersistenceStep::Wait, "{name}");
+            continue;
+        }
+        // The write took effect in an era that has passed.
+        persistence.see_era(3);
+        persistence.handle_write(6 * S_US, StoreVersion::new(2, 9));
+        let step = persistence.next_step(8 * S_US, 0, &daemon);
+        assert_eq!(step, PersistenceStep::Read, "{name}");
+    }
+}
+
 /// Guards against a part that all daemons forget when they end, against one that is held back longer
 /// than before because of that, and against evidence that never ages.
 #[test]
@@ -272,6 +321,10 @@
     AnswerLost,
     /// The daemon is replaced by one that knows nothing.
     Restart,
+    /// The store is copied.
+    Copy,
+    /// The store comes back from the last copy.
+    Restore,
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -281,28 +334,41 @@
         2 => Just(Event::CallRefused),
         2 => Just(Event::AnswerLost),
         1 => Just(Event::Restart),
+        1 => Just(Event::Copy),
+        1 => Just(Event::Restore),
     ]
 }
 
 proptest! {
     /// Guards against a saved loss that disappears from the row, whichever calls fail and although
-    /// two daemons take themselves for the first home.
+    /// two daemons take themselves for the first home, and against one that isn't saved again after
+    /// the store has come back from a copy.
     #[test]
     fn saved_losses_stay_in_the_row(events in prop::collection::vec((event(), 0..2_usize), 1..80)) {
         let start = || (Quarantine::new("entry"), Persistence::default());
         let mut writers = [start(), start()];
         let mut row: Option<(StoreVersion, Snapshot)> = None;
+        let (mut copy, mut era) = (None, 0);
         let mut losses = 0;
         for (event, index) in events.into_iter().chain([(Event::Call, 0); 8]) {
             losses += 1;
             let now_us = losses * 2 * S_US;
             let (daemon, persistence) = &mut writers[index];
+            persistence.see_era(era);
             let saved_before = row.as_ref().map_or(0, |(_, saved)| saved.losses.len());
             match event {
                 Event::Loss => {
                     daemon.record_loss(now_us, 0, &format!("engine-{losses}"), &parts(losses));
                 }
                 Event::Restart => writers[index] = start(),
+                Event::Copy => copy = row.clone(),
+                Event::Restore => {
+                    era += 1;
+                    row = copy.clone().map(|(version, saved): (StoreVersion, Snapshot)| {
+                        (StoreVersion::new(era, version.number), saved)
+                    });
+                    continue;
+                }
                 Event::Call | Event::CallRefused | Event::AnswerLost => {
                     let stored = row.as_ref().map(|(version, _)| *version);
                     match persistence.next_step(now_us, now_us / 1_000, daemon) {
@@ -312,7 +378,7 @@
                         }
                         PersistenceStep::Write { version, snapshot } if version == stored => {
                             let number = version.unwrap_or_default().number + 1;
-                            let version = StoreVersion::new(0, number);
+                            let version = StoreVersion::new(era, number);
                             row = Some((version, snapshot));
                             if matches!(event, Event::AnswerLost) {
                                 persistence.handle_failure(now_us);
