fix(directory): followers leave the first read after an outage to their parent

Cause: while the whole store is away, all hosts ask it themselves, as their parents can't reach it either. When it is back, all read the configuration of 1,880 routes at once, 37 of them over the one link between the regions. Polls that are cut there keep their followers at the store for the next version.

Ruled out: slow hosts (apply_ms is 0); late roots alone (41 of 67 hosts had one version from the store).

Change: a host that follows another one reads the configuration after an outage only when its parent has had 1.5 s to pass it on, and is not in order.

--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -1,7 +1,10 @@
 //! Merges the configuration and the list of upstreams, and puts the result in force.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -58,6 +61,10 @@
     /// Notified of everything that followers have to be told.
     changed: watch::Sender<()>,
     source: watch::Sender<Source>,
+    /// Whether another daemon is followed, even if it can't reach the store at present.
+    has_parent: AtomicBool,
+    /// Number of lists of upstreams that were read from the store.
+    upstream_reads: watch::Sender<u64>,
     /// Newest known era of the store; `None` before the first read.
     era: watch::Sender<Option<u64>>,
     /// Whether the other daemons have been listed once.
@@ -87,6 +94,8 @@
             store_returned: Notify::default(),
             changed: watch::channel(()).0,
             source: watch::channel(Source::default()).0,
+            has_parent: AtomicBool::new(false),
+            upstream_reads: watch::channel(0).0,
             era: watch::channel(None).0,
             has_listed_daemons: watch::channel(false).0,
         }
@@ -111,6 +120,21 @@
         });
     }
 
+    /// Records whether another daemon is followed.
+    pub(crate) fn set_has_parent(&self, has_parent: bool) {
+        self.has_parent.store(has_parent, Ordering::Relaxed);
+    }
+
+    /// Returns whether another daemon is followed, even if it can't reach the store at present.
+    pub(crate) fn has_parent(&self) -> bool {
+        self.has_parent.load(Ordering::Relaxed)
+    }
+
+    /// Returns a receiver that is notified of each list of upstreams that is read from the store.
+    pub(crate) fn upstream_reads(&self) -> watch::Receiver<u64> {
+        self.upstream_reads.subscribe()
+    }
+
     /// Returns a receiver that is notified of everything that followers have to be told.
     pub(crate) fn changes(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
@@ -174,6 +198,7 @@
         let store_version = inner.table.store_version();
         drop(inner);
         self.raise_era(store_version);
+        self.upstream_reads.send_modify(|reads| *reads += 1);
         self.notify_followers(has_news || changed);
         grace
     }
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -7,7 +7,7 @@
 use store::StoreError;
 use tokio::{
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{Source, cluster_state::Read};
@@ -34,6 +34,10 @@
 /// write all its rows at once.
 const REGISTER_DELAY_MAX_MS: u64 = 2_000;
 
+/// Time that a followed daemon has to read the store again after an outage, and to pass it on: its
+/// longest pause after a failed read, the read, and an interval of its updates at most.
+const PARENT_LEAD_MS: u64 = 1_500;
+
 /// Tracks whether reads of one kind succeed, and logs when that changes.
 struct Reachability {
     read: &'static str,
@@ -92,7 +96,10 @@
         let after = state.config_store_version();
         let answer = tokio::select! {
             answer = store.config(after, wait) => answer,
-            () = state.store_returned.notified() => continue,
+            () = state.store_returned.notified() => {
+                leave_to_parent(&shared, &mut source).await;
+                continue;
+            }
         };
         match answer {
             Ok(read) => {
@@ -104,12 +111,34 @@
             }
             Err(error) => {
                 state.record_failure(Read::Config);
+                let mut reads = state.upstream_reads();
                 reachability.back_off(&error).await;
+                if state.has_parent() && state.has_config() {
+                    let is_peer = source.wait_for(|&source| source == Source::Peer);
+                    let has_returned = tokio::select! {
+                        _ = reads.changed() => true,
+                        _ = is_peer => false,
+                    };
+                    if has_returned {
+                        leave_to_parent(&shared, &mut source).await;
+                    }
+                }
             }
         }
     }
 }
 
+/// Gives a daemon that is followed the time to pass on what it reads after an outage of the store.
+/// Large configurations that all daemons read at once fill the links between regions for seconds.
+async fn leave_to_parent(shared: &Shared, source: &mut watch::Receiver<Source>) {
+    let state = &shared.cluster_state;
+    if state.has_parent() && state.has_config() {
+        let is_peer = source.wait_for(|&source| source == Source::Peer);
+        // Ends without a parent that is in order: the store is asked then.
+        let _ = timeout(with_jitter(PARENT_LEAD_MS), is_peer).await;
+    }
+}
+
 /// Follows the list of upstreams in the store by long polls with pauses, in which changes add up,
 /// unless another daemon is the source.
 pub(crate) async fn follow_upstreams(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
--- a/crates/daemon/src/directory/follow_peer.rs
+++ b/crates/daemon/src/directory/follow_peer.rs
@@ -71,6 +71,7 @@
             continue;
         };
         let Err(error) = follow(&shared, &name, address).await;
+        state.set_has_parent(false);
         info!(
             "directory: parent lost name={name} detail={:?}",
             error.to_string()
@@ -95,6 +96,7 @@
     let subscription = state.subscription(false);
     let opened = UpdateStream::open(shared, name, address, &subscription);
     let mut updates = timeout(OPEN_TIMEOUT, opened).await??;
+    state.set_has_parent(true);
     info!("directory: parent found name={name}");
     let mut grace = None;
     // Time at which to ask the store, because the parent can't reach it.
