fix(lease): a stop in a drill repeats no release that can't succeed

Operators: a host that was told to stop just after a drill gave up the release of the duties only after 1.6 s and five writes.

Cause: without a row in the copy, a release or an acquisition whose condition is of an earlier era was taken for one whose answer was lost, and written again.

Change: an acquisition observes the row of the new era, a release ends. The next holder waits for the era in any case.

Test that failed before: release_over_a_restore_ends_at_once: "left: (Ended(StoreFailed), 1550000) right: (Ended(Over), 0)".

--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -373,6 +373,14 @@
             (None, None) if self.write_era < self.era && self.holds(now_us) => {
                 self.write_again(now_us, purpose, None);
             }
+            // The condition is of an earlier era and never holds again.
+            (_, _) if self.write_era < self.era && purpose == Purpose::Acquire => {
+                self.phase = Phase::Observing;
+                self.observe(now_us, row);
+            }
+            (_, _) if self.write_era < self.era && !self.holds(now_us) => {
+                self.end(LeaseEnd::Over);
+            }
             // The write did not succeed, or the read was stale. Writing again is safe, because the
             // expected version makes it fail if the first write did succeed.
             (row, _) if self.is_not_newer(row.as_ref()) => {
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -339,3 +339,23 @@
     assert_eq!(row.version, version);
     assert_eq!(Record::parse(&row.value).unwrap().attempt, "a");
 }
+
+/// Guards against a host that can't stop in time, because it repeats a release whose condition is of
+/// an earlier era.
+#[test]
+fn release_over_a_restore_ends_at_once() {
+    for index in 0..3 {
+        let table = MemoryTable::default();
+        let mut first = lease("a", 0);
+        let (name, copy) = copies(&table, &mut first)[index].clone();
+        table.restore(&copy);
+        first.release();
+        let mut now_us = 0;
+        let ended = run(&table, &mut first, &mut now_us);
+        assert_eq!(
+            (ended, now_us),
+            (LeaseStep::Ended(LeaseEnd::Over), 0),
+            "{name}"
+        );
+    }
+}
