test: answers that go on without end, on both interfaces

The crowd of callers gets callers that send a new request each time, and the crate the faulty upstream, as both interfaces are tested with it.

--- a/crates/crowd/src/crowd.rs
+++ b/crates/crowd/src/crowd.rs
@@ -38,6 +38,24 @@
         Self::start_at(address, script, callers, Duration::ZERO)
     }
 
+    /// Starts callers that each send a new request, read its answer, up to this many bytes at this
+    /// interval, until the connection is closed, and come again.
+    #[must_use]
+    pub fn of_requests<F>(
+        address: SocketAddr,
+        callers: usize,
+        (bytes, interval): (usize, Duration),
+        request: F,
+    ) -> Self
+    where
+        F: Fn() -> Vec<u8> + Send + Sync + 'static,
+    {
+        Self::start_each(callers, ARRIVAL_INTERVAL, move || {
+            let script = Script::new(request()).with_reads(bytes, interval);
+            (address, script.into())
+        })
+    }
+
     fn start_at(
         address: SocketAddr,
         script: &Script,
@@ -45,13 +63,23 @@
         arrival_interval: Duration,
     ) -> Self {
         let script = Arc::new(script.clone());
+        Self::start_each(callers, arrival_interval, move || (address, script.clone()))
+    }
+
+    /// Starts callers, each of which asks for its script before it opens a connection.
+    fn start_each<F>(callers: usize, arrival_interval: Duration, next: F) -> Self
+    where
+        F: Fn() -> (SocketAddr, Arc<Script>) + Send + Sync + 'static,
+    {
+        let next = Arc::new(next);
         let mut tasks = JoinSet::new();
         let mut arrival = Duration::ZERO;
         for _ in 0..callers {
-            let script = script.clone();
+            let next = next.clone();
             tasks.spawn(async move {
                 sleep(arrival).await;
                 loop {
+                    let (address, script) = next();
                     if let Ok(stream) = TcpStream::connect(address).await {
                         follow(stream, &script).await;
                     }
--- a/crates/crowd/src/lib.rs
+++ b/crates/crowd/src/lib.rs
@@ -1,7 +1,9 @@
-//! Callers that don't keep to the limits of a host, and what its process takes meanwhile.
+//! Callers and upstreams that don't keep to the limits of a host, and what its process takes
+//! meanwhile.
 //!
 //! A [`Crowd`] is a number of callers that do the same. What they send is a [`Script`]; the parts of
-//! a request that can go on without end are in [`Part`]. [`Usage`] follows the memory and the
+//! a request that can go on without end are in [`Part`]. An [`EndlessUpstream`] answers each request
+//! without end, in one of the ways of [`EndlessAnswer`]. [`Usage`] follows the memory and the
 //! descriptors of the process.
 //!
 //! ```no_run
@@ -18,8 +20,13 @@
 //! ```
 
 mod crowd;
+mod endless_answer;
+mod endless_upstream;
 mod part;
 mod script;
 mod usage;
 
-pub use self::{crowd::Crowd, part::Part, script::Script, usage::Usage};
+pub use self::{
+    crowd::Crowd, endless_answer::EndlessAnswer, endless_upstream::EndlessUpstream, part::Part,
+    script::Script, usage::Usage,
+};
--- a/crates/e2e/tests/callers.rs
+++ b/crates/e2e/tests/callers.rs
@@ -9,12 +9,12 @@
 
 use crowd::{Crowd, Part, Script, Usage};
 use serde_json::json;
-use support::{KEY, Process, config, host_settings};
+use support::{Process, config, exchange, head, host_settings, post};
 use tokio::{
     io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader},
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 /// Memory of the daemon's host.
@@ -44,9 +44,6 @@
 /// Time for which the daemon is observed after the crowd has arrived.
 const OBSERVED: Duration = Duration::from_secs(3);
 
-/// Time limit of an ordinary request.
-const ANSWER_LIMIT: Duration = Duration::from_secs(15);
-
 /// Number of attempts of an ordinary caller, and the pause between them.
 const ATTEMPTS_MAX: usize = 150;
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(200);
@@ -136,33 +133,6 @@
     }
 }
 
-/// Returns the start line and the headers of a request.
-fn head(path: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
-         content-type: application/json\r\n"
-    )
-}
-
-/// Returns a request whose connection is closed after the answer.
-fn post(path: &str, body: &str) -> String {
-    let (head, length) = (head(path), body.len());
-    format!("{head}connection: close\r\ncontent-length: {length}\r\n\r\n{body}")
-}
-
-/// Sends a request and returns the status of its answer, which has to be complete.
-async fn exchange(address: SocketAddr, request: &str) -> Option<String> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        stream.write_all(request.as_bytes()).await.ok()?;
-        let mut answer = Vec::new();
-        stream.read_to_end(&mut answer).await.ok()?;
-        let answer = String::from_utf8_lossy(&answer).into_owned();
-        Some(answer.split(' ').nth(1)?.to_owned())
-    };
-    timeout(ANSWER_LIMIT, exchange).await.ok()?
-}
-
 /// Serves the calls of the plain service.
 async fn serve(listener: TcpListener) {
     let mut connections = JoinSet::new();
--- a/crates/e2e/tests/support/mod.rs
+++ b/crates/e2e/tests/support/mod.rs
@@ -19,10 +19,18 @@
 };
 use serde_json::{Value, json};
 use settings::hash_api_key;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+    time::timeout,
+};
 
 /// API key of the only client account.
 pub const KEY: &str = "test-key";
 
+/// Time limit of an exchange.
+const ANSWER_LIMIT: Duration = Duration::from_secs(15);
+
 /// Maximum number of polls, 20 ms apart, for a state that is reached at once on an idle machine.
 const POLLS_MAX: usize = 1_000;
 
@@ -197,6 +205,33 @@
     answer.json().await.expect("JSON")
 }
 
+/// Returns the start line and the headers of a request.
+pub fn head(path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: application/json\r\n"
+    )
+}
+
+/// Returns a request whose connection is closed after the answer.
+pub fn post(path: &str, body: &str) -> String {
+    let (head, length) = (head(path), body.len());
+    format!("{head}connection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Sends a request and returns the status of its answer, which has to be complete.
+pub async fn exchange(address: SocketAddr, request: &str) -> Option<String> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.ok()?;
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        Some(answer.split(' ').nth(1)?.to_owned())
+    };
+    timeout(ANSWER_LIMIT, exchange).await.ok()?
+}
+
 /// One daemon and its stand-ins as processes, with a configuration in force.
 pub struct Fleet {
     pub engine: Process,
