fix(daemon): small pieces of an answer share the pages of the queue to the caller

Cause: where there is no memory for a whole answer, it is passed on as it arrives. The HTTP server flushes after each piece, and our layer moved the page of 16 KiB that the piece was written to into the queue of the socket, filled with some bytes. The server limits the queue by bytes: at 16 KiB and 6 bytes for a chunk, 2,700 pages. A profile of the page faults shows the allocation of these pages in `poll_send_payload`.

Ruled out: copies of the body (the budget counts 16 of 20 MB), the read buffers and the queue of bodies of the HTTP client (one chunk).

Change: the layer appends the pages, which copies up to 4 KiB into the last one. It lies below both interfaces and the ports for operators.

--- a/crates/daemon/src/caller_io.rs
+++ b/crates/daemon/src/caller_io.rs
@@ -167,7 +167,12 @@
     fn process_write_buf(&self, buffer: &FilterBuf<'_>) -> io::Result<()> {
         buffer.with_write_buffers(|written, queued| {
             self.traffic.record_written(written.len());
-            written.move_to(queued);
+            // Unlike `move_to`, this copies short writes into the last page. The HTTP server flushes
+            // after each piece of a body, and a page of 16 KiB for each would take thousands of times
+            // the bytes of small pieces, by which alone the server limits the queue.
+            while let Some(page) = written.take() {
+                queued.append(page);
+            }
         });
         Ok(())
     }
