fix(link): a chunk counts as an operation of its task

What callers saw: beside 96 answers in chunks of one byte an ordinary request got no answer within 15 s, on both interfaces.

Cause: only reads of the socket count for the task's budget of tokio. A read brings up to 5,400 chunks, so a task went on for 128 times as many before it gave way.

Change: each frame of a body counts as well, for all answers.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -23,6 +23,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::TcpStream,
+    task::coop::consume_budget,
     time::{Duration, Instant, timeout},
 };
 use tokio_util::io::InspectReader;
@@ -167,10 +168,14 @@
     }
 
     /// Reads the next frame of a response body.
+    ///
+    /// A frame counts as one operation of the task's budget (`tokio::task::coop`). One read may bring
+    /// thousands of small chunks, which would keep the thread from all other requests.
     pub(crate) async fn next(
         &mut self,
         body: &mut Incoming,
     ) -> Option<Result<Frame<Bytes>, RequestError>> {
+        consume_budget().await;
         let (driver, closed) = (&mut self.driver, &mut self.closed);
         let frame = poll_fn(|context| {
             drive(driver, closed, context);
