fix(daemon): answers of engines are read with the bounds of all other answers

What callers saw on the own interface, 96 chats on a host of 64 MB: 107,776 KiB for a chunk extension without end, 111,524 to 118,308 KiB for an event without end. One endless extension in an answer about the load was enough for 92,648 KiB, and ordinary requests got no answer in 15 s.

Cause: chats and reads of the load used the HTTP client of ntex, which keeps a chunk extension whatever its length; and an incomplete event was held up to 1 MiB, outside of the budget.

Change: both use `link`, as routed requests and plain services do: heads of 32 KiB, 256 KiB without a part of a body. An incomplete event is held up to 64 KiB on both interfaces, by one constant. An error response that is longer than 16 KiB is replaced by a note in the detail of the refusal.

--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -16,6 +16,10 @@
 /// Memory of the buffers of one response that is passed on, on both sides.
 pub(crate) const BUFFERS_BYTES: u64 = 128 * 1024;
 
+/// Largest incomplete event of a stream that is held back. An event holds a few tokens; two hundred
+/// streams of an upstream that never ends its events must fit into the memory of a small host.
+pub(crate) const EVENT_MAX_BYTES: usize = 64 * 1024;
+
 /// Pause before an answer that must be held whole asks for memory again.
 const ROOM_PAUSE: Duration = Duration::from_millis(50);
 
--- a/crates/daemon/src/attempt.rs
+++ b/crates/daemon/src/attempt.rs
@@ -1,21 +1,19 @@
 //! Attempt to serve a model request on one engine: sends it and reads the event stream.
 
-use std::{collections::VecDeque, io, time::Duration};
+use std::{collections::VecDeque, rc::Rc, time::Duration};
 
-use futures::StreamExt as _;
-use ntex::{
-    client::{
-        Client, ClientRequest,
-        error::{ClientError, ConnectError},
-    },
-    http::{Payload, StatusCode},
-};
+use link::{ConnectionPool, Full, Method, Request, Response, StatusCode, header};
 use sched::Outcome;
 use settings::Upstream;
 use tokio::time::{Instant, timeout, timeout_at};
 use wire::{Form, SseDecoder};
 
-use crate::adapter::UpstreamNotice;
+use crate::{
+    adapter::UpstreamNotice,
+    answer::EVENT_MAX_BYTES,
+    routed::outcome_of,
+    services::{IDLE_MAX, UNTAGGED},
+};
 
 /// Time limit for the first event of an engine.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_mins(1);
@@ -26,12 +24,12 @@
 /// Time limit for the end of the body after the last event.
 const BODY_END_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Largest incomplete event that is buffered.
-const EVENT_MAX_BYTES: usize = 1024 * 1024;
+/// Largest body of an error response, which describes the error in some lines.
+const ERROR_MAX_BYTES: usize = 16 * 1024;
 
 /// Event stream of one attempt; dropping it closes the connection.
 pub(crate) struct Attempt {
-    payload: Payload,
+    response: Response,
     decoder: SseDecoder,
     events: VecDeque<String>,
     has_events: bool,
@@ -45,31 +43,36 @@
 }
 
 impl Attempt {
-    /// Sends a request and waits for the response headers.
-    pub(crate) async fn open(
-        client: &Client,
+    /// Sends a request, if `may_send` still allows it then, and waits for the response headers.
+    pub(crate) async fn open<F>(
+        pool: &Rc<ConnectionPool>,
         upstream: &Upstream,
         form: Form,
         request_id: &str,
         body: String,
-    ) -> Result<Self, AttemptError> {
-        let url = format!("http://{}{}", upstream.address, form.path());
-        let request: ClientRequest = client
-            .post(url)
+        may_send: F,
+    ) -> Result<Self, AttemptError>
+    where
+        F: Fn() -> bool,
+    {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(form.path())
+            .header(header::HOST, upstream.address.to_string())
             .header("x-request-id", request_id)
-            .content_type("application/json");
-        let sent = timeout(FIRST_EVENT_TIMEOUT, request.send_body(body)).await;
-        let response = match sent {
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(body))
+            .map_err(|error| AttemptError::new(Outcome::NotSent, &error.to_string()))?;
+        let sent = pool.send(upstream.address, request, IDLE_MAX, UNTAGGED, may_send);
+        let mut response = match timeout(FIRST_EVENT_TIMEOUT, sent).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
                 return Err(AttemptError::new(outcome_of(&error), &error.to_string()));
             }
             Err(_) => return Err(AttemptError::new(Outcome::LostBeforeAnswer, "timeout")),
         };
-        let echoed_id = response
-            .header("x-request-id")
-            .and_then(|value| value.to_str().ok());
-        if echoed_id.is_some_and(|echoed_id| echoed_id != request_id) {
+        let header_text = |name: &str| response.headers().get(name)?.to_str().ok();
+        if header_text("x-request-id").is_some_and(|echoed_id| echoed_id != request_id) {
             return Err(AttemptError::new(
                 Outcome::LostBeforeAnswer,
                 "answer to another request",
@@ -77,21 +80,24 @@
         }
         match response.status() {
             StatusCode::OK => Ok(Self {
-                payload: response.take_payload(),
+                response,
                 decoder: SseDecoder::default(),
                 events: VecDeque::new(),
                 has_events: false,
             }),
             status @ (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {
-                let retry_after = response.header("retry-after");
-                let retry_after = retry_after.and_then(|value| value.to_str().ok());
-                let notice = notice_of(status, retry_after);
+                let notice = notice_of(status, header_text("retry-after"));
                 let error = AttemptError::new(Outcome::Rejected, "upstream is busy");
                 Err(AttemptError { notice, ..error })
             }
             status => {
-                let body = response.body().await.unwrap_or_default();
-                let detail = format!("status {status}: {}", String::from_utf8_lossy(&body));
+                let body = timeout(EVENT_GAP_TIMEOUT, response.read_body(ERROR_MAX_BYTES)).await;
+                let body = match body {
+                    Ok(Ok(body)) => String::from_utf8_lossy(&body).into_owned(),
+                    Ok(Err(error)) => error.to_string(),
+                    Err(_) => "timeout".to_owned(),
+                };
+                let detail = format!("status {status}: {body}");
                 Err(AttemptError::new(Outcome::Failed, &detail))
             }
         }
@@ -111,10 +117,10 @@
                 self.has_events = true;
                 return Some(event);
             }
-            let bytes = timeout_at(give_up_at, self.payload.next())
+            let bytes = timeout_at(give_up_at, self.response.next_chunk())
                 .await
-                .ok()??
-                .ok()?;
+                .ok()?
+                .ok()??;
             let mut events = Vec::new();
             self.decoder.push(&bytes, &mut events);
             self.events.extend(events);
@@ -128,7 +134,7 @@
     ///
     /// The end normally follows the last event at once; otherwise the connection is closed.
     pub(crate) async fn finish(mut self) {
-        let rest = async { while let Some(Ok(_)) = self.payload.next().await {} };
+        let rest = async { while let Ok(Some(_)) = self.response.next_chunk().await {} };
         let _ = timeout(BODY_END_TIMEOUT, rest).await;
     }
 }
@@ -152,19 +158,3 @@
         _ => UpstreamNotice::default(),
     }
 }
-
-/// Maps a client error to an outcome: a request is known to be unsent only if the connection was
-/// never opened.
-pub(crate) fn outcome_of(error: &ClientError) -> Outcome {
-    match error {
-        ClientError::Connect(
-            ConnectError::Resolver(_) | ConnectError::NoRecords | ConnectError::Unresolved,
-        ) => Outcome::NotSent,
-        ClientError::Connect(ConnectError::Disconnected(Some(error)))
-            if error.kind() == io::ErrorKind::ConnectionRefused =>
-        {
-            Outcome::NotSent
-        }
-        _ => Outcome::LostBeforeAnswer,
-    }
-}
--- a/crates/daemon/src/completions.rs
+++ b/crates/daemon/src/completions.rs
@@ -4,8 +4,8 @@
 
 use code::Code;
 use intake::{Claim, Kind};
+use link::ConnectionPool;
 use ntex::{
-    client::Client,
     util::Bytes,
     web::{
         HttpRequest, HttpResponse,
@@ -41,11 +41,11 @@
     request: HttpRequest,
     payload: Payload,
     shared: State<Arc<Shared>>,
-    client: State<Client>,
+    pool: State<Rc<ConnectionPool>>,
     connections: State<Rc<CallerConnections>>,
 ) -> HttpResponse {
     let in_use = connections.begin_request(request.io());
-    let response = serve(Form::Chat, request, payload, &shared, &client).await;
+    let response = serve(Form::Chat, request, payload, &shared, &pool).await;
     InUse::until_sent(in_use, response)
 }
 
@@ -54,11 +54,11 @@
     request: HttpRequest,
     payload: Payload,
     shared: State<Arc<Shared>>,
-    client: State<Client>,
+    pool: State<Rc<ConnectionPool>>,
     connections: State<Rc<CallerConnections>>,
 ) -> HttpResponse {
     let in_use = connections.begin_request(request.io());
-    let response = serve(Form::Text, request, payload, &shared, &client).await;
+    let response = serve(Form::Text, request, payload, &shared, &pool).await;
     InUse::until_sent(in_use, response)
 }
 
@@ -67,12 +67,12 @@
     request: HttpRequest,
     mut payload: Payload,
     shared: &Arc<Shared>,
-    client: &Client,
+    pool: &Rc<ConnectionPool>,
 ) -> HttpResponse {
     let id = shared.next_id();
     let request_id = request_id(shared, id);
     let _pending = shared.pending_work.begin();
-    match try_serve(form, &request, &mut payload, shared, client, id).await {
+    match try_serve(form, &request, &mut payload, shared, pool, id).await {
         Ok(response) => response,
         Err(refusal) => {
             discard_body(shared, &request, &mut payload, refusal.code).await;
@@ -88,7 +88,7 @@
     request: &HttpRequest,
     payload: &mut Payload,
     shared: &Arc<Shared>,
-    client: &Client,
+    pool: &Rc<ConnectionPool>,
     id: JobId,
 ) -> Result<HttpResponse, Refusal> {
     let snapshot = shared.snapshot.load_full();
@@ -134,7 +134,7 @@
     let request_id = request_id(shared, id);
     let relay = Relay::new(
         shared.clone(),
-        client.clone(),
+        pool.clone(),
         handle,
         parsed,
         request_id,
--- a/crates/daemon/src/loads.rs
+++ b/crates/daemon/src/loads.rs
@@ -1,14 +1,18 @@
 //! Reads the load that engines report in their metrics.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use link::{ConnectionPool, Full, Request, header};
 use log::debug;
-use ntex::client::Client;
 use sched::LoadReport;
 use settings::{Upstream, UpstreamKind};
 use wire::EngineMetrics;
 
-use crate::shared::Shared;
+use crate::{
+    services::{IDLE_MAX, UNTAGGED},
+    shared::Shared,
+};
 
 /// Pause between two reads of an engine's load.
 ///
@@ -23,7 +27,7 @@
 const PAGE_MAX_BYTES: usize = 256 * 1024;
 
 /// Reads the load of the engines of this region, one after the other.
-pub(crate) async fn read_loads(shared: Arc<Shared>, client: Client) {
+pub(crate) async fn read_loads(shared: Arc<Shared>, pool: Rc<ConnectionPool>) {
     let mut last = String::new();
     loop {
         tokio::time::sleep(READ_PAUSE).await;
@@ -33,7 +37,7 @@
             continue;
         };
         last.clone_from(&engine.name);
-        match tokio::time::timeout(READ_TIMEOUT, read_load(&client, engine)).await {
+        match tokio::time::timeout(READ_TIMEOUT, read_load(&pool, engine)).await {
             Ok(Some(load)) => {
                 let load = LoadReport {
                     running: load.running,
@@ -61,9 +65,13 @@
 }
 
 /// Reads and parses the metrics page of one engine.
-async fn read_load(client: &Client, engine: &Upstream) -> Option<EngineMetrics> {
-    let url = format!("http://{}/metrics", engine.address);
-    let response = client.get(url).send().await.ok()?;
-    let page = response.body().limit(PAGE_MAX_BYTES).await.ok()?;
+async fn read_load(pool: &Rc<ConnectionPool>, engine: &Upstream) -> Option<EngineMetrics> {
+    let request = Request::builder()
+        .uri("/metrics")
+        .header(header::HOST, engine.address.to_string())
+        .body(Full::from(Bytes::new()))
+        .ok()?;
+    let sent = pool.send(engine.address, request, IDLE_MAX, UNTAGGED, || true);
+    let page = sent.await.ok()?.read_body(PAGE_MAX_BYTES).await.ok()?;
     EngineMetrics::parse(std::str::from_utf8(&page).ok()?)
 }
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -1,12 +1,12 @@
 //! Relays the response to one model request, across as many attempts as needed.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use audit::Step;
 use code::Code;
+use link::ConnectionPool;
 use log::{debug, info};
 use metric::Attainment;
-use ntex::client::Client;
 use sched::Outcome;
 use serde_json::json;
 use tokio::time::Instant;
@@ -23,7 +23,7 @@
 /// earlier attempts delivered, under the same identifier.
 pub(crate) struct Relay {
     shared: Arc<Shared>,
-    client: Client,
+    pool: Rc<ConnectionPool>,
     handle: JobHandle,
     request: Request,
     request_id: String,
@@ -46,7 +46,7 @@
     /// Creates the relay of a request whose job was submitted.
     pub(crate) fn new(
         shared: Arc<Shared>,
-        client: Client,
+        pool: Rc<ConnectionPool>,
         handle: JobHandle,
         request: Request,
         request_id: String,
@@ -54,7 +54,7 @@
     ) -> Self {
         Self {
             shared,
-            client,
+            pool,
             handle,
             request,
             request_id,
@@ -199,7 +199,9 @@
             self.request
                 .upstream_body(priority, &self.received_text, self.progress.tokens());
         let form = self.request.form();
-        match Attempt::open(&self.client, upstream, form, &self.request_id, body).await {
+        let may_send = || self.shared.accepts_requests(name);
+        let opened = Attempt::open(&self.pool, upstream, form, &self.request_id, body, may_send);
+        match opened.await {
             Ok(attempt) => self.attempt = Some(attempt),
             Err(error) => {
                 self.record_failure(&error.detail);
--- a/crates/daemon/src/routed/events.rs
+++ b/crates/daemon/src/routed/events.rs
@@ -4,13 +4,11 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::answer::EVENT_MAX_BYTES;
+
 /// Blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
-/// Largest incomplete event that is held back. An event holds a few tokens; two hundred streams of an
-/// upstream that never ends its events must fit into the memory of a small host.
-const EVENT_MAX_BYTES: usize = 64 * 1024;
-
 /// Reason why received bytes aren't passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum EventError {
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -43,7 +43,7 @@
 const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
 
 /// Tag of calls; refusals don't name the call that they refuse.
-const UNTAGGED: u64 = 0;
+pub(crate) const UNTAGGED: u64 = 0;
 
 /// Header with which a caller can safely repeat a non-idempotent call.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -52,7 +52,7 @@
 const FORWARDED_HEADERS: [&str; 3] = ["content-type", "accept", IDEMPOTENCY_KEY];
 
 /// Longest idle time of a pooled connection that is reused.
-const IDLE_MAX: Duration = Duration::from_secs(12);
+pub(crate) const IDLE_MAX: Duration = Duration::from_secs(12);
 
 /// Connections and table of one worker thread.
 #[derive(Clone)]
--- a/crates/daemon/src/start.rs
+++ b/crates/daemon/src/start.rs
@@ -11,9 +11,7 @@
 use link::{ConnectionPool, PoolOptions};
 use log::info;
 use ntex::{
-    SharedCfg, chain_factory,
-    client::{Client, ClientBuilder, Connector},
-    fn_service,
+    SharedCfg, chain_factory, fn_service,
     http::{HttpService, HttpServiceConfig, error::DispatchError},
     io::{Io, IoConfig, Layer},
     server::{Config, ServerBuilder},
@@ -50,10 +48,6 @@
 /// Time limit of one request to the table service.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Connection limit that is in effect unlimited. 0 also means no limit, but then ntex 3.12 never
-/// wakes a request that waits for another request's connection.
-const CONNECTIONS_MAX: usize = 1 << 20;
-
 /// Time limit to flush the last responses, after all work in flight has ended. It also limits the
 /// wait for idle connections that callers keep open.
 const CLOSE_TIMEOUT: Seconds = Seconds(5);
@@ -188,7 +182,7 @@
             running.spawn(follow_releases(shared.clone(), Box::new(table.clone())));
             running.spawn(follow_hosts(shared.clone(), Box::new(table.clone())));
             running.spawn(keep_prompt_evidence(shared.clone(), Box::new(table)));
-            running.spawn(read_loads(shared.clone(), upstream_client().await));
+            running.spawn(read_loads(shared.clone(), upstream_pool()));
             running.spawn(share_slots(shared.clone()));
         }
         running.spawn(exchange_prompt_evidence(shared.clone()));
@@ -239,14 +233,14 @@
             config.config(SharedCfg::new("CALLERS").add(caller_io_config()));
             let shared = factory_shared.clone();
             let connections = caller_connections(&shared);
-            let client = upstream_client().await;
+            let pool = upstream_pool();
             let clients = ServiceClients {
-                pool: upstream_pool(),
+                pool: pool.clone(),
                 table: Rc::new(store_client(&shared).await),
             };
             let app = App::new()
                 .state(shared)
-                .state(client.clone())
+                .state(pool)
                 .state(clients)
                 .state(connections.clone())
                 .service(
@@ -385,17 +379,6 @@
     pool
 }
 
-/// Returns the client for upstreams; time limits are set for each request.
-async fn upstream_client() -> Client {
-    ClientBuilder::new()
-        .connector::<()>(Connector::new().limit(CONNECTIONS_MAX))
-        .disable_timeout()
-        .disable_redirects()
-        .build(SharedCfg::new("UPSTREAM"))
-        .await
-        .expect("the plain connector needs nothing that can fail")
-}
-
 /// Returns a client of the platform's table service.
 async fn store_client(shared: &Shared) -> HttpTable {
     HttpTable::new(shared.host.store, STORE_TIMEOUT)
