fix(daemon): chats are checked against departures when their connection is open

The checks of an attempt came together from two changes: one before the connection is opened, which logs an attempt that is sent after its upstream was known to leave, and one when it is open. There is one now, when it is open, as for routed requests; it compares the instance too.

--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -185,10 +185,6 @@
             self.handle.finish(Outcome::NotSent);
             return;
         };
-        if !may_send(&self.shared, &self.request_id, upstream, chosen_us) {
-            self.handle.finish(Outcome::Withheld);
-            return;
-        }
         debug!(
             "relay: {} attempt {} at {name}",
             self.request_id, self.attempts
@@ -199,7 +195,7 @@
             self.request
                 .upstream_body(priority, &self.received_text, self.progress.tokens());
         let form = self.request.form();
-        let may_send = || self.shared.accepts_requests(name);
+        let may_send = || may_send(&self.shared, &self.request_id, upstream, chosen_us);
         let opened = Attempt::open(&self.pool, upstream, form, &self.request_id, body, may_send);
         match opened.await {
             Ok(attempt) => self.attempt = Some(attempt),
