--- a/crates/crowd/src/endless_upstream.rs
+++ b/crates/crowd/src/endless_upstream.rs
@@ -2,7 +2,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
@@ -33,7 +33,7 @@
 
 #[derive(Debug)]
 struct State {
-    answer: Mutex<EndlessAnswer>,
+    answer: EndlessAnswer,
     content_type: &'static str,
     requests: AtomicUsize,
     sent_bytes: AtomicU64,
@@ -49,7 +49,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let state = Arc::new(State {
-            answer: Mutex::new(answer),
+            answer,
             content_type,
             requests: AtomicUsize::new(0),
             sent_bytes: AtomicU64::new(0),
@@ -69,11 +69,6 @@
         self.address
     }
 
-    /// Sets how later requests are answered.
-    pub fn set_answer(&self, answer: EndlessAnswer) {
-        *self.state.answer() = answer;
-    }
-
     /// Returns the number of requests that were answered.
     #[must_use]
     pub fn requests(&self) -> usize {
@@ -87,12 +82,6 @@
     }
 }
 
-impl State {
-    fn answer(&self) -> std::sync::MutexGuard<'_, EndlessAnswer> {
-        self.answer.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Serves all connections.
 async fn serve(listener: TcpListener, state: Arc<State>) {
     let mut connections = JoinSet::new();
@@ -110,11 +99,12 @@
     let mut stream = BufReader::new(stream);
     let request_id = read_request(&mut stream).await?;
     state.requests.fetch_add(1, Ordering::Relaxed);
-    let mut headers = format!("content-type: {}\r\n", state.content_type);
+    let content_type = state.content_type;
+    let mut headers = format!("content-type: {content_type}\r\n");
     if let Some(id) = request_id {
-        headers += &format!("{REQUEST_ID}: {id}\r\nresponse-stamp: s.{id}\r\n");
+        headers = format!("{headers}{REQUEST_ID}: {id}\r\nresponse-stamp: s.{id}\r\n");
     }
-    let (opening, filler) = state.answer().bytes(&headers);
+    let (opening, filler) = state.answer.bytes(&headers);
     let filler = filler.repeat(WRITE_BYTES.div_ceil(filler.len()));
     stream.write_all(opening.as_bytes()).await?;
     loop {
--- a/crates/e2e/tests/endless_answers_support/mod.rs
+++ b/crates/e2e/tests/endless_answers_support/mod.rs
@@ -102,7 +102,12 @@
     /// Waits until the ordinary requests are answered.
     async fn wait_until_ready(&self) {
         let end = Instant::now() + START_MAX;
-        while !self.ordinary_statuses().await.iter().all(is_success) {
+        while !self
+            .ordinary_statuses()
+            .await
+            .iter()
+            .all(|status| is_success(status))
+        {
             assert!(Instant::now() < end, "the daemon doesn't answer");
             sleep(ORDINARY_PAUSE).await;
         }
@@ -172,12 +177,17 @@
         "{kind:?} {answer}: {descriptors} descriptors"
     );
     drop(crowd);
-    assert!(site.ordinary_statuses().await.iter().all(is_success));
+    assert!(
+        site.ordinary_statuses()
+            .await
+            .iter()
+            .all(|status| is_success(status))
+    );
     assert!(usage.peak_kib() <= MEMORY_MAX_MB * 1_024);
 }
 
 /// Returns whether the status is that of an answer of the upstream.
-fn is_success(status: &String) -> bool {
+fn is_success(status: &str) -> bool {
     status.starts_with('2')
 }
 
