fix(directory): only a read ends an outage, and nobody waits for a parent without bound

- Updates of a parent whose poll hangs counted as reads, and those of a failing one ended the outage of a follower, which then dropped live upstreams whose rows had lapsed.
- The outage of a parent alone began a grace period at followers that had read the store themselves.
- After one failed poll, the configuration waited for a read of the upstreams without bound; one refused poll beside a failing parent took 3.07 s (3 s allowed).

Change: Roster::refresh merges without a read; an update counts as a read if its version grew; after_outage counts at hosts that have not read for 3 s; the wait for the store's return ends after 1 s and needs failing reads of the upstreams.

--- a/crates/daemon/src/directory/cluster_state.rs
+++ b/crates/daemon/src/directory/cluster_state.rs
@@ -130,6 +130,11 @@
         self.has_parent.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the last read of the upstreams failed.
+    pub(crate) fn is_failing_upstreams(&self) -> bool {
+        self.lock().failing.contains(&Read::Upstreams)
+    }
+
     /// Returns a receiver that is notified of each list of upstreams that is read from the store.
     pub(crate) fn upstream_reads(&self) -> watch::Receiver<u64> {
         self.upstream_reads.subscribe()
@@ -193,7 +198,7 @@
         let mut inner = self.lock();
         let has_news = inner.set_failing(Read::Upstreams, false);
         let changed = inner.apply_rows(shared, read, "store");
-        let grace = inner.refresh_upstreams(shared, changed);
+        let grace = inner.refresh_upstreams(shared, changed, true);
         inner.roster.record_read(shared.clock.now_us());
         let store_version = inner.table.store_version();
         drop(inner);
@@ -205,7 +210,7 @@
 
     /// Drops the upstreams whose rows are still missing at the end of their grace period.
     pub(crate) fn end_grace(&self, shared: &Shared) -> Option<Duration> {
-        self.lock().refresh_upstreams(shared, false)
+        self.lock().refresh_upstreams(shared, false, false)
     }
 
     /// Applies what another daemon knows; returns the time until a grace period ends, as
@@ -223,15 +228,20 @@
         }
         let config_store_version = update.config_store_version.max(inner.config_store_version);
         inner.config_store_version = config_store_version;
-        if update.after_outage {
+        let now_us = shared.clock.now_us();
+        // This daemon may have read the store itself while the other one could not.
+        if update.after_outage && inner.roster.may_have_missed_outage(now_us) {
             inner.roster.record_outage();
         }
+        let known = inner.table.store_version();
         let changed = update
             .upstreams
             .is_some_and(|read| inner.apply_rows(shared, read, peer));
-        let grace = inner.refresh_upstreams(shared, changed);
-        if !update.is_failing {
-            inner.roster.record_read(shared.clock.now_us());
+        let is_read = !update.is_failing;
+        let grace = inner.refresh_upstreams(shared, changed, is_read);
+        // An update without news may be one of a daemon whose poll hangs.
+        if is_read && inner.table.store_version() > known {
+            inner.roster.record_read(now_us);
         }
         let store_version = inner.table.store_version();
         drop(inner);
@@ -375,14 +385,20 @@
     }
 
     /// Updates the upstreams in force to the table's, if they can differ; returns the time until a
-    /// grace period ends.
-    fn refresh_upstreams(&mut self, shared: &Shared, changed: bool) -> Option<Duration> {
+    /// grace period ends. Only a read ends an outage.
+    fn refresh_upstreams(
+        &mut self,
+        shared: &Shared,
+        changed: bool,
+        is_read: bool,
+    ) -> Option<Duration> {
         let now_us = shared.clock.now_us();
         self.table.store_version()?;
         let doubt_ends_us = self.departed.ends_us(now_us);
         if changed || self.roster.is_pending() || doubt_ends_us.is_some() || self.is_doubting {
             self.is_doubting = doubt_ends_us.is_some();
-            self.outages += u64::from(self.roster.is_after_outage(now_us));
+            let is_read = is_read || self.roster.is_doubtful();
+            self.outages += u64::from(is_read && self.roster.is_after_outage(now_us));
             let rows = self.table.rows().iter();
             let listed = rows.filter_map(|row| self.departed.screen(now_us, row));
             let listed = listed.map(|upstream| Upstream {
@@ -391,7 +407,12 @@
             });
             let listed = listed.collect();
             let before = self.roster.upstreams().to_vec();
-            if self.roster.update(now_us, listed) {
+            let has_changed = if is_read {
+                self.roster.update(now_us, listed)
+            } else {
+                self.roster.refresh(now_us, listed)
+            };
+            if has_changed {
                 self.departed
                     .record(now_us, &before, self.roster.upstreams());
                 log_changes(&before, self.roster.upstreams());
--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -38,6 +38,9 @@
 /// longest pause after a failed read, the read, and an interval of its updates at most.
 const PARENT_LEAD_MS: u64 = 1_500;
 
+/// Longest time for which a read of the configuration waits for one of the upstreams to succeed.
+const RETURN_WAIT: Duration = Duration::from_secs(1);
+
 /// Tracks whether reads of one kind succeed, and logs when that changes.
 struct Reachability {
     read: &'static str,
@@ -113,13 +116,10 @@
                 state.record_failure(Read::Config);
                 let mut reads = state.upstream_reads();
                 reachability.back_off(&error).await;
-                if state.has_parent() && state.has_config() {
-                    let is_peer = source.wait_for(|&source| source == Source::Peer);
-                    let has_returned = tokio::select! {
-                        _ = reads.changed() => true,
-                        _ = is_peer => false,
-                    };
-                    if has_returned {
+                // The store seems to be away as a whole. Whether it is back shows by a small read.
+                if state.has_parent() && state.has_config() && state.is_failing_upstreams() {
+                    let returned = timeout(RETURN_WAIT, reads.changed()).await;
+                    if returned.is_ok() {
                         leave_to_parent(&shared, &mut source).await;
                     }
                 }
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -12,6 +12,8 @@
 mod update;
 mod upstream_table;
 
+#[cfg(test)]
+pub(crate) use self::cluster_state::Read;
 pub(crate) use self::{
     cluster_state::{ClusterState, Source},
     follow::{follow_config, follow_daemons, follow_upstreams},
--- a/crates/daemon/src/directory/roster.rs
+++ b/crates/daemon/src/directory/roster.rs
@@ -6,9 +6,10 @@
 /// again.
 const REREGISTER_GRACE_US: u64 = 2_500_000;
 
-/// Shortest outage of the store in which rows of live upstreams may expire. They do after three
-/// intervals of their heartbeats without one (3.6 s on the users' platform), the first of which may
-/// have passed before the outage. One poll that is lost takes less, and says nothing of the rows.
+/// Shortest time without a read that counts as an outage of the store, in which rows of live upstreams
+/// expire. One poll that is lost takes less, and must not keep an upstream that has left. Rows expire
+/// after three intervals without a heartbeat, so that a few may already have after 2.4 s; their
+/// upstreams are out of use until they register again.
 const OUTAGE_MIN_US: u64 = 3_000_000;
 
 /// Upstreams that the store lists, and those whose rows may only have expired during an outage.
@@ -50,10 +51,18 @@
 
     /// Returns whether rows of live upstreams may be missing in a list that is read now.
     pub(crate) fn is_after_outage(&self, now_us: u64) -> bool {
-        let is_long = self
-            .read_us
-            .is_none_or(|read_us| now_us >= read_us + OUTAGE_MIN_US);
-        self.is_doubtful || self.unreachable && is_long
+        self.is_doubtful || self.unreachable && self.may_have_missed_outage(now_us)
+    }
+
+    /// Returns whether nothing has been read for so long that rows may have expired meanwhile.
+    pub(crate) fn may_have_missed_outage(&self, now_us: u64) -> bool {
+        self.read_us
+            .is_none_or(|read_us| now_us >= read_us + OUTAGE_MIN_US)
+    }
+
+    /// Returns whether [`Self::record_outage`] was called since the last update.
+    pub(crate) const fn is_doubtful(&self) -> bool {
+        self.is_doubtful
     }
 
     /// Returns whether an update may change the upstreams although the store lists the same ones.
@@ -61,18 +70,29 @@
         self.unreachable || self.is_doubtful || !self.missing.is_empty()
     }
 
-    /// Updates the list to what the store lists; returns whether the upstreams have changed.
+    /// Updates the list to what the store lists after a read; returns whether the upstreams have
+    /// changed.
     ///
     /// Rows expire during an outage although their upstreams are alive. Upstreams that are missing
     /// after it are therefore kept for a grace period, except for those that were listed after the
     /// outage: they have left.
-    pub(crate) fn update(&mut self, now_us: u64, mut listed: Vec<Upstream>) -> bool {
+    pub(crate) fn update(&mut self, now_us: u64, listed: Vec<Upstream>) -> bool {
         let first_after_outage = self.is_after_outage(now_us);
         if first_after_outage {
             self.recovered_us = Some(now_us);
         }
         self.unreachable = false;
         self.is_doubtful = false;
+        self.merge(now_us, listed, first_after_outage)
+    }
+
+    /// Updates the list without a read, as time has passed; returns whether the upstreams have
+    /// changed.
+    pub(crate) fn refresh(&mut self, now_us: u64, listed: Vec<Upstream>) -> bool {
+        self.merge(now_us, listed, false)
+    }
+
+    fn merge(&mut self, now_us: u64, mut listed: Vec<Upstream>, first_after_outage: bool) -> bool {
         let in_grace_period = self
             .recovered_us
             .is_some_and(|recovered_us| now_us < recovered_us + REREGISTER_GRACE_US);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -30,6 +30,8 @@
 mod logs;
 mod models;
 mod notices;
+#[cfg(test)]
+mod outage_tests;
 mod peers;
 mod pending_work;
 mod progress;
