--- a/crates/daemon/src/directory/follow.rs
+++ b/crates/daemon/src/directory/follow.rs
@@ -7,7 +7,7 @@
 use store::StoreError;
 use tokio::{
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{Source, cluster_state::Read};
@@ -30,6 +30,17 @@
 /// Pause after the first read of that list, which may be made while other daemons still start.
 const FIRST_DAEMONS_PAUSE: Duration = Duration::from_secs(2);
 
+/// Longest delay before a daemon registers again in a restored store, so that a large fleet doesn't
+/// write all its rows at once.
+const REGISTER_DELAY_MAX_MS: u64 = 2_000;
+
+/// Time that a followed daemon has to read the store again after an outage, and to pass it on: its
+/// longest pause after a failed read, the read, and an interval of its updates at most.
+const PARENT_LEAD_MS: u64 = 1_500;
+
+/// Longest time for which a read of the configuration waits for one of the upstreams to succeed.
+const RETURN_WAIT: Duration = Duration::from_secs(1);
+
 /// Tracks whether reads of one kind succeed, and logs when that changes.
 struct Reachability {
     read: &'static str,
@@ -85,23 +96,49 @@
         if state.has_config() && wait_until(&mut source, |source| source != Source::Peer).await {
             reachability = Reachability::new("config");
         }
+        let after = state.config_store_version();
         let answer = tokio::select! {
-            answer = store.config(state.config_store_version(), wait) => answer,
-            () = state.store_returned.notified() => continue,
+            answer = store.config(after, wait) => answer,
+            () = state.store_returned.notified() => {
+                leave_to_parent(&shared, &mut source).await;
+                continue;
+            }
         };
         match answer {
             Ok(read) => {
                 reachability.record_success();
+                if after.is_some() && read.is_whole {
+                    shared.metrics.record_lost_history("config");
+                }
                 state.apply_config(&shared, read);
             }
             Err(error) => {
                 state.record_failure(Read::Config);
+                let mut reads = state.upstream_reads();
                 reachability.back_off(&error).await;
+                // The store seems to be away as a whole. Whether it is back shows by a small read.
+                if state.has_parent() && state.has_config() && state.is_failing_upstreams() {
+                    let returned = timeout(RETURN_WAIT, reads.changed()).await;
+                    if returned.is_ok() {
+                        leave_to_parent(&shared, &mut source).await;
+                    }
+                }
             }
         }
     }
 }
 
+/// Gives a daemon that is followed the time to pass on what it reads after an outage of the store.
+/// Large configurations that all daemons read at once fill the links between regions for seconds.
+async fn leave_to_parent(shared: &Shared, source: &mut watch::Receiver<Source>) {
+    let state = &shared.cluster_state;
+    if state.has_parent() && state.has_config() {
+        let is_peer = source.wait_for(|&source| source == Source::Peer);
+        // Ends without a parent that is in order: the store is asked then.
+        let _ = timeout(with_jitter(PARENT_LEAD_MS), is_peer).await;
+    }
+}
+
 /// Follows the list of upstreams in the store by long polls with pauses, in which changes add up,
 /// unless another daemon is the source.
 pub(crate) async fn follow_upstreams(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
@@ -114,9 +151,14 @@
         if wait_until(&mut source, |source| source == Source::Store).await {
             reachability = Reachability::new("upstreams");
         }
-        match store.upstreams(state.upstreams_store_version(), wait).await {
+        let after = state.upstreams_store_version();
+        match store.upstreams(after, wait).await {
             Ok(read) => {
-                if reachability.record_success() {
+                if after.is_some() && read.is_whole {
+                    shared.metrics.record_lost_history("upstreams");
+                }
+                let is_restored = after.is_some_and(|after| read.store_version.era > after.era);
+                if reachability.record_success() || is_restored {
                     state.store_returned.notify_waiters();
                 }
                 let grace = state.apply_upstreams(&shared, read);
@@ -136,17 +178,45 @@
 }
 
 /// Registers this daemon, then polls the list of the daemons of its zone. The daemon that follows no
-/// other one also reads those of the other zones; the rest hear of them from it.
+/// other one also reads those of the other zones; the rest hear of them from it. Registers again
+/// when the store has come back from an older copy, which may lack the row.
 pub(crate) async fn follow_daemons(shared: Arc<Shared>, store: Box<dyn StoreAdapter>) {
     let mut reachability = Reachability::new("daemons");
+    let mut era = shared.cluster_state.era();
+    loop {
+        let registered_era = *era.borrow();
+        register(&shared, &*store, &mut reachability).await;
+        tokio::select! {
+            () = wait_for_restore(&mut era, registered_era) => {}
+            () = poll_daemons(&shared, &*store, &mut reachability) => {}
+        }
+        let delay_ms = rand::rng().random_range(0..=REGISTER_DELAY_MAX_MS);
+        sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
+/// Waits until the store has come back from an older copy since it had this era.
+async fn wait_for_restore(era: &mut watch::Receiver<Option<u64>>, since: Option<u64>) {
+    // Both fail only when the daemon ends, and with it this task.
+    let first = era.wait_for(Option::is_some).await.map(|era| *era);
+    let since = since.or(first.unwrap_or_default());
+    let _ = era.wait_for(|era| *era > since).await;
+}
+
+async fn register(shared: &Shared, store: &dyn StoreAdapter, reachability: &mut Reachability) {
     let host = &shared.host;
     let own = ListedHost::new(&host.name, host.peer_listen).with_locality(&host.region, &host.zone);
     while let Err(error) = store.register(&own).await {
         reachability.back_off(&error).await;
     }
+    info!("directory: registered name={}", host.name);
+}
+
+/// Polls the list of the other daemons.
+async fn poll_daemons(shared: &Shared, store: &dyn StoreAdapter, reachability: &mut Reachability) {
     let mut pause = FIRST_DAEMONS_PAUSE;
     loop {
-        match read_daemons(&shared, &*store).await {
+        match read_daemons(shared, store).await {
             Ok(count) => {
                 reachability.record_success();
                 sleep(with_jitter(millis(pause))).await;
--- a/crates/daemon/src/directory/mod.rs
+++ b/crates/daemon/src/directory/mod.rs
@@ -5,12 +5,15 @@
 //! tells it to the daemons that follow this one.
 
 mod cluster_state;
+mod departed;
 mod follow;
 mod follow_peer;
 mod roster;
 mod update;
 mod upstream_table;
 
+#[cfg(test)]
+pub(crate) use self::cluster_state::Read;
 pub(crate) use self::{
     cluster_state::{ClusterState, Source},
     follow::{follow_config, follow_daemons, follow_upstreams},
--- a/crates/daemon/src/directory/roster.rs
+++ b/crates/daemon/src/directory/roster.rs
@@ -6,6 +6,12 @@
 /// again.
 const REREGISTER_GRACE_US: u64 = 2_500_000;
 
+/// Shortest time without a read that counts as an outage of the store, in which rows of live upstreams
+/// expire. One poll that is lost takes less, and must not keep an upstream that has left. Rows expire
+/// after three intervals without a heartbeat, so that a few may already have after 2.4 s; their
+/// upstreams are out of use until they register again.
+const OUTAGE_MIN_US: u64 = 3_000_000;
+
 /// Upstreams that the store lists, and those whose rows may only have expired during an outage.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
@@ -13,8 +19,13 @@
     upstreams: Vec<Upstream>,
     /// Time of the first successful read after the last outage, if there was one.
     recovered_us: Option<u64>,
+    /// Time of the last successful read.
+    read_us: Option<u64>,
     /// Whether the last read failed.
     unreachable: bool,
+    /// Whether rows may have expired or be missing for another reason than that the last read
+    /// failed.
+    is_doubtful: bool,
     /// Names of the upstreams that are missing since the last outage and are kept for the grace
     /// period, sorted.
     missing: Vec<String>,
@@ -26,27 +37,62 @@
         self.unreachable = true;
     }
 
-    /// Returns whether the last read failed.
-    pub(crate) const fn is_unreachable(&self) -> bool {
-        self.unreachable
+    /// Records that rows of live upstreams may be missing in the next list: the store came back from
+    /// an older copy, or another daemon tells of an outage.
+    pub(crate) const fn record_outage(&mut self) {
+        self.is_doubtful = true;
+    }
+
+    /// Records a successful read; an update with its list must have gone before.
+    pub(crate) const fn record_read(&mut self, now_us: u64) {
+        self.read_us = Some(now_us);
+        self.unreachable = false;
+    }
+
+    /// Returns whether rows of live upstreams may be missing in a list that is read now.
+    pub(crate) fn is_after_outage(&self, now_us: u64) -> bool {
+        self.is_doubtful || self.unreachable && self.may_have_missed_outage(now_us)
+    }
+
+    /// Returns whether nothing has been read for so long that rows may have expired meanwhile.
+    pub(crate) fn may_have_missed_outage(&self, now_us: u64) -> bool {
+        self.read_us
+            .is_none_or(|read_us| now_us >= read_us + OUTAGE_MIN_US)
+    }
+
+    /// Returns whether [`Self::record_outage`] was called since the last update.
+    pub(crate) const fn is_doubtful(&self) -> bool {
+        self.is_doubtful
     }
 
     /// Returns whether an update may change the upstreams although the store lists the same ones.
     pub(crate) const fn is_pending(&self) -> bool {
-        self.unreachable || !self.missing.is_empty()
+        self.unreachable || self.is_doubtful || !self.missing.is_empty()
     }
 
-    /// Updates the list to what the store lists; returns whether the upstreams have changed.
+    /// Updates the list to what the store lists after a read; returns whether the upstreams have
+    /// changed.
     ///
     /// Rows expire during an outage although their upstreams are alive. Upstreams that are missing
     /// after it are therefore kept for a grace period, except for those that were listed after the
     /// outage: they have left.
-    pub(crate) fn update(&mut self, now_us: u64, mut listed: Vec<Upstream>) -> bool {
-        let first_after_outage = self.unreachable;
+    pub(crate) fn update(&mut self, now_us: u64, listed: Vec<Upstream>) -> bool {
+        let first_after_outage = self.is_after_outage(now_us);
         if first_after_outage {
-            self.unreachable = false;
             self.recovered_us = Some(now_us);
         }
+        self.unreachable = false;
+        self.is_doubtful = false;
+        self.merge(now_us, listed, first_after_outage)
+    }
+
+    /// Updates the list without a read, as time has passed; returns whether the upstreams have
+    /// changed.
+    pub(crate) fn refresh(&mut self, now_us: u64, listed: Vec<Upstream>) -> bool {
+        self.merge(now_us, listed, false)
+    }
+
+    fn merge(&mut self, now_us: u64, mut listed: Vec<Upstream>, first_after_outage: bool) -> bool {
         let in_grace_period = self
             .recovered_us
             .is_some_and(|recovered_us| now_us < recovered_us + REREGISTER_GRACE_US);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,10 +24,14 @@
 mod handle;
 mod holds;
 mod input;
+#[cfg(test)]
+mod leaving_tests;
 mod loads;
 mod logs;
 mod models;
 mod notices;
+#[cfg(test)]
+mod outage_tests;
 mod peers;
 mod pending_work;
 mod progress;
@@ -39,6 +43,7 @@
 mod routed;
 mod run;
 mod running;
+mod send_check;
 mod services;
 mod shared;
 mod sharing;
--- a/crates/daemon/src/relay.rs
+++ b/crates/daemon/src/relay.rs
@@ -1,12 +1,12 @@
 //! Relays the response to one model request, across as many attempts as needed.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use audit::Step;
 use code::Code;
+use link::ConnectionPool;
 use log::{debug, info};
 use metric::Attainment;
-use ntex::client::Client;
 use sched::Outcome;
 use serde_json::json;
 use tokio::time::Instant;
@@ -14,7 +14,7 @@
 
 use crate::{
     attempt::Attempt, core::Decision, handle::JobHandle, holds::Hold, notices, progress::Progress,
-    refusal::Refusal, shared::Shared,
+    refusal::Refusal, send_check::may_send, shared::Shared,
 };
 
 /// Response to one request, across as many attempts as needed.
@@ -23,7 +23,7 @@
 /// earlier attempts delivered, under the same identifier.
 pub(crate) struct Relay {
     shared: Arc<Shared>,
-    client: Client,
+    pool: Rc<ConnectionPool>,
     handle: JobHandle,
     request: Request,
     request_id: String,
@@ -46,7 +46,7 @@
     /// Creates the relay of a request whose job was submitted.
     pub(crate) fn new(
         shared: Arc<Shared>,
-        client: Client,
+        pool: Rc<ConnectionPool>,
         handle: JobHandle,
         request: Request,
         request_id: String,
@@ -54,7 +54,7 @@
     ) -> Self {
         Self {
             shared,
-            client,
+            pool,
             handle,
             request,
             request_id,
@@ -149,12 +149,13 @@
             Decision::Start {
                 upstream,
                 attempt,
+                chosen_us,
                 priority,
                 ..
             } => {
                 self.attempts = attempt;
                 self.shared.metrics.record_attempt(attempt);
-                self.open_attempt(&upstream, priority).await;
+                self.open_attempt(&upstream, chosen_us, priority).await;
                 Ok(())
             }
             Decision::Refuse {
@@ -172,7 +173,7 @@
     }
 
     /// Sends the request to an upstream; for a resumed response, with the text received so far.
-    async fn open_attempt(&mut self, name: &str, priority: i32) {
+    async fn open_attempt(&mut self, name: &str, chosen_us: u64, priority: i32) {
         // The decision may date from before a suspension of this process.
         self.shared
             .peers
@@ -184,10 +185,6 @@
             self.handle.finish(Outcome::NotSent);
             return;
         };
-        if !self.shared.accepts_requests(name) {
-            self.handle.finish(Outcome::Withheld);
-            return;
-        }
         debug!(
             "relay: {} attempt {} at {name}",
             self.request_id, self.attempts
@@ -198,7 +195,9 @@
             self.request
                 .upstream_body(priority, &self.received_text, self.progress.tokens());
         let form = self.request.form();
-        match Attempt::open(&self.client, upstream, form, &self.request_id, body).await {
+        let may_send = || may_send(&self.shared, &self.request_id, upstream, chosen_us);
+        let opened = Attempt::open(&self.pool, upstream, form, &self.request_id, body, may_send);
+        match opened.await {
             Ok(attempt) => self.attempt = Some(attempt),
             Err(error) => {
                 self.record_failure(&error.detail);
--- a/crates/daemon/src/services.rs
+++ b/crates/daemon/src/services.rs
@@ -35,6 +35,7 @@
     refusal::{Refusal, record_refusal},
     response_body::response_body,
     routed::outcome_of,
+    send_check::may_send,
     shared::Shared,
 };
 
@@ -42,7 +43,7 @@
 const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
 
 /// Tag of calls; refusals don't name the call that they refuse.
-const UNTAGGED: u64 = 0;
+pub(crate) const UNTAGGED: u64 = 0;
 
 /// Header with which a caller can safely repeat a non-idempotent call.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -51,7 +52,7 @@
 const FORWARDED_HEADERS: [&str; 3] = ["content-type", "accept", IDEMPOTENCY_KEY];
 
 /// Longest idle time of a pooled connection that is reused.
-const IDLE_MAX: Duration = Duration::from_secs(12);
+pub(crate) const IDLE_MAX: Duration = Duration::from_secs(12);
 
 /// Connections and table of one worker thread.
 #[derive(Clone)]
@@ -263,14 +264,17 @@
     loop {
         decision = match decision {
             Decision::Start {
-                upstream, attempt, ..
+                upstream,
+                attempt,
+                chosen_us,
+                ..
             } => {
                 shared.metrics.record_attempt(attempt);
                 tokio::select! {
                     biased;
                     // Only calls that may be repeated are preempted by other work.
                     decision = handle.decision(), if call.idempotent => decision,
-                    result = try_upstream(shared, clients, &upstream, call) => {
+                    result = try_upstream(shared, clients, &upstream, chosen_us, call) => {
                         let answer = match result {
                             Ok(answer) => answer,
                             Err(outcome) => {
@@ -301,13 +305,14 @@
     shared: &Shared,
     clients: &ServiceClients,
     upstream: &str,
+    chosen_us: u64,
     call: &Call,
 ) -> Result<HeldAnswer, Outcome> {
     // The decision may date from before a suspension of this process.
     shared.peers.freshness.wait_until_fresh(shared.clock).await;
     let snapshot = shared.snapshot.load_full();
     let upstream = snapshot.config.upstream(upstream).ok_or(Outcome::NotSent)?;
-    if !shared.accepts_requests(&upstream.name) {
+    if !shared.accepts_attempt(upstream) {
         return Err(Outcome::Withheld);
     }
     let sent_at = Instant::now();
@@ -320,7 +325,7 @@
         ConnectionPool::new(PoolOptions::default())
     };
     let exchange = async {
-        let is_allowed = || shared.accepts_requests(&upstream.name);
+        let is_allowed = || may_send(shared, "-", upstream, chosen_us);
         let sent = pool.send(upstream.address, request, IDLE_MAX, UNTAGGED, is_allowed);
         let mut response = sent.await.map_err(|error| outcome_of(&error))?;
         let notice = notice_of(response.status(), header_text(&response, "retry-after"));
--- a/crates/lease/src/delivery.rs
+++ b/crates/lease/src/delivery.rs
@@ -1,4 +1,4 @@
-use store::{Row, StoreError};
+use store::{Row, StoreError, StoreVersion};
 
 use crate::{
     Action, Command, DeliveryStep, Lease, LeaseEnd, LeaseStep, Outcome, Report, SendResult,
@@ -105,13 +105,18 @@
         }
     }
 
+    /// Records the newest known era of the store, before the result of a call that told it.
+    pub fn see_era(&mut self, now_us: u64, era: u64) {
+        self.lease.see_era(now_us, era);
+    }
+
     /// Handles the result of reading the lease's row.
     pub fn handle_read(&mut self, now_us: u64, result: Result<Option<Row>, StoreError>) {
         self.lease.handle_read(now_us, result);
     }
 
     /// Handles the result of writing the lease's row.
-    pub fn handle_write(&mut self, now_us: u64, result: Result<u64, StoreError>) {
+    pub fn handle_write(&mut self, now_us: u64, result: Result<StoreVersion, StoreError>) {
         self.lease.handle_write(now_us, result);
     }
 
--- a/crates/metric/src/metrics.rs
+++ b/crates/metric/src/metrics.rs
@@ -38,12 +38,18 @@
     hedges: Counter,
     upstream_departures: Counter,
     upstream_pauses: Counter,
+    sent_after_leaving: Counter,
     ordered_upstreams: Family<UpstreamCountLabel, Gauge>,
     upstream_orders: Family<UpstreamOrderLabel, Counter>,
     duty_holder_changes: Counter,
     duty_calls: Family<DutyCallLabel, Counter>,
     usage_windows: Family<WindowLabel, Counter>,
     duties_held: Gauge,
+    lost_histories: Family<KindLabel, Counter>,
+    dropped_reads: Family<ReasonLabel, Counter>,
+    upstreams_version: Gauge,
+    store_era: Gauge,
+    restores: Counter,
     reuse: ReuseCounters,
     upstream_complaints: Family<ComplaintLabel, Counter>,
     shortages: Family<ShortageLabel, Counter>,
@@ -79,12 +85,18 @@
             hedges: Counter::default(),
             upstream_departures: Counter::default(),
             upstream_pauses: Counter::default(),
+            sent_after_leaving: Counter::default(),
             ordered_upstreams: Family::default(),
             upstream_orders: Family::default(),
             duty_holder_changes: Counter::default(),
             duty_calls: Family::default(),
             usage_windows: Family::default(),
             duties_held: Gauge::default(),
+            lost_histories: Family::default(),
+            dropped_reads: Family::default(),
+            upstreams_version: Gauge::default(),
+            store_era: Gauge::default(),
+            restores: Counter::default(),
             reuse: ReuseCounters::default(),
             upstream_complaints: Family::default(),
             shortages: Family::default(),
@@ -104,6 +116,7 @@
         metrics.register();
         metrics.register_orders();
         metrics.register_duties();
+        metrics.register_store();
         metrics.reuse.register(&mut metrics.registry);
         metrics.register_upstream_news();
         metrics.register_holds();
@@ -195,6 +208,11 @@
         self.upstream_pauses.inc();
     }
 
+    /// Counts an attempt that was sent to an upstream that this host knew as leaving or gone.
+    pub fn record_sent_after_leaving(&self) {
+        self.sent_after_leaving.inc();
+    }
+
     /// Sets the number of upstreams of one kind that a service has in one state.
     pub fn set_ordered_upstreams(
         &self,
@@ -245,6 +263,23 @@
         self.usage_windows.get_or_create(&label).inc();
     }
 
+    /// Counts a read of changes that the store answered with all rows; `read` names its kind.
+    pub fn record_lost_history(&self, read: &'static str) {
+        let label = KindLabel { kind: read };
+        self.lost_histories.get_or_create(&label).inc();
+    }
+
+    /// Counts a list of upstreams that was not applied, by the reason.
+    pub fn record_dropped_read(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.dropped_reads.get_or_create(&label).inc();
+    }
+
+    /// Counts a list of upstreams that was applied from a store that came back from an older copy.
+    pub fn record_restore(&self) {
+        self.restores.inc();
+    }
+
     /// Counts complaints about upstreams that this daemon told others.
     pub fn record_complaints_told(&self, count: usize) {
         self.count_complaints("told", count);
@@ -298,6 +333,9 @@
                 .set(saturating_i64(oldest_wait_us));
         }
         self.in_flight.set(saturating_i64(gauges.in_flight));
+        self.upstreams_version
+            .set(saturating_i64(gauges.upstreams_version));
+        self.store_era.set(saturating_i64(gauges.store_era));
         self.stragglers.set(saturating_i64(gauges.stragglers));
         self.quarantined_parts
             .set(saturating_i64(gauges.quarantined_parts));
@@ -346,6 +384,38 @@
         );
     }
 
+    /// Registers what became of reads of the platform's store.
+    fn register_store(&mut self) {
+        let registry = &mut self.registry;
+        register(
+            registry,
+            "lost_store_histories",
+            "Reads of changes that the store answered with its history being gone",
+            &self.lost_histories,
+        );
+        register(
+            registry,
+            "dropped_reads",
+            "Lists of upstreams that were not applied, by reason",
+            &self.dropped_reads,
+        );
+        registry.register(
+            "upstreams_version",
+            "Version of the store up to which the upstreams are known",
+            self.upstreams_version.clone(),
+        );
+        registry.register(
+            "store_era",
+            "Era of the store, which rises when it comes back from an older copy",
+            self.store_era.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Lists of upstreams that were applied from a store that came back from an older copy",
+            self.restores.clone(),
+        );
+    }
+
     fn register_duties(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -385,6 +455,11 @@
             "Answers of upstreams that asked for a pause",
             self.upstream_pauses.clone(),
         );
+        registry.register(
+            "sent_after_leaving",
+            "Attempts sent to upstreams that this host already knew as leaving or gone",
+            self.sent_after_leaving.clone(),
+        );
         registry.register(
             "upstream_complaints",
             "Complaints about upstreams that can't be reached, told to or heard from other hosts",
--- a/crates/sched/src/notices.rs
+++ b/crates/sched/src/notices.rs
@@ -2,6 +2,8 @@
 
 use code::Code;
 use queue::Item;
+use route::KnownDeparture;
+use settings::Upstream;
 
 use crate::{Action, Dispatcher, JobId, Reason, entry::Entry};
 
@@ -54,10 +56,22 @@
         }
     }
 
-    /// Returns whether requests may be sent to an upstream that was chosen for a job.
+    /// Returns whether requests may be sent to an upstream as it was listed when it was chosen for a
+    /// job.
     #[must_use]
-    pub fn accepts_requests(&self, upstream: &str) -> bool {
-        self.pool.accepts_requests(upstream)
+    pub fn accepts_attempt(&self, chosen: &Upstream) -> bool {
+        self.pool.accepts_attempt(chosen)
+    }
+
+    /// Returns since when this daemon has known that the instance of an upstream which started at
+    /// `started_ms` is leaving or gone, also if it accepts requests again.
+    #[must_use]
+    pub fn known_departure(
+        &self,
+        upstream: &str,
+        started_ms: Option<u64>,
+    ) -> Option<KnownDeparture> {
+        self.pool.known_departure(upstream, started_ms)
     }
 
     /// Refuses a queued job if all of its upstreams have asked for pauses that end after its
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,9 @@
 //! The error of a write shows whether it took effect: after [`StoreError::Down`] nothing was
 //! applied, after [`StoreError::Unknown`] the write may have taken effect and the row has to be
 //! read back.
+//!
+//! A [`StoreVersion`] is a pair of era and number: a platform whose store comes back from an older
+//! copy gives numbers out again, in a new era.
 
 mod expect;
 mod fault;
@@ -16,7 +19,9 @@
 mod memory_table;
 mod row;
 mod store_error;
+mod store_version;
 mod table;
+mod table_copy;
 #[cfg(test)]
 mod tests;
 
@@ -29,5 +34,7 @@
     memory_table::MemoryTable,
     row::Row,
     store_error::StoreError,
+    store_version::StoreVersion,
     table::Table,
+    table_copy::TableCopy,
 };
