--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -12,15 +12,16 @@
 //!
 //! ```
 //! use claim::{Answer, Claim, ClaimStep, Fingerprint, Record, Reply, CallResult};
+//! use store::StoreVersion;
 //!
 //! let fingerprint = Fingerprint::new("POST", "/reservations", b"{}");
 //! let mut claim = Claim::new(Record::new("r-1", "entry-1/7", "entry-1", fingerprint), 0, 15_000);
 //! assert!(matches!(claim.start(), ClaimStep::Write { .. }));
-//! assert!(matches!(claim.handle_write(Ok(1)), ClaimStep::Send));
+//! assert!(matches!(claim.handle_write(Ok(StoreVersion::new(0, 1))), ClaimStep::Send));
 //! let answer = Answer { status: 201, content_type: "application/json".into(), body: "{}".into() };
 //! let sent = CallResult::Answered(answer.clone());
 //! assert!(matches!(claim.handle_send(sent), ClaimStep::Write { .. }));
-//! assert_eq!(claim.handle_write(Ok(2)), ClaimStep::Finish(Reply::Answer(answer)));
+//! assert_eq!(claim.handle_write(Ok(StoreVersion::new(0, 2))), ClaimStep::Finish(Reply::Answer(answer)));
 //! ```
 
 mod answer;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -45,12 +45,13 @@
 //!
 //! ```
 //! use lease::{Lease, LeaseStep, LeaseTiming};
+//! use store::StoreVersion;
 //!
 //! let mut lease = Lease::new(LeaseTiming::default(), "ana", "attempt-1", 0);
 //! assert_eq!(lease.step(0), LeaseStep::Read);
 //! lease.handle_read(1_000, Ok(None));
 //! assert!(matches!(lease.step(2_000), LeaseStep::Write { .. }));
-//! lease.handle_write(3_000, Ok(1));
+//! lease.handle_write(3_000, Ok(StoreVersion::new(0, 1)));
 //! assert!(lease.holds(3_000));
 //! assert_eq!(lease.token(), 1);
 //! // The lease ends at 9 s after the write was sent: its length of 10 s less a clock error of 1 s.
